--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -53,6 +53,7 @@
 
     /// Cuts all streams and comes back with an empty cache as a new incarnation.
     void crash();
+    void setTokenInterval(Millis interval) { this->options.tokenInterval = interval; }
     std::uint64_t prefilledTokens() const { return this->prefilled; }
     std::uint64_t promptTokens() const { return this->prompted; }
     std::size_t requestCount() const { return this->requests; }
--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -230,7 +230,8 @@
     }
     openLog(settings.logLevel, settings.instance);
     try {
-        Daemon daemon(settings);
+        http::Loop loop(static_cast<unsigned>(settings.maxConnections));
+        Daemon daemon(loop, settings);
         return daemon.run();
     } catch (const std::runtime_error &error) {
         return fail(ErrorCode::Unavailable, "start", error.what());
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -13,6 +13,7 @@
 {
     ExchangePtr exchange;
     bool bodyTooLarge;
+    bool refused;
 };
 
 namespace {
@@ -20,6 +21,7 @@
 constexpr std::size_t MaxWriteBytes = 16384;
 constexpr std::size_t HeadBufferBytes = 16384;
 constexpr int KeepAliveSeconds = 60;
+constexpr std::size_t MaxDiscardFactor = 8;
 
 struct MethodToken
 {
@@ -243,6 +245,7 @@
     this->onGone(connection);
     connection.exchange = std::make_shared<Exchange>();
     connection.bodyTooLarge = false;
+    connection.refused = false;
     ++this->exchangeCount;
     Exchange &exchange = *connection.exchange;
     exchange.wsi = wsi;
@@ -272,14 +275,16 @@
     const std::string declared(findHeader(exchange.received.headers, "content-length"));
     if (declared.empty() || declared == "0")
         return this->dispatch(connection);
-    if (std::strtoull(declared.c_str(), nullptr, 10) > this->options.maxBodyBytes)
+    const std::size_t size = std::strtoull(declared.c_str(), nullptr, 10);
+    connection.bodyTooLarge = size > this->options.maxBodyBytes;
+    if (size > MaxDiscardFactor * this->options.maxBodyBytes)
         return this->refuse(connection, 413, "the request body is too large");
     return 0;
 }
 
 int Server::refuse(Connection &connection, int status, std::string_view text)
 {
-    connection.bodyTooLarge = true;
+    connection.refused = true;
     const std::string body = R"({"error":{"type":"invalid_request_error","code":"http_)"
         + std::to_string(status) + R"(","message":")" + std::string(text) + "\"}}\n";
     connection.exchange->respond({status,
@@ -292,19 +297,20 @@
 
 int Server::onBody(Connection &connection, std::string_view data)
 {
-    if (!connection.exchange || connection.bodyTooLarge)
+    // A body over the bound is read and thrown away: an answer that overtakes it would be lost
+    // with the connection.
+    if (!connection.exchange || connection.bodyTooLarge || connection.refused)
         return 0;
-    std::string &body = connection.exchange->received.body;
-    if (body.size() + data.size() > this->options.maxBodyBytes)
-        return this->refuse(connection, 413, "the request body is too large");
-    body.append(data);
+    connection.exchange->received.body.append(data);
     return 0;
 }
 
 int Server::dispatch(Connection &connection)
 {
-    if (!connection.exchange || connection.bodyTooLarge || !this->handler)
+    if (!connection.exchange || connection.refused || !this->handler)
         return 0;
+    if (connection.bodyTooLarge)
+        return this->refuse(connection, 413, "the request body is too large");
     const ExchangePtr exchange = connection.exchange;
     lws_set_timeout(exchange->wsi, NO_PENDING_TIMEOUT, 0);
     this->handler(exchange);
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-Daemon::Daemon(Settings given)
-    : settings(std::move(given))
-    , loop(static_cast<unsigned>(this->settings.maxConnections))
+Daemon::Daemon(http::Loop &loop, Settings given)
+    : loop(loop)
+    , settings(std::move(given))
     , timeline(this->settings.instance, TimelineCapacity)
     , endpoints(this->loop, "endpoints", EndpointHeaders)
     , store(this->loop, this->settings.store)
@@ -57,7 +57,8 @@
     hooks.status = [this] { return this->status(); };
     hooks.drain = [this] { this->drain(); };
     hooks.beforeMetrics = [this] {
-        this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()));
+        this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()),
+                                      static_cast<double>(this->gateway.backlogBytes()));
         this->metrics.countStoreCalls(static_cast<double>(this->store.callCount()));
     };
     this->admin = std::make_unique<Admin>(this->loop, this->settings, this->timeline, this->metrics,
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -14,14 +14,19 @@
 {
 public:
     /// Throws std::runtime_error when an address cannot be bound.
-    explicit Daemon(Settings settings);
+    Daemon(http::Loop &loop, Settings settings);
 
+    /// Begins to serve on the loop, which the caller runs.
+    void start();
     /// Serves until a signal or an operator stops it; returns the exit code.
     int run();
-    /// Starts a graceful stop: readiness off, no new requests, those in progress finish.
+    /// Starts a graceful stop: readiness off, no new requests, those in progress finish. The
+    /// loop is stopped at the end of it.
     void drain();
-    http::Loop &eventLoop() { return this->loop; }
-    void start();
+    std::int64_t configVersion() const { return this->feed.tracker().activeVersion(); }
+    const TimelineRing &events() const { return this->timeline; }
+    std::size_t backlogBytes() const { return this->gateway.backlogBytes(); }
+    std::string metricsText() const { return this->metrics.toText(); }
 
 private:
     void onConfig(const ActiveConfigPtr &config);
@@ -32,8 +37,8 @@
     void checkDrained();
     Json status() const;
 
+    http::Loop &loop;
     Settings settings;
-    http::Loop loop;
     TimelineRing timeline;
     Metrics metrics;
     http::Client endpoints;
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -257,6 +257,14 @@
     this->draining = true;
 }
 
+std::size_t Gateway::backlogBytes() const
+{
+    std::size_t total = 0;
+    for (const auto &[id, call] : this->modelCalls)
+        total += call->request().exchange->backlog();
+    return total;
+}
+
 void Gateway::stopAll()
 {
     const Refusal refusal = unavailable("stopping", "this instance is stopping", Millis(0));
--- a/src/router/gateway.h
+++ b/src/router/gateway.h
@@ -25,6 +25,8 @@
     void beginDrain();
     bool isDraining() const { return this->draining; }
     std::size_t openCalls() const { return this->modelCalls.size() + this->serviceCalls.size(); }
+    /// Bytes of answers that callers have not taken yet.
+    std::size_t backlogBytes() const;
     /// Ends all calls in progress, for a drain whose deadline has passed.
     void stopAll();
 
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -47,6 +47,8 @@
                           "Version of the configuration in force"))
     , openRequests(
           gauge(*this->registry, "lavenderhall_open_requests", "Requests not yet answered"))
+    , backlog(gauge(*this->registry, "lavenderhall_backlog_bytes",
+                    "Bytes of answers that callers have not taken yet"))
     , storeCalls(gauge(*this->registry, "lavenderhall_store_calls",
                        "Calls made to the platform's object service so far"))
     , peerBytes(counters(*this->registry, "lavenderhall_peer_bytes_total",
@@ -91,9 +93,10 @@
     this->configVersion.Set(version);
 }
 
-void Metrics::setOpenRequests(double count)
+void Metrics::setOpenRequests(double count, double backlogBytes)
 {
     this->openRequests.Set(count);
+    this->backlog.Set(backlogBytes);
 }
 
 void Metrics::countStoreCalls(double total)
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -25,7 +25,7 @@
     void countResume();
     void observeFirstToken(double seconds);
     void setConfigVersion(double version);
-    void setOpenRequests(double count);
+    void setOpenRequests(double count, double backlogBytes);
     void countStoreCalls(double total);
     void countPeerMessage(const std::string &direction, double bytes);
     void countPeerRefusal(const std::string &reason);
@@ -44,6 +44,7 @@
     prometheus::Histogram &firstToken;
     prometheus::Gauge &configVersion;
     prometheus::Gauge &openRequests;
+    prometheus::Gauge &backlog;
     prometheus::Gauge &storeCalls;
     prometheus::Family<prometheus::Counter> &peerBytes;
     prometheus::Family<prometheus::Counter> &peerMessages;
