--- /dev/null
+++ b/src/limits/lender.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "config/document.h"
+#include "limits/account.h"
+#include "limits/seats.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// A seat holder's side of limits: the accounts of the seats held, and answers to borrowers.
+namespace lavenderhall {
+
+/// One organisation's part of its limits in this region.
+struct RegionalLimits
+{
+    double tokensPerSecond = 0;
+    double burst = 0;
+
+    auto operator<=>(const RegionalLimits &) const = default;
+};
+
+/// Returns the part of \a organisation's limits that belongs to \a region. The parts of all
+/// regions add up to the whole.
+RegionalLimits limitsIn(const Document &document, const Organisation &organisation,
+                        const std::string &region);
+
+class Lender
+{
+public:
+    Lender(std::string region, SeatTimings timings)
+        : region(std::move(region))
+        , timings(timings)
+    { }
+
+    void configure(const Document &document, MonoTime now);
+    /// Takes in that a seat was gained or lost.
+    void onSeatChange(const SeatChange &change, MonoTime now);
+
+    /// Answers a question for tokens; \a isHeld says whether this process may decide.
+    proto::Loan lend(const proto::ProcessId &borrower, const proto::Borrow &borrow, bool isHeld,
+                     MonoTime now);
+    void settle(const proto::ProcessId &borrower, const proto::Settle &settle, MonoTime now);
+    void refund(const proto::ProcessId &borrower, const proto::Refund &refund, MonoTime now);
+
+    /// Levels of the seat's accounts that are not full.
+    std::vector<proto::AccountLevel> levels(std::uint32_t index, MonoTime now);
+    std::size_t accountCount() const;
+
+private:
+    struct Book
+    {
+        std::int64_t term = 0;
+        bool startsFull = false;
+        double startsWith = 0;
+        MonoTime refillFrom{};
+        std::map<std::string, double> handedLevels;
+        std::map<std::string, Account> accounts; ///< only those that were ever asked for
+    };
+
+    Account *accountOf(const std::string &organisation, MonoTime now);
+
+    std::string region;
+    SeatTimings timings;
+    std::map<std::string, RegionalLimits> limits;
+    std::map<std::uint32_t, Book> books;
+};
+
+} // namespace lavenderhall
