Membership, peer link and limits wired into the daemon

Cause: limits were decided by nobody yet, and instances did not know of each other. Change: members by pings and rumours, ZeroMQ with CURVE on a thread of its own, seats and borrowing on the daemon's loop, configurations handed from peer to peer. A vhost's owner that has gone no longer gets callbacks at the end of the loop (use after free, found by ASan). Conclusion: requests are charged before they run, over all instances.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -35,11 +35,18 @@
 {
     lws_vhost *vhost = lws_get_vhost(wsi);
     auto *client = vhost ? static_cast<Client *>(lws_get_vhost_user(vhost)) : nullptr;
-    if (!client)
+    const auto *loop = static_cast<Loop *>(lws_context_user(lws_get_context(wsi)));
+    if (!client || !loop->hasOwner(client))
         return 0;
     return client->onEvent(wsi, reason, in, length);
 }
 
+// The library keeps pointers into this table for as long as the context lives.
+const std::array<lws_protocols, 2> Protocols{{
+    {"http", onClientEvent, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
 } // namespace
 
 void Call::cancel()
@@ -67,9 +74,7 @@
     , name(std::move(name))
     , headers(std::move(headers))
 {
-    this->protocols.resize(2);
-    this->protocols[0].name = "http";
-    this->protocols[0].callback = onClientEvent;
+    loop.addOwner(this);
 }
 
 Client::~Client()
@@ -77,6 +82,7 @@
     *this->alive = false;
     while (!this->starting.empty())
         this->starting.back()->cancel();
+    this->loop.removeOwner(this);
     for (Lane &lane : this->lanes)
         lws_vhost_destroy(lane.vhost);
 }
@@ -113,7 +119,7 @@
         lane.name = this->name + "-" + std::to_string(this->lanes.size());
         lws_context_creation_info info{};
         info.port = CONTEXT_PORT_NO_LISTEN;
-        info.protocols = this->protocols.data();
+        info.protocols = Protocols.data();
         info.vhost_name = lane.name.c_str();
         info.user = this;
         lane.vhost = lws_create_vhost(this->loop.context(), &info);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,7 +11,6 @@
 
 struct lws;
 struct lws_vhost;
-struct lws_protocols;
 
 /// HTTP/1.1 client over libwebsockets with a pool of kept connections.
 namespace lavenderhall::http {
@@ -121,7 +120,6 @@
     Loop &loop;
     std::string name;
     std::vector<std::string> headers;
-    std::vector<lws_protocols> protocols;
     std::vector<Lane> lanes;
     std::map<Address, Occupancy> busy;
     std::vector<CallPtr> starting;
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -71,6 +71,7 @@
     info.fd_limit_per_thread = maxFds;
     info.max_http_header_data = MaxHeaderBytes;
     info.pt_serv_buf_size = ServiceBufferBytes;
+    info.user = this;
     this->lwsContext = lws_create_context(&info);
     if (!this->lwsContext)
         throw std::runtime_error("http loop: the libwebsockets context cannot be created");
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 struct lws_context;
@@ -57,6 +58,12 @@
     /// Calls \a work on the loop's thread each time the process gets \a signal.
     void onSignal(int signal, std::function<void()> work);
 
+    /// Owners of connections say here whether they still want the library's callbacks: at the
+    /// end of the loop it calls back for connections whose owner has gone.
+    void addOwner(const void *owner) { this->owners.insert(owner); }
+    void removeOwner(const void *owner) { this->owners.erase(owner); }
+    bool hasOwner(const void *owner) const { return this->owners.contains(owner); }
+
     lws_context *context() { return this->lwsContext; }
 
 private:
@@ -68,6 +75,7 @@
     std::unique_ptr<uv_async_s> wakeUp;
     std::vector<std::unique_ptr<SignalWatch>> signalWatches;
     lws_context *lwsContext = nullptr;
+    std::set<const void *> owners;
     std::mutex postedMutex;
     std::vector<std::function<void()>> posted;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t HeadBufferBytes = 16384;
 constexpr int KeepAliveSeconds = 60;
 constexpr std::size_t MaxDiscardFactor = 8;
+constexpr std::size_t ConnectionBytes = 4 * sizeof(void *);
 
 struct MethodToken
 {
@@ -102,11 +103,18 @@
 {
     lws_vhost *vhost = lws_get_vhost(wsi);
     auto *server = vhost ? static_cast<Server *>(lws_get_vhost_user(vhost)) : nullptr;
-    if (!server)
+    const auto *loop = static_cast<Loop *>(lws_context_user(lws_get_context(wsi)));
+    if (!server || !loop->hasOwner(server))
         return 0;
     return server->onEvent(wsi, reason, user, in, length);
 }
 
+// The library keeps pointers into this table for as long as the context lives.
+const std::array<lws_protocols, 2> Protocols{{
+    {"http", onServerEvent, ConnectionBytes, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
 } // namespace
 
 void Exchange::respond(Response response)
@@ -165,15 +173,12 @@
     , options(std::move(options))
     , handler(std::move(handler))
 {
-    this->protocols.resize(2);
-    this->protocols[0].name = "http";
-    this->protocols[0].callback = onServerEvent;
-    this->protocols[0].per_session_data_size = sizeof(Connection);
-
+    static_assert(sizeof(Connection) <= ConnectionBytes);
+    loop.addOwner(this);
     lws_context_creation_info info{};
     info.port = this->options.listen.port;
     info.iface = this->options.listen.host.c_str();
-    info.protocols = this->protocols.data();
+    info.protocols = Protocols.data();
     info.vhost_name = this->options.name.c_str();
     info.user = this;
     info.keepalive_timeout = KeepAliveSeconds;
@@ -195,7 +200,7 @@
         if (connection)
             connection->exchange.reset();
     }
-    this->handler = nullptr;
+    this->loop.removeOwner(this);
     lws_vhost_destroy(this->vhost);
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,7 +10,6 @@
 
 struct lws;
 struct lws_vhost;
-struct lws_protocols;
 
 /// HTTP/1.1 server over libwebsockets, with whole requests and streamed answers.
 namespace lavenderhall::http {
@@ -108,7 +107,6 @@
     Loop &loop;
     ServerOptions options;
     Handler handler;
-    std::vector<lws_protocols> protocols;
     lws_vhost *vhost = nullptr;
     std::vector<lws *> connections;
     std::size_t exchangeCount = 0;
--- /dev/null
+++ b/src/membership/members.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "base/clock.h"
+#include "http/message.h"
+#include "proto/peer.pb.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+/// Which other instances are alive, by pings to random members with rumours along (as in SWIM).
+///
+/// The traffic of one instance does not grow with the fleet: one ping a second, each message
+/// with a bounded number of rumours.
+namespace lavenderhall {
+
+struct MemberTimings
+{
+    Millis pingInterval{1000};
+    Millis ackTimeout{500}; ///< until others are asked to ping as well
+    Millis suspectAfter{1200}; ///< without any answer, from the ping on
+    Millis deadAfter{3000}; ///< from the suspicion on
+    Millis deadPingInterval{5000}; ///< tries to reach one that is taken for dead
+    Millis forgetAfter = std::chrono::hours(3); ///< from the death on
+};
+
+/// A message to send.
+struct MemberAction
+{
+    http::Address to;
+    proto::Envelope message;
+};
+
+/// A change that others want to know of.
+struct MemberChange
+{
+    proto::Member member;
+    bool isUp = false;
+};
+
+class Members
+{
+public:
+    Members(proto::Member self, std::vector<http::Address> seeds, MemberTimings timings,
+            std::uint64_t seed);
+
+    std::vector<MemberAction> onTick(MonoTime now);
+    std::vector<MemberAction> onMessage(const proto::Envelope &message, MonoTime now);
+    /// Tells the others that this process leaves.
+    std::vector<MemberAction> leave();
+    /// Pings \a count random members at once, to spread a new configuration version.
+    std::vector<MemberAction> pingSome(std::size_t count, MonoTime now);
+
+    void setConfigVersion(std::int64_t version) { this->configVersion = version; }
+    /// Highest configuration version heard of, and from whom.
+    struct ConfigNews
+    {
+        std::int64_t version = 0;
+        proto::ProcessId from;
+    };
+    std::optional<ConfigNews> takeConfigNews();
+
+    /// Members taken for alive or only suspected, without this process.
+    std::vector<proto::Member> alive() const;
+    std::optional<http::Address> addressOf(const proto::ProcessId &id) const;
+    std::vector<MemberChange> takeChanges();
+    const proto::Member &self() const { return this->own; }
+
+private:
+    struct Entry
+    {
+        proto::Member member;
+        MonoTime since{}; ///< of its state
+        int rumoursLeft = 0;
+    };
+    struct Probe
+    {
+        std::uint64_t number = 0;
+        std::string name;
+        MonoTime sentAt{};
+        bool askedOthers = false;
+        std::optional<http::Address> onBehalfOf; ///< who is to get the answer
+        std::uint64_t askersNumber = 0;
+        proto::ProcessId asker;
+    };
+
+    bool isUsable(const Entry &entry) const;
+    void learn(const proto::Member &news, MonoTime now);
+    void learnSender(const proto::ProcessId &from, MonoTime now);
+    void setState(Entry &entry, proto::MemberState state, MonoTime now);
+    void fillRumours(google::protobuf::RepeatedPtrField<proto::Member> &rumours, bool all);
+    MemberAction ping(const http::Address &to, std::uint64_t number);
+    void probe(Entry &entry, MonoTime now, std::vector<MemberAction> &actions);
+    void probeNext(MonoTime now, std::vector<MemberAction> &actions);
+    void probeDead(MonoTime now, std::vector<MemberAction> &actions);
+    void probeSeed(MonoTime now, std::vector<MemberAction> &actions);
+    void checkProbes(MonoTime now, std::vector<MemberAction> &actions);
+    void checkStates(MonoTime now);
+    void onAck(const proto::Envelope &message, MonoTime now, std::vector<MemberAction> &actions);
+    void onPingRequest(const proto::Envelope &message, MonoTime now,
+                       std::vector<MemberAction> &actions);
+    void hearConfig(const proto::ProcessId &from, std::int64_t version);
+    int rumourBudget() const;
+    std::vector<std::string> usableNames() const;
+
+    proto::Member own;
+    std::vector<http::Address> seeds;
+    MemberTimings timings;
+    pcg32 random;
+    std::map<std::string, Entry> table;
+    std::vector<Probe> probes;
+    std::vector<std::string> order; ///< shuffled, taken from the back
+    std::uint64_t nextNumber = 1;
+    MonoTime nextPing{};
+    MonoTime nextDeadPing{};
+    MonoTime nextSeedPing{};
+    bool hasJoined = false;
+    int ownRumoursLeft = 0;
+    std::int64_t configVersion = 0;
+    ConfigNews news;
+    std::vector<MemberChange> changes;
+};
+
+/// Returns a number for a process that starts now; later starts get higher ones.
+std::uint64_t newIncarnation(std::int64_t wallMillis, std::uint64_t random);
+
+} // namespace lavenderhall
--- a/src/router/context.h
+++ b/src/router/context.h
@@ -6,6 +6,7 @@
 #include "identity/keyring.h"
 #include "placement/board.h"
 #include "router/answers.h"
+#include "router/fleet.h"
 #include "router/metrics.h"
 #include "router/settings.h"
 #include "timeline/ring.h"
@@ -22,6 +23,7 @@
     const Settings &settings;
     TimelineRing &timeline;
     Metrics &metrics;
+    Fleet &fleet;
     EndpointBoard board;
     ActiveConfigPtr config;
     Keyring keyring;
@@ -37,6 +39,7 @@
     std::string secret; ///< the key as sent, to make sure that it goes no further
     Route route;
     MonoTime arrivedAt{};
+    std::uint64_t tokensRequest = 0; ///< number of the granted request for tokens
 };
 
 } // namespace lavenderhall
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -15,6 +15,7 @@
 constexpr Millis LoadInterval{1000};
 constexpr Millis LoadTimeout{1000};
 constexpr Millis DrainCheckInterval{50};
+constexpr Millis HandoverPatience{3000};
 
 const std::vector<std::string> CallerHeaders{IdempotencyHeader};
 const std::vector<std::string> EndpointHeaders{RequestIdHeader};
@@ -38,9 +39,6 @@
     , timeline(this->settings.instance, TimelineCapacity)
     , endpoints(this->loop, "endpoints", EndpointHeaders)
     , store(this->loop, this->settings.store)
-    , context{this->loop, this->endpoints, this->settings, this->timeline, this->metrics, {}, {},
-              {}}
-    , gateway(this->context)
     , feed(
           this->loop, this->store,
           [this](const ActiveConfigPtr &config) { this->onConfig(config); },
@@ -50,6 +48,17 @@
               this->timeline.add(EventKind::ConfigRefused, "", "", {{"reason", reason}});
           },
           randomSeed())
+    , fleet(this->loop, this->settings, this->store, this->feed, this->timeline, this->metrics)
+    , context{this->loop,
+              this->endpoints,
+              this->settings,
+              this->timeline,
+              this->metrics,
+              this->fleet,
+              {},
+              {},
+              {}}
+    , gateway(this->context)
     , random(randomSeed())
 {
     AdminHooks hooks;
@@ -60,6 +69,7 @@
         this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()),
                                       static_cast<double>(this->gateway.backlogBytes()));
         this->metrics.countStoreCalls(static_cast<double>(this->store.callCount()));
+        this->fleet.updateMetrics();
     };
     this->admin = std::make_unique<Admin>(this->loop, this->settings, this->timeline, this->metrics,
                                           std::move(hooks));
@@ -81,6 +91,8 @@
              {{"listen", this->settings.listen.toString()},
               {"admin", this->settings.admin.toString()},
               {"region", this->settings.region}});
+    // The peer address is bound before anything is decided: whoever bound it before is dead.
+    this->fleet.start();
     this->feed.start();
     this->watchInstances();
     this->pollLoads();
@@ -108,17 +120,21 @@
     if (this->gateway.isDraining())
         return;
     this->gateway.beginDrain();
+    this->fleet.leave();
     this->timeline.add(EventKind::DrainBegan, "", "", {{"open_calls", this->gateway.openCalls()}});
     logEvent(LogLevel::Info, "drain_began", {{"open_calls", this->gateway.openCalls()}});
     this->drainDeadline
         = this->loop.after(this->settings.drainDeadline, [this] { this->gateway.stopAll(); });
+    this->drainBeganAt = monoNow();
     this->checkDrained();
 }
 
 void Daemon::checkDrained()
 {
     // Answers are done when their last bytes have left, not when they are written.
-    if (this->gateway.openCalls() == 0 && this->callers->openExchanges() == 0) {
+    const bool isAnswered = this->gateway.openCalls() == 0 && this->callers->openExchanges() == 0;
+    const bool hasWaited = monoNow() - this->drainBeganAt > HandoverPatience;
+    if (isAnswered && (this->fleet.hasLeft() || hasWaited)) {
         this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->loop.stop(); });
         return;
     }
@@ -136,6 +152,7 @@
               {"change", config->root.change},
               {"author", config->root.author}});
     this->gateway.onConfig(config);
+    this->fleet.onConfig(config);
 }
 
 void Daemon::watchInstances()
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -43,9 +43,10 @@
     Metrics metrics;
     http::Client endpoints;
     StoreClient store;
+    ConfigFeed feed;
+    Fleet fleet;
     RouterContext context;
     Gateway gateway;
-    ConfigFeed feed;
     std::unique_ptr<Admin> admin;
     std::unique_ptr<http::Server> callers;
     std::set<std::string> polling;
@@ -57,6 +58,7 @@
     http::Timer drainDeadline;
     std::string configRefusal;
     MonoTime startedAt{};
+    MonoTime drainBeganAt{};
 };
 
 } // namespace lavenderhall
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -11,6 +11,21 @@
 constexpr std::string_view ServicePath = "/svc/";
 constexpr std::size_t RequestIdBytes = 12;
 constexpr Millis StartHint{500};
+constexpr double ServiceCallTokens = 1;
+
+/// How long a request may wait for its organisation's tokens.
+Millis patienceOf(TrafficClass trafficClass)
+{
+    switch (trafficClass) {
+    case TrafficClass::Interactive:
+        return Millis(1000);
+    case TrafficClass::Long:
+        return Millis(5000);
+    case TrafficClass::Background:
+        return Millis(20'000);
+    }
+    return Millis(1000);
+}
 
 bool isCompletionPath(const std::string &path)
 {
@@ -188,7 +203,33 @@
         this->context, std::move(caller), std::get<ModelRequest>(std::move(read)),
         [this](const ModelCall &ended) { this->modelCalls.erase(ended.request().id); });
     this->modelCalls.emplace(id, call);
-    call->start();
+    this->admit(call, call->tokens());
+}
+
+// The call is in the table from here on, so a withdrawn key or a drain finds it while it waits.
+template <typename Call> void Gateway::admit(const std::shared_ptr<Call> &call, double tokens)
+{
+    const CallerRequest &caller = call->request();
+    const Organisation *organisation
+        = this->context.config->document.findOrganisation(caller.organisation);
+    if (organisation && tokens > static_cast<double>(organisation->burstTokens))
+        return call->stop({429,
+                           "rate_limit_error",
+                           "request_exceeds_burst",
+                           "the request counts as " + std::to_string(static_cast<long>(tokens))
+                               + " tokens, more than the organisation's burst of "
+                               + std::to_string(organisation->burstTokens),
+                           RunOutcome::NotRun,
+                           {}});
+    call->onAdmissionAsked(this->context.fleet.requestTokens(
+        caller.organisation, tokens, patienceOf(caller.route.trafficClass),
+        [call](bool granted, Millis retryAfter) {
+            if (granted)
+                return call->start();
+            call->stop({429, "rate_limit_error", "rate_limit_exceeded",
+                        "the organisation's token rate is used up", RunOutcome::NotRun,
+                        retryAfter});
+        }));
 }
 
 void Gateway::serveService(CallerRequest caller)
@@ -217,7 +258,7 @@
         this->context, std::move(caller), std::move(path),
         [this](const ServiceCall &ended) { this->serviceCalls.erase(ended.request().id); });
     this->serviceCalls.emplace(id, call);
-    call->start();
+    this->admit(call, ServiceCallTokens);
 }
 
 void Gateway::refuse(const CallerRequest &caller, Refusal refusal)
--- a/src/router/gateway.h
+++ b/src/router/gateway.h
@@ -35,6 +35,7 @@
     void serveCompletion(CallerRequest caller);
     void serveService(CallerRequest caller);
     void startModelCall(CallerRequest caller, const Json &body);
+    template <typename Call> void admit(const std::shared_ptr<Call> &call, double tokens);
     bool authenticate(CallerRequest &caller);
     bool leaksKey(const CallerRequest &caller, const std::string &sent);
     void refuse(const CallerRequest &caller, Refusal refusal);
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -20,6 +20,11 @@
     return BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+auto &gauges(Registry &registry, const char *name, const char *help)
+{
+    return BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 prometheus::Gauge &gauge(Registry &registry, const char *name, const char *help)
 {
     return BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -51,13 +56,15 @@
                     "Bytes of answers that callers have not taken yet"))
     , storeCalls(gauge(*this->registry, "lavenderhall_store_calls",
                        "Calls made to the platform's object service so far"))
-    , peerBytes(counters(*this->registry, "lavenderhall_peer_bytes_total",
-                         "Bytes exchanged with other instances"))
-    , peerMessages(counters(*this->registry, "lavenderhall_peer_messages_total",
-                            "Messages exchanged with other instances"))
-    , peerRefusals(counters(*this->registry, "lavenderhall_peer_refusals_total",
-                            "Peer connections and messages refused"))
+    , peerBytes(gauges(*this->registry, "lavenderhall_peer_bytes",
+                       "Bytes exchanged with other instances so far"))
+    , peerMessages(gauges(*this->registry, "lavenderhall_peer_messages",
+                          "Messages exchanged with other instances so far"))
+    , peerRefusals(gauges(*this->registry, "lavenderhall_peer_refusals",
+                          "Peer connections and messages refused so far"))
     , peers(gauge(*this->registry, "lavenderhall_peers", "Other instances seen alive"))
+    , seatsHeld(gauge(*this->registry, "lavenderhall_limit_seats_held",
+                      "Seats of limits that this instance decides for"))
     , tokens(counters(*this->registry, "lavenderhall_tokens_total",
                       "Tokens by kind, as engines report them"))
 { }
@@ -104,15 +111,22 @@
     this->storeCalls.Set(total);
 }
 
-void Metrics::countPeerMessage(const std::string &direction, double bytes)
+void Metrics::setPeerTraffic(const LinkCounts &counts)
 {
-    this->peerMessages.Add({{"direction", direction}}).Increment();
-    this->peerBytes.Add({{"direction", direction}}).Increment(bytes);
+    const auto set = [](auto &family, const char *label, const char *value, std::uint64_t count) {
+        family.Add({{label, value}}).Set(static_cast<double>(count));
+    };
+    set(this->peerMessages, "direction", "in", counts.messagesIn);
+    set(this->peerMessages, "direction", "out", counts.messagesOut);
+    set(this->peerBytes, "direction", "in", counts.bytesIn);
+    set(this->peerBytes, "direction", "out", counts.bytesOut);
+    set(this->peerRefusals, "reason", "stranger", counts.strangersRefused);
+    set(this->peerRefusals, "reason", "malformed", counts.malformedRefused);
 }
 
-void Metrics::countPeerRefusal(const std::string &reason)
+void Metrics::setSeatsHeld(double count)
 {
-    this->peerRefusals.Add({{"reason", reason}}).Increment();
+    this->seatsHeld.Set(count);
 }
 
 void Metrics::setPeers(double alive)
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "membership/peerlink.h"
+
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -27,9 +29,9 @@
     void setConfigVersion(double version);
     void setOpenRequests(double count, double backlogBytes);
     void countStoreCalls(double total);
-    void countPeerMessage(const std::string &direction, double bytes);
-    void countPeerRefusal(const std::string &reason);
+    void setPeerTraffic(const LinkCounts &counts);
     void setPeers(double alive);
+    void setSeatsHeld(double count);
     void countTokens(double prompt, double cached, double output);
 
     /// Returns all metrics in the Prometheus text format.
@@ -46,10 +48,11 @@
     prometheus::Gauge &openRequests;
     prometheus::Gauge &backlog;
     prometheus::Gauge &storeCalls;
-    prometheus::Family<prometheus::Counter> &peerBytes;
-    prometheus::Family<prometheus::Counter> &peerMessages;
-    prometheus::Family<prometheus::Counter> &peerRefusals;
+    prometheus::Family<prometheus::Gauge> &peerBytes;
+    prometheus::Family<prometheus::Gauge> &peerMessages;
+    prometheus::Family<prometheus::Gauge> &peerRefusals;
     prometheus::Gauge &peers;
+    prometheus::Gauge &seatsHeld;
     prometheus::Family<prometheus::Counter> &tokens;
 };
 
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -82,6 +82,9 @@
     request.body["model"] = model->name;
     request.body["weights_version"] = model->version;
     request.body["cache_salt"] = request.scope.cacheSalt;
+    // The engine must not generate more than is charged.
+    request.body["max_tokens"] = request.maxTokens;
+    request.body.erase("max_completion_tokens");
     request.body["priority"] = static_cast<int>(caller.route.trafficClass);
     if (!request.scope.adapter.empty())
         request.body["adapter"] = request.scope.adapter;
@@ -96,8 +99,20 @@
     , relay(this->caller.id, this->caller.route.isRepeatable, MaxResumes)
 { }
 
+void ModelCall::onAdmissionAsked(std::uint64_t tokensRequest)
+{
+    this->caller.tokensRequest = tokensRequest;
+    this->caller.exchange->onClosed([self = this->shared_from_this()] {
+        if (!self->finished)
+            self->finish(0, RunOutcome::NotRun);
+    });
+}
+
 void ModelCall::start()
 {
+    if (this->finished)
+        return;
+    this->isAdmitted = true;
     const auto self = this->shared_from_this();
     this->caller.exchange->onClosed([self] {
         if (self->finished)
@@ -275,6 +290,21 @@
     }
 }
 
+// The events forwarded are the tokens generated; the last of a whole stream only ends it.
+void ModelCall::giveTokensBack()
+{
+    Fleet &fleet = this->context.fleet;
+    if (!this->isAdmitted)
+        return fleet.cancelTokens(this->caller.tokensRequest);
+    const std::int64_t streamed = this->relay.resumeAfter() - (this->relay.isComplete() ? 1 : 0);
+    const std::int64_t generated = std::max(streamed, this->outputTokens);
+    const bool ranAtAll = this->mayHaveRun || generated > 0;
+    const double unused = ranAtAll
+        ? static_cast<double>(std::max<std::int64_t>(0, this->model.maxTokens - generated))
+        : this->tokens();
+    fleet.returnTokens(this->caller.tokensRequest, unused);
+}
+
 http::Headers ModelCall::answerHeaders(const char *contentType) const
 {
     return {{"content-type", contentType},
@@ -311,9 +341,12 @@
     if (answer.contains("usage") && answer["usage"].is_object()) {
         const Json &usage = answer["usage"];
         const Json details = usage.value("prompt_tokens_details", Json::object());
+        this->outputTokens = usage.value("completion_tokens", this->model.maxTokens);
         this->context.metrics.countTokens(usage.value("prompt_tokens", 0.0),
                                           details.value("cached_tokens", 0.0),
                                           usage.value("completion_tokens", 0.0));
+    } else {
+        this->outputTokens = this->model.maxTokens;
     }
     this->endAttempt(true);
     const auto elapsed = std::chrono::duration<double>(monoNow() - this->caller.arrivedAt).count();
@@ -428,6 +461,7 @@
     this->finished = true;
     this->deadlineTimer.cancel();
     this->gapTimer.cancel();
+    this->giveTokensBack();
     this->context.metrics.countAnswer("model", toString(outcome), answered);
     const auto elapsed
         = std::chrono::duration_cast<Millis>(monoNow() - this->caller.arrivedAt).count();
--- a/src/router/modelcall.h
+++ b/src/router/modelcall.h
@@ -36,11 +36,18 @@
 
     ModelCall(RouterContext &context, CallerRequest caller, ModelRequest request, Done done);
 
+    /// Tokens that the request may use at the most.
+    double tokens() const
+    {
+        return static_cast<double>(this->model.promptTokens + this->model.maxTokens);
+    }
     /// Chooses an endpoint and starts the first attempt.
     void start();
     /// Ends the call at once with \a refusal: an answer if none has begun, else an error event.
     void stop(Refusal refusal);
 
+    /// Takes the number under which tokens have been asked for, so that they can go back.
+    void onAdmissionAsked(std::uint64_t tokensRequest);
     const CallerRequest &request() const { return this->caller; }
 
 private:
@@ -59,6 +66,7 @@
     void armGapTimer();
     void onGapTimer();
     void forward(const std::string &bytes);
+    void giveTokensBack();
     void finish(int status, RunOutcome outcome);
     http::Headers answerHeaders(const char *contentType) const;
 
@@ -79,8 +87,10 @@
     bool isPaused = false;
     bool mayHaveRun = false;
     bool firstTokenSeen = false;
+    bool isAdmitted = false;
     bool finished = false;
     std::string wholeAnswer;
+    std::int64_t outputTokens = 0;
 };
 
 } // namespace lavenderhall
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -7,7 +7,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
-#include <sodium.h>
+#include <zmq.h>
 
 using namespace lavenderhall;
 
@@ -20,6 +20,17 @@
     return {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + offset)};
 }
 
+FleetKeys fleetKeys()
+{
+    static const FleetKeys Keys = [] {
+        char publicKey[41];
+        char secretKey[41];
+        zmq_curve_keypair(publicKey, secretKey);
+        return FleetKeys{publicKey, secretKey};
+    }();
+    return Keys;
+}
+
 /// Instance number \a index of a fleet whose ports do not overlap.
 Settings settingsOf(int index)
 {
@@ -32,6 +43,7 @@
     settings.peer = local(12 + 3 * index);
     settings.store = local(0);
     settings.engineCredential = "engine-credential";
+    settings.fleetKeys = fleetKeys();
     settings.maxBodyBytes = 100'000;
     settings.drainDeadline = std::chrono::seconds(5);
     return settings;
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -17,8 +17,20 @@
     , done(std::move(done))
 { }
 
+void ServiceCall::onAdmissionAsked(std::uint64_t tokensRequest)
+{
+    this->caller.tokensRequest = tokensRequest;
+    this->caller.exchange->onClosed([self = this->shared_from_this()] {
+        if (!self->finished)
+            self->finish(0, RunOutcome::NotRun);
+    });
+}
+
 void ServiceCall::start()
 {
+    if (this->finished)
+        return;
+    this->isAdmitted = true;
     const auto self = this->shared_from_this();
     // A caller that hangs up does not stop a call that must not be cut in the middle.
     this->caller.exchange->onClosed([self] {
@@ -181,6 +193,10 @@
         return;
     this->finished = true;
     this->deadlineTimer.cancel();
+    if (this->isAdmitted)
+        this->context.fleet.returnTokens(this->caller.tokensRequest, 0);
+    else
+        this->context.fleet.cancelTokens(this->caller.tokensRequest);
     this->context.metrics.countAnswer("service", toString(outcome), answered);
     const auto elapsed
         = std::chrono::duration_cast<Millis>(monoNow() - this->caller.arrivedAt).count();
--- a/src/router/servicecall.h
+++ b/src/router/servicecall.h
@@ -23,6 +23,8 @@
     /// Ends the call at once with \a refusal. If the request may have run, the outcome says so.
     void stop(Refusal refusal);
 
+    /// Takes the number under which tokens have been asked for, so that they can go back.
+    void onAdmissionAsked(std::uint64_t tokensRequest);
     const CallerRequest &request() const { return this->caller; }
 
 private:
@@ -45,6 +47,7 @@
     int attempts = 0;
     http::Response answer;
     bool mayHaveRun = false;
+    bool isAdmitted = false;
     bool finished = false;
 };
 
