--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -308,6 +308,52 @@
     outcomes.check("prefix hit rate (some reuse)", rate > 0.2, f"{rate:.0%} of {prompt} tokens")
 
 
+def check_limits(keys, outcomes):
+    """One organisation asks for far more than its rate, at all instances at once."""
+    rate, burst, cost = 300, 1500, 100
+    granted = []
+    refused = []
+    stop_at = time.monotonic() + 3
+    started = time.monotonic()
+
+    def hammer(port):
+        # 48 tokens of prompt at the least, and the rest in output.
+        while time.monotonic() < stop_at:
+            body = json.dumps({"model": "care-check", "max_tokens": cost, "prompt": ""})
+            result = request(port, "POST", "/v1/completions", body, keys["small"]["secret"])
+            (granted if result["status"] == 200 else refused).append(result["status"])
+
+    threads = [threading.Thread(target=hammer, args=(port,)) for port in CALLER_PORTS * 3]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    elapsed = time.monotonic() - started
+    tokens = len(granted) * cost
+    bound = rate * elapsed + burst
+    outcomes.check("tokens granted within rate and burst",
+                   0.5 * bound < tokens <= bound and refused and set(refused) == {429},
+                   f"{tokens} of {bound:.0f} in {elapsed:.1f} s")
+
+
+def check_restart(deployment, keys, outcomes):
+    """Restarts an instance while the store is down: peers hand it the configuration."""
+    request(STORE_PORT, "POST", "/_faults", json.dumps({"unreachable": True}))
+    deployment.routers[1].kill()
+    deployment.routers[1].wait()
+    started = time.monotonic()
+    with open(os.path.join(deployment.folder, "router-1.json"), encoding="utf-8") as file:
+        keys_in_settings = json.load(file)["fleet_keys"]
+    deployment.routers[1] = deployment.start_router(1, REGIONS[1], keys_in_settings)
+    deployment.wait_for(ADMIN_PORTS[1], "/readyz", 200)
+    elapsed = time.monotonic() - started
+    result = completion(CALLER_PORTS[1], keys["erie-mill"]["secret"], "care-check", ("a", "b"), 4,
+                        False)
+    outcomes.check("restart with the store down serves (7 s)",
+                   elapsed < 7 and is_whole_answer(result, 4, False), f"ready in {elapsed:.2f} s")
+    request(STORE_PORT, "POST", "/_faults", json.dumps({"unreachable": False}))
+
+
 def check_withdrawal(deployment, keys, outcomes):
     """Withdraws a key while a stream of its organisation runs."""
     result = {}
@@ -393,7 +439,9 @@
         run_mixed(keys, outcomes)
         check_repeats(outcomes)
         check_hit_rate(outcomes)
+        check_limits(keys, outcomes)
         check_withdrawal(deployment, keys, outcomes)
+        check_restart(deployment, keys, outcomes)
         check_drain(deployment, keys, outcomes)
         check_keys_stay_inside(deployment, keys, outcomes)
         outcomes.show()
