Claims for idempotency keys, and odd values from outside crash nothing

Cause: a caller that repeats through another instance could run a non-repeatable call twice; a number where a text was expected in an engine's answer or the platform's list threw out of the loop; a refusal named the rate when no seat holder could be reached. Change: a claim per (organisation, route, key) in the store before the send, with the answer afterwards; lenient look-ups for JSON from other systems; limits_unavailable (503) apart from rate_limit_exceeded (429); peers are also found through the platform's list.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -12,6 +12,33 @@
 
 } // namespace
 
+std::string textIn(const Json &object, const std::string &name, std::string fallback)
+{
+    if (!object.is_object())
+        return fallback;
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                       : std::move(fallback);
+}
+
+std::int64_t integerIn(const Json &object, const std::string &name, std::int64_t fallback)
+{
+    if (!object.is_object())
+        return fallback;
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>()
+                                                               : fallback;
+}
+
+const Json &objectIn(const Json &object, const std::string &name)
+{
+    static const Json Empty = Json::object();
+    if (!object.is_object())
+        return Empty;
+    const auto found = object.find(name);
+    return found != object.end() && found->is_object() ? *found : Empty;
+}
+
 std::string describeJson(const Json &value)
 {
     std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/limits/borrower.cpp
+++ b/src/limits/borrower.cpp
@@ -79,6 +79,7 @@
             continue;
         piece.isAnswered = true;
         piece.tokens = loan.not_holder() ? 0 : loan.tokens();
+        request.isAnswered = request.isAnswered || !loan.not_holder();
         if (!loan.not_holder() && loan.wait_ms() > 0) {
             const Millis wait(loan.wait_ms());
             const bool isFirst = request.shortestWait == Millis(0);
@@ -126,7 +127,7 @@
     }
     this->granted[id] = std::move(grant);
     this->open.erase(id);
-    step.results.push_back({id, true, Millis(0)});
+    step.results.push_back({id, true, true, Millis(0)});
 }
 
 BorrowAction Borrower::settleAction(const std::string &organisation, const Piece &piece,
@@ -157,8 +158,8 @@
     this->releasePieces(request, step);
     const Millis wait = std::max(request.shortestWait, this->timings.retryInterval);
     if (now + wait > request.giveUpAt) {
+        step.results.push_back({id, false, request.isAnswered, wait});
         this->open.erase(id);
-        step.results.push_back({id, false, wait});
         return;
     }
     request.isWaiting = true;
--- a/src/limits/borrower.h
+++ b/src/limits/borrower.h
@@ -24,6 +24,7 @@
 {
     std::uint64_t request = 0;
     bool granted = false;
+    bool isAnswered = true; ///< whether any holder could be asked
     Millis retryAfter{0}; ///< if not granted
 };
 
@@ -83,6 +84,7 @@
         MonoTime giveUpAt{};
         MonoTime resumeAt{}; ///< not asking before
         bool isWaiting = false;
+        bool isAnswered = false; ///< by a holder, ever
         std::size_t nextRegion = 0;
         Millis shortestWait{0};
         std::vector<Piece> pieces;
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t MaxRumours = 8;
 constexpr std::size_t HelpersPerProbe = 3;
+constexpr std::ptrdiff_t MaxSeeds = 64;
 constexpr int RumourFactor = 3;
 constexpr std::uint32_t IncarnationRandomBits = 20;
 constexpr Millis SeedPingInterval{5000};
@@ -38,6 +39,18 @@
     this->ownRumoursLeft = RumourFactor;
 }
 
+void Members::addSeeds(const std::vector<http::Address> &more)
+{
+    for (const http::Address &seed : more) {
+        const bool isKnown
+            = std::find(this->seeds.begin(), this->seeds.end(), seed) != this->seeds.end();
+        if (!isKnown && seed != addressIn(this->own))
+            this->seeds.push_back(seed);
+    }
+    if (std::ssize(this->seeds) > MaxSeeds)
+        this->seeds.erase(this->seeds.begin(), this->seeds.end() - MaxSeeds);
+}
+
 bool Members::isUsable(const Entry &entry) const
 {
     return entry.member.state() == proto::ALIVE || entry.member.state() == proto::SUSPECT;
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -54,6 +54,8 @@
     /// Pings \a count random members at once, to spread a new configuration version.
     std::vector<MemberAction> pingSome(std::size_t count, MonoTime now);
 
+    /// Adds addresses to be asked for as long as no member is known there.
+    void addSeeds(const std::vector<http::Address> &more);
     void setConfigVersion(std::int64_t version) { this->configVersion = version; }
     /// Highest configuration version heard of, and from whom.
     struct ConfigNews
--- a/src/router/answers.h
+++ b/src/router/answers.h
@@ -20,6 +20,7 @@
 
 inline constexpr const char *OutcomeHeader = "x-lavenderhall-outcome";
 inline constexpr const char *RequestIdHeader = "x-request-id";
+inline constexpr const char *ReplayedHeader = "x-lavenderhall-replayed";
 inline constexpr const char *IdempotencyHeader = "idempotency-key";
 
 /// One error answer.
--- a/src/router/context.h
+++ b/src/router/context.h
@@ -24,6 +24,7 @@
     TimelineRing &timeline;
     Metrics &metrics;
     Fleet &fleet;
+    StoreClient &store;
     EndpointBoard board;
     ActiveConfigPtr config;
     Keyring keyring;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -23,11 +23,15 @@
 LoadReport readLoadReport(const Json &json)
 {
     LoadReport report;
-    report.incarnation = json.value("incarnation", std::int64_t{0});
-    report.running = json.value("running", std::int64_t{0});
-    report.waiting = json.value("waiting", std::int64_t{0});
-    report.cachedBlocks = json.value("cached_blocks", std::int64_t{0});
-    report.loaded = json.value("loaded", std::set<std::string>{});
+    report.incarnation = integerIn(json, "incarnation");
+    report.running = integerIn(json, "running");
+    report.waiting = integerIn(json, "waiting");
+    report.cachedBlocks = integerIn(json, "cached_blocks");
+    const auto loaded = json.find("loaded");
+    for (const Json &entry : loaded != json.end() ? *loaded : Json::array()) {
+        if (entry.is_string())
+            report.loaded.insert(entry.get<std::string>());
+    }
     return report;
 }
 
@@ -55,6 +59,7 @@
               this->timeline,
               this->metrics,
               this->fleet,
+              this->store,
               {},
               {},
               {}}
@@ -173,10 +178,17 @@
     this->instanceListVersion = reply.version;
     const Json json = Json::parse(reply.body, nullptr, false);
     std::set<std::string> leaving;
+    std::vector<http::Address> peers;
     for (const Json &entry : json.is_array() ? json : Json::array()) {
-        if (entry.is_object() && entry.value("state", "") == "leaving")
-            leaving.insert(entry.value("name", ""));
+        const bool isLeaving = textIn(entry, "state") == "leaving";
+        const std::string host = textIn(entry, "peer_host");
+        const std::int64_t port = integerIn(entry, "peer_port");
+        if (isLeaving)
+            leaving.insert(textIn(entry, "name"));
+        else if (http::isIpAddress(host) && port > 0 && port <= UINT16_MAX)
+            peers.push_back({host, static_cast<std::uint16_t>(port)});
     }
+    this->fleet.addSeeds(peers);
     this->context.board.setLeaving(leaving);
     for (const std::string &name : leaving)
         this->timeline.add(EventKind::EndpointLeaving, "", "", {{"endpoint", name}});
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -211,7 +211,7 @@
             continue;
         const TokensHandler handler = std::move(found->second);
         this->waiting.erase(found);
-        handler(result.granted, result.retryAfter);
+        handler(result);
     }
 }
 
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -20,7 +20,7 @@
 namespace lavenderhall {
 
 /// Answer to a request for tokens.
-using TokensHandler = std::function<void(bool granted, Millis retryAfter)>;
+using TokensHandler = std::function<void(const BorrowResult &result)>;
 
 class Fleet
 {
@@ -32,6 +32,8 @@
     /// Binds the peer address and begins; throws std::runtime_error if it is taken.
     void start();
     void onConfig(const ActiveConfigPtr &config);
+    /// Takes in more addresses under which members may be found.
+    void addSeeds(const std::vector<http::Address> &seeds) { this->members->addSeeds(seeds); }
 
     /// Asks for \a tokens of \a organisation; the handler is called exactly once unless the
     /// request is cancelled. Returns the request's number.
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -223,12 +223,16 @@
                            {}});
     call->onAdmissionAsked(this->context.fleet.requestTokens(
         caller.organisation, tokens, patienceOf(caller.route.trafficClass),
-        [call](bool granted, Millis retryAfter) {
-            if (granted)
+        [call](const BorrowResult &result) {
+            if (result.granted)
                 return call->start();
+            if (!result.isAnswered)
+                return call->stop(unavailable("limits_unavailable",
+                                              "nobody can decide on the organisation's rate now",
+                                              result.retryAfter));
             call->stop({429, "rate_limit_error", "rate_limit_exceeded",
                         "the organisation's token rate is used up", RunOutcome::NotRun,
-                        retryAfter});
+                        result.retryAfter});
         }));
 }
 
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -334,20 +334,17 @@
             {this->status, this->answerHeaders("application/json"), this->wholeAnswer});
         return this->finish(this->status, RunOutcome::Ran);
     }
-    const std::string answerId = answer.is_object() ? answer.value("id", "") : "";
+    const std::string answerId = textIn(answer, "id");
     if (!answerId.ends_with(this->caller.id))
         return this->retryOrGiveUp("an answer to another request arrived", true);
 
-    if (answer.contains("usage") && answer["usage"].is_object()) {
-        const Json &usage = answer["usage"];
-        const Json details = usage.value("prompt_tokens_details", Json::object());
-        this->outputTokens = usage.value("completion_tokens", this->model.maxTokens);
-        this->context.metrics.countTokens(usage.value("prompt_tokens", 0.0),
-                                          details.value("cached_tokens", 0.0),
-                                          usage.value("completion_tokens", 0.0));
-    } else {
-        this->outputTokens = this->model.maxTokens;
-    }
+    const Json &usage = objectIn(answer, "usage");
+    const Json &details = objectIn(usage, "prompt_tokens_details");
+    // Without a report, all that was charged counts as used.
+    this->outputTokens = integerIn(usage, "completion_tokens", this->model.maxTokens);
+    this->context.metrics.countTokens(static_cast<double>(integerIn(usage, "prompt_tokens")),
+                                      static_cast<double>(integerIn(details, "cached_tokens")),
+                                      static_cast<double>(this->outputTokens));
     this->endAttempt(true);
     const auto elapsed = std::chrono::duration<double>(monoNow() - this->caller.arrivedAt).count();
     this->context.metrics.observeFirstToken(elapsed);
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -44,6 +44,7 @@
     settings.store = local(0);
     settings.engineCredential = "engine-credential";
     settings.fleetKeys = fleetKeys();
+    settings.seeds = {local(12), local(15)};
     settings.maxBodyBytes = 100'000;
     settings.drainDeadline = std::chrono::seconds(5);
     return settings;
@@ -127,7 +128,7 @@
         , second(this->loop, engineOptions(2))
         , desk(this->loop, local(3))
         , daemon(this->loop, settingsOf(0))
-        , client(this->loop, "caller", {OutcomeHeader, RequestIdHeader})
+        , client(this->loop, "caller", {OutcomeHeader, RequestIdHeader, ReplayedHeader})
     {
         this->daemon.start();
         this->setKeys({this->mill}, {this->rival});
@@ -169,9 +170,16 @@
 
     AnswerPtr start(http::Method method, const std::string &path, const std::string &secret,
                     std::string body, http::Headers headers = {})
+    {
+        return this->startAt(settingsOf(0).listen.port, method, path, secret, std::move(body),
+                             std::move(headers));
+    }
+
+    AnswerPtr startAt(std::uint16_t port, http::Method method, const std::string &path,
+                      const std::string &secret, std::string body, http::Headers headers)
     {
         http::CallRequest request;
-        request.to = local(10);
+        request.to = {"127.0.0.1", port};
         request.method = method;
         request.path = path;
         request.headers = std::move(headers);
@@ -402,6 +410,49 @@
     cr_assert(not(fixture.desk.runs().contains("nobody")));
 }
 
+Test(router, a_repeat_with_the_same_idempotency_key_does_not_run_again)
+{
+    Fixture fixture;
+    Daemon other(fixture.loop, settingsOf(1));
+    other.start();
+    fixture.waitUntil([&] { return other.configVersion() == fixture.root.version; });
+    const auto book = [&](std::uint16_t port, const std::string &key, const std::string &body) {
+        const AnswerPtr answer
+            = fixture.startAt(port, http::Method::Post, "/svc/orders/book", fixture.mill.secret,
+                              body, {{"idempotency-key", key}});
+        fixture.waitUntil([&] { return answer->isDone(); });
+        return *answer;
+    };
+    const std::uint16_t first = settingsOf(0).listen.port;
+    const std::uint16_t second = settingsOf(1).listen.port;
+
+    cr_assert(book(first, "k1", "roll").status == 200);
+    fixture.loop.runFor(Millis(100));
+    const Answer repeated = book(second, "k1", "roll");
+    cr_assert(repeated.status == 200, "%s", repeated.body.c_str());
+    cr_assert(http::findHeader(repeated.headers, ReplayedHeader) == "true");
+    cr_assert(book(second, "k1", "another roll").code() == "idempotency_key_reused");
+
+    // The answer is lost after the run: a repeat is told so, and does not run.
+    fixture.desk.faults.cutAfterRun = 1;
+    cr_assert(book(first, "k2", "dye").outcome() == "unknown");
+    cr_assert(book(second, "k2", "dye").outcome() == "unknown");
+
+    // The store's answer is lost after the write: the claim is recognised and runs once.
+    fixture.store.faults.loseAnswers = 1;
+    cr_assert(book(first, "k3", "lost claim").status == 200);
+
+    // Without the store nothing is claimed, so nothing runs.
+    fixture.store.faults.isUnreachable = true;
+    const Answer refused = book(first, "k4", "no store");
+    cr_assert(refused.outcome() == "not-run", "%s", refused.body.c_str());
+    fixture.store.faults.isUnreachable = false;
+
+    cr_assert(not(fixture.desk.runs().contains("no store")));
+    for (const auto &[body, runs] : fixture.desk.runs())
+        cr_assert(runs == 1, "%s ran %d times", body.c_str(), runs);
+}
+
 Test(router, a_leaving_or_draining_endpoint_gets_no_new_work)
 {
     Fixture fixture;
@@ -464,6 +515,27 @@
     cr_assert(most > 0 && most < MostBacklogBytes, "backlog %zu", most);
 }
 
+Test(router, odd_values_from_the_platform_and_from_callers_crash_nothing)
+{
+    Fixture fixture;
+    fixture.store.put("platform/instances",
+                      R"([1, {"name":7,"state":"leaving"}, {"state":[]}, {"peer_port":"x"}])");
+    fixture.store.put("platform/instances", R"({"not":"a list"})");
+    fixture.store.put(RootObject, "not json");
+    fixture.store.put("limits/erie/0", "not json");
+    fixture.loop.runFor(Millis(200));
+    const std::vector<std::string> bodies{
+        R"({"model":"review","messages":[null]})",
+        R"({"model":"review","messages":[{"role":1,"content":[{"x":[]}]}]})",
+        R"({"model":"review","prompt":5,"messages":[[]],"max_tokens":1.5})",
+        "{\"model\":\"review\",\"messages\":[\"\xff\xfe\"]}",
+        R"({"model":["review"],"messages":[1]})",
+    };
+    for (const std::string &body : bodies)
+        cr_assert(fixture.completeWith(body).status != 0, "%s", body.c_str());
+    cr_assert(fixture.complete("review", 2, true).status == 200);
+}
+
 Test(router, serves_from_the_old_configuration_while_the_store_is_down)
 {
     Fixture fixture;
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -1,5 +1,7 @@
 #include "router/servicecall.h"
 
+#include "base/digest.h"
+
 namespace lavenderhall {
 
 namespace {
@@ -7,6 +9,7 @@
 constexpr int MaxAttempts = 3;
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 constexpr Millis RetryHint{1000};
+constexpr std::size_t ClaimTokenBytes = 12;
 
 } // namespace
 
@@ -47,9 +50,128 @@
                     RunOutcome::NotRun,
                     {}});
     });
+    if (this->wantsClaim())
+        return this->beginClaim(std::string(
+            http::findHeader(this->caller.exchange->request().headers, IdempotencyHeader)));
     this->startAttempt();
 }
 
+bool ServiceCall::wantsClaim() const
+{
+    return !this->caller.route.isRepeatable
+        && !http::findHeader(this->caller.exchange->request().headers, IdempotencyHeader).empty();
+}
+
+void ServiceCall::beginClaim(const std::string &idempotencyKey)
+{
+    const http::Request &received = this->caller.exchange->request();
+    ClaimRecord record;
+    record.token = randomHex(ClaimTokenBytes);
+    record.fingerprint = fingerprintOf(toString(received.method), this->path, received.body);
+    record.instance = this->context.settings.instance;
+    record.claimedAtMillis = wallMillis();
+    this->claim = std::make_shared<ClaimFlow>(
+        claimObject(this->caller.organisation, this->caller.route.name, idempotencyKey),
+        std::move(record));
+    this->takeClaimStep(this->claim->begin());
+}
+
+void ServiceCall::takeClaimStep(ClaimStep step)
+{
+    if (this->finished)
+        return;
+    const auto self = this->shared_from_this();
+    switch (step) {
+    case ClaimStep::Create:
+        return this->context.store.write(this->claim->object(), toText(this->claim->record()),
+                                         this->claim->expectedVersion(),
+                                         [self](const StoreReply &reply) {
+                                             self->takeClaimStep(self->claim->onWritten(reply));
+                                         });
+    case ClaimStep::Read:
+        return this->context.store.read(this->claim->object(), [self](const StoreReply &reply) {
+            self->takeClaimStep(self->claim->onRead(reply));
+        });
+    case ClaimStep::Send:
+        this->context.timeline.add(EventKind::ClaimMade, this->caller.id, this->caller.organisation,
+                                   {});
+        return this->startAttempt();
+    case ClaimStep::Replay:
+        return this->replay(this->claim->record());
+    case ClaimStep::Refuse:
+        return this->refuseClaim(this->claim->refusal());
+    case ClaimStep::Stop:
+        return;
+    }
+}
+
+void ServiceCall::refuseClaim(ClaimRefusal reason)
+{
+    this->claim.reset();
+    switch (reason) {
+    case ClaimRefusal::KeyReused:
+        return this->stop({422,
+                           "invalid_request_error",
+                           "idempotency_key_reused",
+                           "the idempotency key was used with another request",
+                           RunOutcome::NotRun,
+                           {}});
+    case ClaimRefusal::InProgress:
+        return this->stop({409,
+                           "server_error",
+                           "outcome_unknown",
+                           "a request with this idempotency key has been sent, and its outcome "
+                           "is not recorded",
+                           RunOutcome::Unknown,
+                           {}});
+    default:
+        return this->stop(unavailable("store_unavailable",
+                                      "the idempotency key cannot be claimed now", RetryHint));
+    }
+}
+
+void ServiceCall::replay(const ClaimRecord &record)
+{
+    http::Response response;
+    response.status = record.status;
+    response.headers = {{"content-type", record.contentType},
+                        {RequestIdHeader, this->caller.id},
+                        {OutcomeHeader, toString(RunOutcome::Ran)},
+                        {ReplayedHeader, "true"}};
+    response.body = record.body;
+    this->claim.reset();
+    this->caller.exchange->respond(std::move(response));
+    this->finish(record.status, RunOutcome::Ran);
+}
+
+namespace {
+
+/// Writes a claim's outcome, again after a failure; what stays unwritten counts as unknown.
+void writeOutcome(StoreClient &store, const std::shared_ptr<ClaimFlow> &claim, ClaimStep step)
+{
+    if (step == ClaimStep::Create)
+        return store.write(claim->object(), toText(claim->record()), claim->expectedVersion(),
+                           [&store, claim](const StoreReply &reply) {
+                               writeOutcome(store, claim, claim->onOutcomeWritten(reply));
+                           });
+    if (step == ClaimStep::Read)
+        store.read(claim->object(), [&store, claim](const StoreReply &reply) {
+            writeOutcome(store, claim, claim->onOutcomeRead(reply));
+        });
+}
+
+} // namespace
+
+void ServiceCall::recordOutcome(int answered, RunOutcome outcome)
+{
+    if (!this->claim || outcome == RunOutcome::Unknown)
+        return;
+    const ClaimStep step = outcome == RunOutcome::Ran
+        ? this->claim->onDone(answered, this->answer.headers.front().value, this->answer.body)
+        : this->claim->onNotRun();
+    writeOutcome(this->context.store, this->claim, step);
+}
+
 void ServiceCall::startAttempt()
 {
     ChoiceInput input;
@@ -120,7 +242,7 @@
     this->answer.headers.push_back({RequestIdHeader, this->caller.id});
     this->answer.headers.push_back({OutcomeHeader, toString(RunOutcome::Ran)});
     const int status = this->answer.status;
-    this->caller.exchange->respond(std::move(this->answer));
+    this->caller.exchange->respond(this->answer);
     this->finish(status, RunOutcome::Ran);
 }
 
@@ -193,6 +315,7 @@
         return;
     this->finished = true;
     this->deadlineTimer.cancel();
+    this->recordOutcome(answered, outcome);
     if (this->isAdmitted)
         this->context.fleet.returnTokens(this->caller.tokensRequest, 0);
     else
--- a/src/router/servicecall.h
+++ b/src/router/servicecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claims/claim.h"
 #include "placement/choice.h"
 #include "router/context.h"
 
@@ -28,6 +29,12 @@
     const CallerRequest &request() const { return this->caller; }
 
 private:
+    bool wantsClaim() const;
+    void beginClaim(const std::string &idempotencyKey);
+    void takeClaimStep(ClaimStep step);
+    void refuseClaim(ClaimRefusal reason);
+    void replay(const ClaimRecord &record);
+    void recordOutcome(int answered, RunOutcome outcome);
     void startAttempt();
     http::CallRequest buildCall(const EndpointView &view) const;
     void onEnd();
@@ -46,6 +53,7 @@
     std::set<std::string> tried;
     int attempts = 0;
     http::Response answer;
+    std::shared_ptr<ClaimFlow> claim;
     bool mayHaveRun = false;
     bool isAdmitted = false;
     bool finished = false;
