Placement by expected time to first token, and a bench that replays traces through it

Cause: the choice looked at load only; prefixes met their cache by chance. Change: cost = queue ahead + prefill of the missing part + the slow link; what this instance sent where counts as cached for 30 s; the first homes by rendezvous hashing get a share of the credit; own tokens in flight correct the lagging reports. lavenderhall bench replays generated or recorded traces beside round robin, least load, hash of the first block, and an oracle.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -21,9 +21,9 @@
     http::Address target;
     std::string key;
     std::string model;
-    long perSecond = 0;    ///< open loop, if positive
-    long streams = 0;      ///< kept open at once, if positive
-    long tokens = 1;       ///< asked for in each request
+    long perSecond = 0; ///< open loop, if positive
+    long streams = 0; ///< kept open at once, if positive
+    long tokens = 1; ///< asked for in each request
     long seconds = 5;
 };
 
@@ -34,8 +34,7 @@
         : loop(loop)
         , plan(std::move(plan))
         , client(loop, "load")
-    {
-    }
+    { }
 
     Json run()
     {
@@ -105,7 +104,8 @@
     {
         if (this->latencies.empty())
             return 0;
-        const auto index = static_cast<std::size_t>(q * static_cast<double>(this->latencies.size()));
+        const auto index
+            = static_cast<std::size_t>(q * static_cast<double>(this->latencies.size()));
         return this->latencies[std::min(index, this->latencies.size() - 1)];
     }
 
--- /dev/null
+++ b/src/client/benchcommand.cpp
@@ -0,0 +1,103 @@
+#include "base/digest.h"
+#include "base/json.h"
+#include "bench/replay.h"
+#include "client/command.h"
+#include "router/settings.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+
+namespace lavenderhall {
+
+namespace {
+
+constexpr std::int64_t DefaultInstances = 8;
+
+Json toJson(const bench::Trace &trace, const std::string &policy, const bench::ReplayResult &result)
+{
+    return {{"trace", trace.name},
+            {"policy", policy},
+            {"requests", result.requests},
+            {"hit_rate", result.hitRate},
+            {"ttft_p50_ms", result.ttftP50Millis},
+            {"ttft_p95_ms", result.ttftP95Millis},
+            {"ttft_p99_ms", result.ttftP99Millis},
+            {"short_ttft_p95_ms", result.shortP95Millis},
+            {"worst_org_ttft_p95_ms", result.worstOrgP95Millis},
+            {"wasted_tokens", result.wastedTokens},
+            {"cross_region", result.crossRegion},
+            {"signature", hex64(result.signature)}};
+}
+
+void printLine(const bench::Trace &trace, const std::string &policy,
+               const bench::ReplayResult &result)
+{
+    std::printf("%-21s %-12s hit %5.1f%%  ttft ms p50 %6.0f p95 %6.0f p99 %6.0f  short p95 %6.0f  "
+                "worst org p95 %6.0f  wasted %8lld  far %lld\n",
+                trace.name.c_str(), policy.c_str(), 100 * result.hitRate, result.ttftP50Millis,
+                result.ttftP95Millis, result.ttftP99Millis, result.shortP95Millis,
+                result.worstOrgP95Millis, static_cast<long long>(result.wastedTokens),
+                static_cast<long long>(result.crossRegion));
+}
+
+Result<std::vector<bench::Trace>> tracesOf(const Arguments &arguments)
+{
+    std::vector<bench::Trace> traces;
+    const std::int64_t instances = arguments.instances > 0 ? arguments.instances : DefaultInstances;
+    if (!arguments.trace.empty()) {
+        BOOST_LEAF_AUTO(text, readFile(arguments.trace));
+        BOOST_LEAF_AUTO(trace, bench::parseTrace(text, arguments.trace));
+        traces.push_back(std::move(trace));
+        return traces;
+    }
+    for (const std::string &name : bench::traceNames()) {
+        const bool isWanted = arguments.words.empty()
+            || std::find(arguments.words.begin(), arguments.words.end(), name)
+                != arguments.words.end();
+        if (!isWanted)
+            continue;
+        BOOST_LEAF_AUTO(
+            trace, bench::makeTrace(name, static_cast<std::uint64_t>(arguments.seed), instances));
+        traces.push_back(std::move(trace));
+    }
+    if (traces.empty())
+        return fail(ErrorCode::NotFound, "bench", "no trace has such a name");
+    return traces;
+}
+
+} // namespace
+
+Result<int> runBench(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(traces, tracesOf(arguments));
+    const auto &names = bench::policyNames();
+    if (!arguments.policy.empty()
+        && std::find(names.begin(), names.end(), arguments.policy) == names.end())
+        return fail(ErrorCode::BadInput, "bench",
+                    "there is no policy \"" + arguments.policy + "\"");
+    std::uint64_t signature = 0;
+    for (const bench::Trace &trace : traces) {
+        if (arguments.printTrace) {
+            std::cout << bench::toJsonLines(trace);
+            continue;
+        }
+        for (std::size_t index = 0; index < names.size(); ++index) {
+            if (!arguments.policy.empty() && arguments.policy != names[index])
+                continue;
+            const auto kind = static_cast<bench::PolicyKind>(index);
+            const bench::ReplayResult result = bench::replay(trace, kind);
+            if (kind == bench::PolicyKind::Ours)
+                signature = hashCombine(signature, result.signature);
+            if (arguments.asJson)
+                std::cout << toJson(trace, names[index], result).dump() << "\n";
+            else
+                printLine(trace, names[index], result);
+        }
+    }
+    if (!arguments.printTrace && !arguments.asJson)
+        std::printf("Bench: %s\n", hex64(signature).c_str());
+    return ExitDone;
+}
+
+} // namespace lavenderhall
--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -27,9 +27,9 @@
     Run run;
 };
 
-const std::array<Subcommand, 11> &subcommands()
+const std::array<Subcommand, 12> &subcommands()
 {
-    static const std::array<Subcommand, 11> All{{
+    static const std::array<Subcommand, 12> All{{
         {"router", "", "run an instance (--settings FILE, with --check only check it)", runRouter},
         {"check", "FILE", "check a configuration; \"-\" reads standard input", runCheck},
         {"plan", "FILE", "show what applying FILE would change, and the base version", runPlan},
@@ -40,6 +40,8 @@
         {"drain", "", "stop the instances at --admin gracefully", runDrain},
         {"timeline", "", "events of all instances, merged (--request, --organisation, --kind)",
          runTimeline},
+        {"bench", "[TRACE...]", "replay traces through the placement decisions (--trace, --policy)",
+         runBench},
         {"library", "", "print the Python module that configurations are written with", runLibrary},
         {"fleet-keys", "", "draw a key pair for the settings of a fleet's instances", runFleetKeys},
     }};
@@ -101,6 +103,11 @@
     char *request = nullptr;
     char *organisation = nullptr;
     char *kind = nullptr;
+    char *trace = nullptr;
+    char *policy = nullptr;
+    long seed = 1;
+    long instances = 0;
+    int printTrace = 0;
     long base = -1;
     int json = 0;
     int program = 0;
@@ -112,7 +119,7 @@
     ~RawOptions()
     {
         for (char *text : {this->store, this->admins, this->settings, this->author, this->request,
-                           this->organisation, this->kind})
+                           this->organisation, this->kind, this->trace, this->policy})
             std::free(text);
     }
 };
@@ -134,6 +141,11 @@
         {"organisation", 0, POPT_ARG_STRING, &raw.organisation, 0,
          "only events of this organisation", "NAME"},
         {"kind", 0, POPT_ARG_STRING, &raw.kind, 0, "only events of this kind", "KIND"},
+        {"trace", 0, POPT_ARG_STRING, &raw.trace, 0, "a trace file, see docs/TRACES.md", "FILE"},
+        {"policy", 0, POPT_ARG_STRING, &raw.policy, 0, "only this policy", "NAME"},
+        {"seed", 0, POPT_ARG_LONG, &raw.seed, 0, "seed of generated traces", "N"},
+        {"instances", 0, POPT_ARG_LONG, &raw.instances, 0, "instances in generated traces", "N"},
+        {"print-trace", 0, POPT_ARG_NONE, &raw.printTrace, 0, "print the trace itself", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<std::remove_pointer_t<poptContext>, decltype(&poptFreeContext)> context(
         poptGetContext("lavenderhall", argc, argv, options, 0), poptFreeContext);
@@ -158,6 +170,11 @@
     arguments.request = raw.request ? raw.request : "";
     arguments.organisation = raw.organisation ? raw.organisation : "";
     arguments.kind = raw.kind ? raw.kind : "";
+    arguments.trace = raw.trace ? raw.trace : "";
+    arguments.policy = raw.policy ? raw.policy : "";
+    arguments.seed = raw.seed;
+    arguments.instances = raw.instances;
+    arguments.printTrace = raw.printTrace != 0;
     arguments.base = raw.base;
     arguments.asJson = raw.json != 0;
     arguments.asProgram = raw.program != 0;
--- a/src/client/command.h
+++ b/src/client/command.h
@@ -29,11 +29,15 @@
     std::string request;
     std::string organisation;
     std::string kind;
+    std::string trace;
+    std::string policy;
+    std::int64_t seed = 1;
+    std::int64_t instances = 0;
     std::int64_t base = -1; ///< configuration version that a change is based on
     bool asJson = false;
     bool asProgram = false;
     bool checkOnly = false;
-    bool follow = false;
+    bool printTrace = false;
 };
 
 /// Parses the command line and runs the subcommand; returns the exit code.
@@ -53,6 +57,7 @@
 
 // Others.
 Result<int> runRouter(const Arguments &arguments);
+Result<int> runBench(const Arguments &arguments);
 Result<int> runLibrary(const Arguments &arguments);
 Result<int> runFleetKeys(const Arguments &arguments);
 
--- a/src/placement/board.cpp
+++ b/src/placement/board.cpp
@@ -67,11 +67,22 @@
         view.isLeaving = names.contains(name);
 }
 
-void EndpointBoard::onStarted(const std::string &name)
+void EndpointBoard::onStarted(const std::string &name, std::int64_t missingTokens)
 {
     const auto found = this->views.find(name);
-    if (found != this->views.end())
-        ++found->second.inFlight;
+    if (found == this->views.end())
+        return;
+    ++found->second.inFlight;
+    found->second.pendingTokens += missingTokens;
+}
+
+void EndpointBoard::onPrefilled(const std::string &name, std::int64_t missingTokens)
+{
+    const auto found = this->views.find(name);
+    if (found == this->views.end())
+        return;
+    std::int64_t &pending = found->second.pendingTokens;
+    pending = std::max<std::int64_t>(0, pending - missingTokens);
 }
 
 void EndpointBoard::onFinished(const std::string &name)
--- a/src/placement/board.h
+++ b/src/placement/board.h
@@ -35,6 +35,7 @@
     std::optional<LoadReport> load;
     MonoTime loadAt{};
     std::int64_t inFlight = 0; ///< requests of this instance
+    std::int64_t pendingTokens = 0; ///< of this instance's requests without a first token yet
     std::int64_t failuresInRow = 0;
     MonoTime suspectedUntil{};
     bool isLeaving = false;
@@ -53,7 +54,10 @@
     /// Takes in the platform's list: names that are leaving.
     void setLeaving(const std::set<std::string> &names);
 
-    void onStarted(const std::string &name);
+    /// A request that lacks \a missingTokens in the endpoint's cache has been sent to it.
+    void onStarted(const std::string &name, std::int64_t missingTokens);
+    /// Its first token has come, or it has ended without one.
+    void onPrefilled(const std::string &name, std::int64_t missingTokens);
     void onFinished(const std::string &name);
     void onSuccess(const std::string &name);
     /// An attempt failed. Suspicion doubles with each failure in a row, up to a bound, so that
--- a/src/placement/choice.h
+++ b/src/placement/choice.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "placement/board.h"
+#include "placement/history.h"
 #include "placement/prefix.h"
 
 #include <set>
 #include <string>
 #include <vector>
 
-/// Choice of the endpoint for a request.
+/// Choice of the endpoint for a request, by the expected time to its first token.
 namespace lavenderhall {
 
 /// What a choice depends on besides the endpoints' state.
@@ -17,6 +18,7 @@
     std::vector<BlockHash> prefix; ///< of the prompt, empty for services
     std::int64_t promptTokens = 0;
     std::set<std::string> excluded; ///< endpoints tried already
+    MonoTime now{};
 };
 
 /// One candidate with its expected time to first token, for the time line.
@@ -24,12 +26,16 @@
 {
     std::string endpoint;
     double costMillis = 0;
+    std::size_t cachedBlocks = 0; ///< expected
 
     auto operator<=>(const Candidate &) const = default;
 };
 
-/// Returns the candidates, cheapest first; empty if there is none.
+inline constexpr std::size_t RankedCandidates = 4;
+
+/// Returns the cheapest candidates, cheapest first; empty if there is none.
 std::vector<Candidate> rankEndpoints(const std::vector<const EndpointView *> &candidates,
-                                     const ChoiceInput &input, const PlacementSettings &settings);
+                                     const ChoiceInput &input, const PlacementSettings &settings,
+                                     const PrefixHistory &history);
 
 } // namespace lavenderhall
--- a/src/router/context.h
+++ b/src/router/context.h
@@ -5,6 +5,7 @@
 #include "http/server.h"
 #include "identity/keyring.h"
 #include "placement/board.h"
+#include "placement/history.h"
 #include "router/answers.h"
 #include "router/fleet.h"
 #include "router/metrics.h"
@@ -26,6 +27,7 @@
     Fleet &fleet;
     StoreClient &store;
     EndpointBoard board;
+    PrefixHistory history;
     ActiveConfigPtr config;
     Keyring keyring;
 };
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -14,6 +14,8 @@
 constexpr Millis RetryDelay{1000};
 constexpr Millis LoadInterval{1000};
 constexpr Millis LoadTimeout{1000};
+constexpr std::size_t HistoryBlocks = 50'000;
+constexpr Millis DefaultHistoryMemory{30'000};
 constexpr Millis DrainCheckInterval{50};
 constexpr Millis HandoverPatience{3000};
 
@@ -61,6 +63,7 @@
               this->fleet,
               this->store,
               {},
+              PrefixHistory(HistoryBlocks, DefaultHistoryMemory),
               {},
               {}}
     , gateway(this->context)
@@ -219,8 +222,10 @@
     handlers.onEnd = [this, name, body] {
         this->polling.erase(name);
         const Json json = Json::parse(*body, nullptr, false);
-        if (json.is_object())
-            this->context.board.onLoadReport(name, readLoadReport(json), monoNow());
+        if (!json.is_object())
+            return;
+        if (this->context.board.onLoadReport(name, readLoadReport(json), monoNow()))
+            this->context.history.onReset(name);
     };
     handlers.onFailed = [this, name](const http::CallFailure &) { this->polling.erase(name); };
     this->endpoints.start(std::move(request), std::move(handlers));
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -148,11 +148,13 @@
     input.prefix = this->model.prefix;
     input.promptTokens = this->model.promptTokens;
     input.excluded = this->tried;
+    input.now = monoNow();
     const auto candidates = this->context.board.candidates(this->caller.route, &pinned, monoNow());
-    std::vector<Candidate> ranked = rankEndpoints(candidates, input, document.placement);
+    std::vector<Candidate> ranked
+        = rankEndpoints(candidates, input, document.placement, this->context.history);
     if (ranked.empty() && this->caller.route.isRepeatable) {
         input.excluded.clear();
-        ranked = rankEndpoints(candidates, input, document.placement);
+        ranked = rankEndpoints(candidates, input, document.placement, this->context.history);
     }
     if (ranked.empty() || this->attempts >= MaxAttempts)
         return this->noCandidate();
@@ -166,7 +168,11 @@
                                 {"attempt", this->attempts},
                                 {"resume_after", this->relay.resumeAfter()},
                                 {"candidates", describe(ranked)}});
-    this->context.board.onStarted(this->endpoint);
+    const auto cached
+        = static_cast<std::int64_t>(ranked.front().cachedBlocks) * document.placement.blockTokens;
+    this->pendingTokens = std::max<std::int64_t>(0, this->model.promptTokens - cached);
+    this->context.board.onStarted(this->endpoint, this->pendingTokens);
+    this->context.history.onSent(this->endpoint, this->model.prefix, input.now);
     this->relay.onAttemptStarted();
     this->isEventStream = false;
     this->isPaused = false;
@@ -270,9 +276,16 @@
     }
 }
 
+void ModelCall::onPrefilled()
+{
+    this->context.board.onPrefilled(this->endpoint, std::exchange(this->pendingTokens, 0));
+}
+
 void ModelCall::forward(const std::string &bytes)
 {
     http::Exchange &exchange = *this->caller.exchange;
+    if (this->pendingTokens > 0)
+        this->onPrefilled();
     if (!this->firstTokenSeen) {
         this->firstTokenSeen = true;
         const auto elapsed
@@ -393,6 +406,7 @@
     }
     if (this->endpoint.empty())
         return;
+    this->onPrefilled();
     this->context.board.onFinished(this->endpoint);
     if (succeeded) {
         this->context.board.onSuccess(this->endpoint);
--- a/src/router/modelcall.h
+++ b/src/router/modelcall.h
@@ -65,6 +65,7 @@
     void endAttempt(bool succeeded);
     void armGapTimer();
     void onGapTimer();
+    void onPrefilled();
     void forward(const std::string &bytes);
     void giveTokensBack();
     void finish(int status, RunOutcome outcome);
@@ -91,6 +92,7 @@
     bool finished = false;
     std::string wholeAnswer;
     std::int64_t outputTokens = 0;
+    std::int64_t pendingTokens = 0; ///< counted for the endpoint until its first token
 };
 
 } // namespace lavenderhall
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -178,7 +178,8 @@
     input.region = this->context.settings.region;
     input.excluded = this->tried;
     const auto candidates = this->context.board.candidates(this->caller.route, nullptr, monoNow());
-    const auto ranked = rankEndpoints(candidates, input, this->context.config->document.placement);
+    const auto ranked = rankEndpoints(candidates, input, this->context.config->document.placement,
+                                      this->context.history);
     if (ranked.empty() || this->attempts >= MaxAttempts)
         return this->giveUp("no endpoint is left to try");
 
@@ -188,7 +189,7 @@
     this->context.timeline.add(EventKind::EndpointChosen, this->caller.id,
                                this->caller.organisation,
                                {{"endpoint", this->endpoint}, {"attempt", this->attempts}});
-    this->context.board.onStarted(this->endpoint);
+    this->context.board.onStarted(this->endpoint, 0);
     this->answer = {};
 
     const auto self = this->shared_from_this();
