Homes at several levels of a prefix

Cause: with one home by the first block, all documents of an organisation met on the same few engines and pushed each other out. Change: the first block, each power of two and the last have homes; an engine gets the best credit of the levels it is a home of.

--- a/src/placement/choice.cpp
+++ b/src/placement/choice.cpp
@@ -18,6 +18,7 @@
 struct Ranked
 {
     const EndpointView *view = nullptr;
+    std::uint64_t nameHash = 0;
     std::uint64_t weight = 0;
     double cost = 0;
     double cachedTokens = 0;
@@ -43,21 +44,38 @@
     return own + (others + busy) * block;
 }
 
-/// Gives the first homes of a prefix, by rendezvous hashing of its first block, their share. All
-/// instances agree on them without a word.
+/// Depths of a prefix whose blocks have homes: the first, each power of two, and the last.
+std::vector<std::size_t> homeDepths(std::size_t blocks)
+{
+    std::vector<std::size_t> depths;
+    for (std::size_t depth = 1; depth < blocks; depth *= 2)
+        depths.push_back(depth);
+    if (blocks > 0)
+        depths.push_back(blocks);
+    return depths;
+}
+
+/// Gives the first homes of a prefix's levels, by rendezvous hashing of the level's last block,
+/// their share of it. All instances agree on them without a word, and prompts that share a level
+/// meet at its homes whatever follows.
 void creditHomes(std::vector<Ranked> &ranked, const ChoiceInput &input,
                  const PlacementSettings &settings)
 {
     const auto count = std::min(ranked.size(), HomesPerPrefix);
-    std::partial_sort(
-        ranked.begin(), ranked.begin() + static_cast<long>(count), ranked.end(),
-        [](const Ranked &one, const Ranked &other) { return one.weight > other.weight; });
-    double share = HomeShare;
-    const double prefixTokens
-        = static_cast<double>(input.prefix.size()) * static_cast<double>(settings.blockTokens);
-    for (std::size_t index = 0; index < count; ++index) {
-        ranked[index].cachedTokens = std::max(ranked[index].cachedTokens, share * prefixTokens);
-        share /= 2;
+    for (const std::size_t depth : homeDepths(input.prefix.size())) {
+        for (Ranked &entry : ranked)
+            entry.weight = hashCombine(entry.nameHash, input.prefix[depth - 1]);
+        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<long>(count), ranked.end(),
+                          [](const Ranked &one, const Ranked &other) {
+                              return one.weight > other.weight;
+                          });
+        double share = HomeShare;
+        const double levelTokens
+            = static_cast<double>(depth) * static_cast<double>(settings.blockTokens);
+        for (std::size_t index = 0; index < count; ++index) {
+            ranked[index].cachedTokens = std::max(ranked[index].cachedTokens, share * levelTokens);
+            share /= 2;
+        }
     }
 }
 
@@ -67,7 +85,6 @@
                                      const ChoiceInput &input, const PlacementSettings &settings,
                                      const PrefixHistory &history)
 {
-    const std::uint64_t home = input.prefix.empty() ? 0 : input.prefix.front();
     const auto holdings = history.holdings(input.prefix, input.now);
     std::vector<Ranked> ranked;
     ranked.reserve(candidates.size());
@@ -76,7 +93,8 @@
             continue;
         Ranked entry;
         entry.view = view;
-        entry.weight = hash64(view->endpoint.name, home);
+        entry.nameHash = hash64(view->endpoint.name);
+        entry.weight = entry.nameHash;
         if (!holdings.empty()) {
             const std::uint32_t number = history.numberOf(view->endpoint.name);
             for (const PrefixHistory::Holding &holding : holdings) {
