--- a/src/placement/choice.cpp
+++ b/src/placement/choice.cpp
@@ -12,7 +12,7 @@
 constexpr double MillisPerSecond = 1000;
 // What the first of a prefix's homes is taken to hold of a prompt whose place is not known; each
 // further home counts for half of the one before.
-constexpr double HomeShare = 0.5;
+constexpr double HomeShare = 0.8;
 constexpr std::size_t HomesPerPrefix = 4;
 
 struct Ranked
