Kept connections are found again, and never shared with a dying one

Once they were kept, a call made from the handler of a failed one was queued behind the dying connection and failed as never sent (router test of lost claim answers). Ruled out: the server closing (curl reuses its connections), missing keep-alive state (the library's log shows the match failing on the name). Change: Host without the port; a lane is free again 1 ms after an answer, 1 s after a failure. A replayed claim's status is read before the claim goes (use after free, found by ASan).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t MaxWriteBytes = 16384;
 constexpr std::size_t ReadBufferBytes = 16384;
 constexpr std::uint16_t KeepWarmSeconds = 20;
+constexpr Millis SettleTime{1}; ///< from an answer's end until its connection is kept
+constexpr Millis CloseTime{1000}; ///< from a failure until its connection is surely gone
 
 struct KnownHeader
 {
@@ -56,7 +58,7 @@
     this->handlers = {};
     lws *const socket = this->wsi;
     const std::shared_ptr<Call> held = this->self;
-    this->client->finish(*this);
+    this->client->finish(*this, CloseTime);
     if (!socket)
         return;
     lws_set_opaque_user_data(socket, nullptr);
@@ -107,6 +109,7 @@
 
 std::size_t Client::takeLane(const Address &to)
 {
+    this->carryOutReleases();
     Occupancy &occupied = this->busy[to];
     const auto free = std::find(occupied.begin(), occupied.end(), false);
     const auto index = static_cast<std::size_t>(free - occupied.begin());
@@ -130,21 +133,34 @@
     return index;
 }
 
-void Client::releaseLane(const Call &call)
+// The library may still see the old connection for a moment; a call on the same lane would be
+// queued behind it, and fail with it if it is being closed.
+void Client::releaseLane(const Call &call, Millis delay)
 {
-    this->busy[call.request.to][call.lane] = false;
+    this->releases.push_back({monoNow() + delay, call.request.to, call.lane});
+}
+
+void Client::carryOutReleases()
+{
+    const MonoTime now = monoNow();
+    std::erase_if(this->releases, [&](const Release &release) {
+        if (release.due > now)
+            return false;
+        this->busy[release.to][release.lane] = false;
+        return true;
+    });
 }
 
 void Client::connect(const CallPtr &call)
 {
-    const std::string host = call->request.to.toString();
     lws_client_connect_info info{};
     info.context = this->loop.context();
     info.vhost = this->lanes[call->lane].vhost;
     info.address = call->request.to.host.c_str();
     info.port = call->request.to.port;
     info.path = call->request.path.c_str();
-    info.host = host.c_str();
+    // The library finds a kept connection by comparing this name with the address.
+    info.host = call->request.to.host.c_str();
     info.method = toString(call->request.method);
     info.protocol = "http";
     info.opaque_user_data = call.get();
@@ -191,7 +207,7 @@
             return 0;
         const std::function<void()> onEnd = std::move(call->handlers.onEnd);
         lws_set_opaque_user_data(wsi, nullptr);
-        this->finish(*call);
+        this->finish(*call, SettleTime);
         if (onEnd)
             onEnd();
         return 0;
@@ -302,12 +318,12 @@
     return lws_http_client_read(wsi, &data, &size) < 0 ? -1 : 0;
 }
 
-void Client::finish(Call &call)
+void Client::finish(Call &call, Millis laneDelay)
 {
     call.finished = true;
     call.timer.cancel();
     call.wsi = nullptr;
-    this->releaseLane(call);
+    this->releaseLane(call, laneDelay);
     --this->inFlight;
     std::erase_if(this->starting, [&call](const CallPtr &other) { return other.get() == &call; });
     const CallPtr held = std::move(call.self);
@@ -328,7 +344,7 @@
         lws_set_opaque_user_data(wsi, nullptr);
         lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
-    this->finish(call);
+    this->finish(call, CloseTime);
     if (handlers.onFailed)
         handlers.onFailed(failure);
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -106,15 +106,22 @@
         lws_vhost *vhost = nullptr;
     };
     using Occupancy = std::vector<bool>;
+    struct Release
+    {
+        MonoTime due{};
+        Address to;
+        std::size_t lane = 0;
+    };
 
     std::size_t takeLane(const Address &to);
-    void releaseLane(const Call &call);
+    void releaseLane(const Call &call, Millis delay);
+    void carryOutReleases();
     void connect(const CallPtr &call);
     int appendHeaders(lws *wsi, Call &call, unsigned char **cursor, unsigned char *limit);
     int writeBody(lws *wsi, Call &call);
     int readBody(lws *wsi);
     void onHead(lws *wsi, Call &call);
-    void finish(Call &call);
+    void finish(Call &call, Millis laneDelay);
     void failCall(Call &call, std::string reason);
 
     Loop &loop;
@@ -122,6 +129,7 @@
     std::vector<std::string> headers;
     std::vector<Lane> lanes;
     std::map<Address, Occupancy> busy;
+    std::vector<Release> releases;
     std::vector<CallPtr> starting;
     std::size_t inFlight = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -118,6 +118,37 @@
     cr_assert(not(result.failure.maybeSent));
 }
 
+Test(http, a_call_made_from_the_handler_of_a_failed_one_does_not_share_its_fate)
+{
+    Fixture fixture;
+    SyncResult second;
+    CallHandlers after;
+    after.onEnd = [&] {
+        second.ok = true;
+        fixture.loop.stop();
+    };
+    after.onFailed = [&](const CallFailure &failure) {
+        second.failure = failure;
+        fixture.loop.stop();
+    };
+    CallHandlers handlers;
+    handlers.onFailed
+        = [&](const CallFailure &) { fixture.client.start(request(Method::Get, "/echo"), after); };
+    fixture.client.start(request(Method::Get, "/cut"), handlers);
+    fixture.loop.runFor(std::chrono::seconds(5));
+    cr_assert(second.ok, "%s", second.failure.reason.c_str());
+}
+
+Test(http, answered_calls_keep_their_connection_for_the_next)
+{
+    Fixture fixture;
+    for (int round = 0; round < 5; ++round) {
+        cr_assert(fixture.call(request(Method::Post, "/echo", "x")).ok);
+        fixture.loop.runFor(Millis(5));
+    }
+    cr_assert(fixture.server.connectionCount() == 1U);
+}
+
 Test(http, too_large_a_body_is_refused)
 {
     Fixture fixture;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -87,6 +87,7 @@
     void stopListening();
     /// Cuts each connection, answered or not, as a crash would.
     void cutAll();
+    std::size_t connectionCount() const { return this->connections.size(); }
     std::size_t openExchanges() const { return this->exchangeCount; }
 
     /// Callback of libwebsockets. For the library only.
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -139,9 +139,11 @@
                         {OutcomeHeader, toString(RunOutcome::Ran)},
                         {ReplayedHeader, "true"}};
     response.body = record.body;
+    const int status = record.status;
+    // The outcome is recorded already; the record goes with the claim.
     this->claim.reset();
     this->caller.exchange->respond(std::move(response));
-    this->finish(record.status, RunOutcome::Ran);
+    this->finish(status, RunOutcome::Ran);
 }
 
 namespace {
