--- a/src/limits/account.h
+++ b/src/limits/account.h
@@ -3,7 +3,6 @@
 #include "base/clock.h"
 
 #include <cstdint>
-#include <string>
 #include <vector>
 
 /// One organisation's tokens in one region's seat: a token bucket that lends.
@@ -13,10 +12,10 @@
 /// organisation's burst, and over any interval t no more than rate * t + burst is spent.
 namespace lavenderhall {
 
-/// Identifies a loan: the borrower's process and its number there.
+/// Identifies a loan: a hash of the borrower's process, and its number there.
 struct LoanId
 {
-    std::string borrower;
+    std::uint64_t borrower = 0;
     std::uint64_t number = 0;
 
     auto operator<=>(const LoanId &) const = default;
--- a/src/limits/lender.cpp
+++ b/src/limits/lender.cpp
@@ -1,5 +1,7 @@
 #include "limits/lender.h"
 
+#include "base/digest.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -11,7 +13,7 @@
 
 LoanId loanId(const proto::ProcessId &borrower, std::uint64_t number)
 {
-    return {borrower.name() + "#" + std::to_string(borrower.incarnation()), number};
+    return {hash64(borrower.name(), borrower.incarnation()), number};
 }
 
 } // namespace
--- a/src/limits/limits_test.cpp
+++ b/src/limits/limits_test.cpp
@@ -20,7 +20,7 @@
 
 LoanId loan(std::uint64_t number)
 {
-    return {"test", number};
+    return {1, number};
 }
 
 bool isNear(double one, double other)
--- a/src/placement/board.cpp
+++ b/src/placement/board.cpp
@@ -1,5 +1,7 @@
 #include "placement/board.h"
 
+#include "base/digest.h"
+
 #include <algorithm>
 
 namespace lavenderhall {
@@ -37,12 +39,12 @@
     return EndpointState::Serving;
 }
 
-bool EndpointView::mayServe(const std::string &model, const std::string &version) const
+bool EndpointView::mayServe(const std::string &model, const std::string &weights) const
 {
     const auto &models = this->endpoint.models;
     if (!std::binary_search(models.begin(), models.end(), model))
         return false;
-    return !this->load || this->load->loaded.contains(model + "@" + version);
+    return !this->load || this->load->loaded.contains(weights);
 }
 
 void EndpointBoard::configure(const Document &document)
@@ -54,6 +56,7 @@
         if (old != this->views.end() && old->second.endpoint.address == endpoint.address)
             view = std::move(old->second);
         view.endpoint = endpoint;
+        view.nameHash = hash64(endpoint.name);
         view.isLeaving = this->leaving.contains(endpoint.name);
         kept.emplace(endpoint.name, std::move(view));
     }
@@ -141,13 +144,15 @@
 std::vector<const EndpointView *> EndpointBoard::candidates(const Route &route, const Model *model,
                                                             MonoTime now) const
 {
+    const std::string weights = model ? model->name + "@" + model->version : "";
     std::vector<const EndpointView *> serving;
+    serving.reserve(this->views.size());
     std::vector<const EndpointView *> suspected;
     for (const auto &[name, view] : this->views) {
         const bool matches = route.kind == RouteKind::Service
             ? std::binary_search(route.endpoints.begin(), route.endpoints.end(), name)
             : model && view.endpoint.kind == EndpointKind::Engine
-                && view.mayServe(model->name, model->version);
+                && view.mayServe(model->name, weights);
         if (!matches)
             continue;
         const EndpointState state = view.state(now);
--- a/src/placement/board.h
+++ b/src/placement/board.h
@@ -32,6 +32,7 @@
 struct EndpointView
 {
     Endpoint endpoint;
+    std::uint64_t nameHash = 0; ///< of the endpoint's name, for rendezvous hashing
     std::optional<LoadReport> load;
     MonoTime loadAt{};
     std::int64_t inFlight = 0; ///< requests of this instance
@@ -41,8 +42,9 @@
     bool isLeaving = false;
 
     EndpointState state(MonoTime now) const;
-    /// Whether the engine is known to serve \a model at \a version, or not known not to.
-    bool mayServe(const std::string &model, const std::string &version) const;
+    /// Whether the engine is known to serve \a model with \a weights ("MODEL@VERSION"), or not
+    /// known not to.
+    bool mayServe(const std::string &model, const std::string &weights) const;
 };
 
 /// The table of all endpoints, kept up to date by configuration, reports and failures.
--- a/src/placement/choice.cpp
+++ b/src/placement/choice.cpp
@@ -3,7 +3,7 @@
 #include "base/digest.h"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 
 namespace lavenderhall {
 
@@ -19,7 +19,7 @@
 {
     const EndpointView *view = nullptr;
     std::uint64_t nameHash = 0;
-    std::uint64_t weight = 0;
+    std::uint64_t tieBreak = 0; ///< spreads different prompts over candidates of equal cost
     double cost = 0;
     double cachedTokens = 0;
 };
@@ -34,12 +34,11 @@
 double queueMillis(const EndpointView &view, const PlacementSettings &settings)
 {
     const double own = prefillMillis(static_cast<double>(view.pendingTokens), settings);
-    if (!view.load)
-        return own;
-    const double others
-        = std::max<double>(0, static_cast<double>(view.load->waiting - view.inFlight));
+    const std::int64_t reported = view.load ? view.load->running : 0;
+    const std::int64_t waiting = view.load ? view.load->waiting : 0;
+    const double others = std::max<double>(0, static_cast<double>(waiting - view.inFlight));
     const double slots = static_cast<double>(std::max<std::int64_t>(1, view.endpoint.slots));
-    const double busy = static_cast<double>(view.load->running) / slots;
+    const double busy = static_cast<double>(std::max(reported, view.inFlight)) / slots;
     const double block = prefillMillis(static_cast<double>(settings.blockTokens), settings);
     return own + (others + busy) * block;
 }
@@ -55,25 +54,50 @@
     return depths;
 }
 
+/// The candidates with the highest weights, found in one pass without moving any.
+class HighestWeights
+{
+public:
+    void add(std::size_t candidate, std::uint64_t weight)
+    {
+        if (this->count == HomesPerPrefix && weight <= this->homes[this->count - 1].weight)
+            return;
+        std::size_t at = this->count < HomesPerPrefix ? this->count++ : this->count - 1;
+        for (; at > 0 && this->homes[at - 1].weight < weight; --at)
+            this->homes[at] = this->homes[at - 1];
+        this->homes[at] = {candidate, weight};
+    }
+
+    std::size_t size() const { return this->count; }
+    std::size_t candidate(std::size_t place) const { return this->homes[place].candidate; }
+
+private:
+    struct Home
+    {
+        std::size_t candidate;
+        std::uint64_t weight;
+    };
+
+    std::array<Home, HomesPerPrefix> homes{};
+    std::size_t count = 0;
+};
+
 /// Gives the first homes of a prefix's levels, by rendezvous hashing of the level's last block,
 /// their share of it. All instances agree on them without a word, and prompts that share a level
 /// meet at its homes whatever follows.
 void creditHomes(std::vector<Ranked> &ranked, const ChoiceInput &input,
                  const PlacementSettings &settings)
 {
-    const auto count = std::min(ranked.size(), HomesPerPrefix);
     for (const std::size_t depth : homeDepths(input.prefix.size())) {
-        for (Ranked &entry : ranked)
-            entry.weight = hashCombine(entry.nameHash, input.prefix[depth - 1]);
-        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<long>(count), ranked.end(),
-                          [](const Ranked &one, const Ranked &other) {
-                              return one.weight > other.weight;
-                          });
+        HighestWeights homes;
+        for (std::size_t index = 0; index < ranked.size(); ++index)
+            homes.add(index, hashCombine(ranked[index].nameHash, input.prefix[depth - 1]));
         double share = HomeShare;
         const double levelTokens
             = static_cast<double>(depth) * static_cast<double>(settings.blockTokens);
-        for (std::size_t index = 0; index < count; ++index) {
-            ranked[index].cachedTokens = std::max(ranked[index].cachedTokens, share * levelTokens);
+        for (std::size_t place = 0; place < homes.size(); ++place) {
+            Ranked &home = ranked[homes.candidate(place)];
+            home.cachedTokens = std::max(home.cachedTokens, share * levelTokens);
             share /= 2;
         }
     }
@@ -85,16 +109,17 @@
                                      const ChoiceInput &input, const PlacementSettings &settings,
                                      const PrefixHistory &history)
 {
+    const BlockHash last = input.prefix.empty() ? 0 : input.prefix.back();
     const auto holdings = history.holdings(input.prefix, input.now);
     std::vector<Ranked> ranked;
     ranked.reserve(candidates.size());
     for (const EndpointView *view : candidates) {
-        if (input.excluded.contains(view->endpoint.name))
+        if (!input.excluded.empty() && input.excluded.contains(view->endpoint.name))
             continue;
         Ranked entry;
         entry.view = view;
-        entry.nameHash = hash64(view->endpoint.name);
-        entry.weight = entry.nameHash;
+        entry.nameHash = view->nameHash;
+        entry.tieBreak = hashCombine(view->nameHash, last);
         if (!holdings.empty()) {
             const std::uint32_t number = history.numberOf(view->endpoint.name);
             for (const PrefixHistory::Holding &holding : holdings) {
@@ -119,7 +144,7 @@
                       [](const Ranked &one, const Ranked &other) {
                           if (one.cost != other.cost)
                               return one.cost < other.cost;
-                          return one.weight > other.weight;
+                          return one.tieBreak > other.tieBreak;
                       });
     std::vector<Candidate> result;
     for (std::size_t index = 0; index < count; ++index) {
