--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build check check-asan lint format demo up bench-path proto clean
+.PHONY: all packages build check check-asan lint format demo up bench-path bench-capacity proto clean
 
 all: build
 
@@ -43,6 +43,9 @@
 bench-path: build
 	python3 scripts/bench_path.py --build $(BUILD)
 
+bench-capacity: build
+	python3 scripts/bench_capacity.py --build $(BUILD)
+
 # Only needed after a change of a .proto file; the result is committed.
 proto:
 	cd src/proto && protoc --cpp_out=. *.proto
--- a/src/config/config_test.cpp
+++ b/src/config/config_test.cpp
@@ -337,5 +337,5 @@
     cr_assert(toJson(document).dump().find(key.secret) == std::string::npos);
     cr_assert(bearerSecret("Bearer abc") == "abc");
     cr_assert(bearerSecret("bearer abc") == "abc");
-    cr_assert(bearerSecret("Basic abc") .empty());
+    cr_assert(bearerSecret("Basic abc").empty());
 }
