A cut-off instance stops trusting keys; the last one alive goes on alone

Cause: an instance cut off from the store and all others would have served withdrawn keys for good. Testing that showed two faults: a holder whose witness was dead and who had nobody else kept the dead witness and lost its seats for 75 minutes; and after the store's return its silence was still counted until the next watch ended, up to 30 s. Change: alone for cut_off_ms (30 s), keys are refused as not run and keyed streams end; a holder with nobody left decides without a witness; after a failure the first question to the store is one that is answered at once. Conclusion: the bound for an instance cut off alone is stated and tested; a region cut off together is not bounded yet.

--- a/fakes/store.cpp
+++ b/fakes/store.cpp
@@ -52,6 +52,12 @@
     this->notify(name);
 }
 
+void Store::cutWatches()
+{
+    for (const auto &watch : std::exchange(this->watches, {}))
+        watch->exchange->abort();
+}
+
 void Store::serve(const http::ExchangePtr &exchange)
 {
     if (exchange->request().path == "/_faults")
--- a/fakes/store.h
+++ b/fakes/store.h
@@ -30,6 +30,8 @@
 
     std::uint64_t readCount() const { return this->reads; }
     std::uint64_t writeCount() const { return this->writes; }
+    /// Cuts all waiting watches, as a service that goes away does.
+    void cutWatches();
     /// Sets an object regardless of its version, as the platform itself does.
     void put(const std::string &name, std::string body);
 
--- a/src/limits/limits_test.cpp
+++ b/src/limits/limits_test.cpp
@@ -186,6 +186,23 @@
     cr_assert(world.excess() < AuditTolerance);
 }
 
+Test(seats, the_last_one_alive_goes_on_alone)
+{
+    World world(5);
+    world.load = 0.3;
+    world.run(Millis(1000), false);
+    for (int node = NodeCount - 1; node > 0; --node) {
+        world.stop(node);
+        world.run(Millis(1000), false);
+    }
+    world.granted = 0;
+    world.refused = 0;
+    world.run(Millis(4000), false);
+    cr_assert(world.granted > 2 && world.refused == 0, "%d granted, %d refused", world.granted,
+              world.refused);
+    cr_assert(world.excess() < AuditTolerance);
+}
+
 Test(seats, leaving_holders_pass_on_levels_so_that_nothing_is_refused)
 {
     World world(4);
--- a/src/limits/limits_world.h
+++ b/src/limits/limits_world.h
@@ -148,6 +148,9 @@
         this->start(index);
     }
 
+    /// Stops a node for good.
+    void stop(int index) { this->nodes[index].pausedUntil = MonoTime::max(); }
+
     void leave(int index)
     {
         if (this->nodes[index].seats)
@@ -237,6 +240,8 @@
             Node &node = this->nodes[index];
             if (node.id.incarnation() != incarnation)
                 return;
+            if (node.pausedUntil == MonoTime::max())
+                return;
             if (node.pausedUntil > this->now)
                 return this->onNode(index, node.pausedUntil - this->now, work);
             work(node);
--- a/src/limits/seats.cpp
+++ b/src/limits/seats.cpp
@@ -140,6 +140,12 @@
                       [&](const auto &entry) { return this->leaseRuns(entry.second, now); }));
 }
 
+bool SeatKeeper::isMember(const proto::ProcessId &id) const
+{
+    return std::any_of(this->members.begin(), this->members.end(),
+                       [&id](const SeatMember &member) { return isSame(member.id, id); });
+}
+
 // Rendezvous hashing, members of the own region first: each seat has its own order of members.
 const SeatMember *SeatKeeper::chooseMember(std::uint32_t index,
                                            const proto::ProcessId *excluded) const
@@ -339,8 +345,11 @@
 
     const bool hasWitness = !seat.record.witness().name().empty();
     const proto::ProcessId silent = seat.record.witness();
-    const bool isSilent = hasWitness && now - seat.lastHeard > this->timings.lease / 3
-        && this->chooseMember(index, &silent);
+    // With nobody else alive a slow witness stays, but a dead one must not: alone, the holder
+    // decides without one.
+    const bool isReplaceable = this->chooseMember(index, &silent) || !this->isMember(silent);
+    const bool isSilent
+        = hasWitness && now - seat.lastHeard > this->timings.lease / 3 && isReplaceable;
     const bool wantsWitness = isSilent || (!hasWitness && !this->members.empty());
     const bool wantsBump = now - seat.bumpedAt > this->timings.abandoned / BumpsPerAbandonment
         || seat.uncertainSince || seat.record.holder_boot() != this->self.boot;
--- a/src/limits/seats.h
+++ b/src/limits/seats.h
@@ -181,6 +181,7 @@
     proto::SeatRecord ownRecord(std::uint32_t index, std::int64_t term,
                                 const proto::ProcessId *notWitness) const;
     const SeatMember *chooseMember(std::uint32_t index, const proto::ProcessId *excluded) const;
+    bool isMember(const proto::ProcessId &id) const;
     bool isPreferred(std::uint32_t index) const;
     MonoTime::duration stretched(MonoTime::duration time) const;
     MonoTime::duration shrunk(MonoTime::duration time) const;
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -433,6 +433,14 @@
     return members;
 }
 
+std::size_t Members::knownCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->table.begin(), this->table.end(), [](const auto &entry) {
+            return entry.second.member.state() != proto::LEFT;
+        }));
+}
+
 std::optional<http::Address> Members::addressOf(const proto::ProcessId &id) const
 {
     const auto found = this->table.find(id.name());
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -67,6 +67,8 @@
 
     /// Members taken for alive or only suspected, without this process.
     std::vector<proto::Member> alive() const;
+    /// Members that have not said that they left, alive or not.
+    std::size_t knownCount() const;
     std::optional<http::Address> addressOf(const proto::ProcessId &id) const;
     std::vector<MemberChange> takeChanges();
     const proto::Member &self() const { return this->own; }
--- a/src/router/configfeed.cpp
+++ b/src/router/configfeed.cpp
@@ -36,7 +36,9 @@
 
 void ConfigFeed::watch()
 {
-    this->store.watch(RootObject, this->watchedVersion, WatchWait,
+    // After a failure a question that is answered at once tells whether the store is back.
+    const Millis wait = this->failures > 0 ? Millis(0) : WatchWait;
+    this->store.watch(RootObject, this->watchedVersion, wait,
                       [this](const StoreReply &reply) { this->onWatched(reply); });
 }
 
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -70,7 +70,9 @@
     , random(randomSeed())
 {
     AdminHooks hooks;
-    hooks.isReady = [this] { return this->context.config && !this->gateway.isDraining(); };
+    hooks.isReady = [this] {
+        return this->context.config && !this->gateway.isDraining() && !this->fleet.isCutOff();
+    };
     hooks.status = [this] { return this->status(); };
     hooks.drain = [this] { this->drain(); };
     hooks.beforeMetrics = [this] {
@@ -200,6 +202,7 @@
 
 void Daemon::pollLoads()
 {
+    this->gateway.checkCutOff();
     for (const auto &[name, view] : this->context.board.all()) {
         if (view.endpoint.kind == EndpointKind::Engine && !this->polling.contains(name))
             this->pollLoad(view);
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -25,6 +25,7 @@
     void drain();
     std::int64_t configVersion() const { return this->feed.tracker().activeVersion(); }
     const TimelineRing &events() const { return this->timeline; }
+    std::size_t peerCount() const { return this->fleet.peerCount(); }
     std::size_t backlogBytes() const { return this->gateway.backlogBytes(); }
     std::string metricsText() const { return this->metrics.toText(); }
 
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -71,6 +71,7 @@
         this->settings.peer,
         LinkKeys{this->settings.fleetKeys.publicKey, this->settings.fleetKeys.secretKey},
         onMessage);
+    this->lastCompany = monoNow();
     this->tick();
 }
 
@@ -96,6 +97,8 @@
     std::vector<SeatMember> alive;
     for (const proto::Member &member : this->members->alive())
         alive.push_back({member.id(), member.region(), member.zone()});
+    if (!alive.empty() || this->feed.storeSilence() == Millis(0))
+        this->lastCompany = now;
     this->seats->setMembers(std::move(alive), now);
     this->carryOut(this->seats->onTick(now));
     this->carryOut(this->borrower->onTick(now));
@@ -103,6 +106,12 @@
     this->timer = this->loop.after(TickInterval, [this] { this->tick(); });
 }
 
+bool Fleet::isCutOff() const
+{
+    return this->members->knownCount() > 0
+        && monoNow() - this->lastCompany > this->settings.cutOffBound;
+}
+
 void Fleet::takeMemberChanges()
 {
     for (const MemberChange &change : this->members->takeChanges()) {
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -47,6 +47,10 @@
     void leave();
     bool hasLeft() const;
 
+    /// Whether this instance has been alone for longer than the settings allow: it knows of
+    /// others, reaches none of them, and does not reach the store either. A withdrawal that the
+    /// others know of would not arrive.
+    bool isCutOff() const;
     std::size_t peerCount() const { return this->members ? this->members->alive().size() : 0; }
     Json status() const;
     void updateMetrics();
@@ -86,6 +90,7 @@
     pcg32 random;
     MonoTime nextSeatQuestion{};
     MonoTime nextConfigQuestion{};
+    MonoTime lastCompany{}; ///< when a peer or the store was last in reach
     bool isLeaving = false;
     http::Timer timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -67,6 +67,13 @@
             {}};
 }
 
+Refusal cutOff()
+{
+    return unavailable("instance_cut_off",
+                       "this instance is cut off and cannot know whether the key still holds",
+                       StartHint);
+}
+
 Refusal keyWithdrawn()
 {
     return unauthorized("key_withdrawn", "the key has been withdrawn");
@@ -143,6 +150,10 @@
         caller.organisation = caller.route.openFor;
         return true;
     }
+    if (this->context.fleet.isCutOff()) {
+        this->refuse(caller, cutOff());
+        return false;
+    }
     const KeyOwner *owner = this->context.keyring.find(caller.secret);
     if (!owner) {
         this->refuse(caller,
@@ -297,6 +308,22 @@
     stopWithdrawn(services);
 }
 
+void Gateway::checkCutOff()
+{
+    if (!this->context.fleet.isCutOff())
+        return;
+    const auto stopKeyed = [](const auto &calls) {
+        for (const auto &[id, call] : calls) {
+            if (!call->request().keyId.empty())
+                call->stop(cutOff());
+        }
+    };
+    const auto models = this->modelCalls;
+    const auto services = this->serviceCalls;
+    stopKeyed(models);
+    stopKeyed(services);
+}
+
 void Gateway::beginDrain()
 {
     this->draining = true;
--- a/src/router/gateway.h
+++ b/src/router/gateway.h
@@ -23,6 +23,8 @@
     void onConfig(const ActiveConfigPtr &config);
     /// Refuses new requests from now on; those in progress go on.
     void beginDrain();
+    /// Ends calls that were let in by a key, once this instance counts as cut off.
+    void checkCutOff();
     bool isDraining() const { return this->draining; }
     std::size_t openCalls() const { return this->modelCalls.size() + this->serviceCalls.size(); }
     /// Bytes of answers that callers have not taken yet.
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -33,6 +33,7 @@
     LogLevel logLevel = LogLevel::Info;
     std::int64_t maxBodyBytes = 0;
     std::int64_t maxConnections = 0;
+    Millis cutOffBound{30'000}; ///< alone for so long, keys are not trusted any more
     Millis drainDeadline{0}; ///< after SIGTERM, for streams to finish
 };
 
