Posted work re-arms the library's timer; the seat record has a file of its own

Cause: http/answered_calls_keep_their_connection_for_the_next took 25 s, 5 s a call: libwebsockets sets its libuv timer only after an event of its own, so what posted work had scheduled waited for the next event. Ruled out: uv_stop being lost (the answer itself came late), the stand-in (curl is answered at once). Change: the loop wakes the library after posted work and before it runs. make lint no longer builds. seats.cpp is split by duty. Conclusion: calls on kept connections start at once.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,9 @@
 	cmake --build build-asan
 	cd build-asan && ctest --output-on-failure --no-tests=error
 
-lint: build
+# The linter needs the compile commands, not the objects.
+lint: packages
+	@test -f $(BUILD)/compile_commands.json || $(MAKE) build
 	clang-format --dry-run --Werror $(SOURCES)
 	@echo "clang-format: clean"
 	@echo $(TIDY_SOURCES) | tr ' ' '\n' | xargs -P $$(nproc) -n 2 clang-tidy -p $(BUILD) --quiet 2>/dev/null
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -98,6 +98,7 @@
 void Loop::runFor(Millis duration)
 {
     const Timer timer = this->after(duration, [this] { uv_stop(this->uvLoop.get()); });
+    lws_cancel_service(this->lwsContext);
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
 }
 
@@ -136,6 +137,9 @@
     }
     for (const auto &work : batch)
         work();
+    // The library sets its libuv timer only after an event of its own, so timers that posted
+    // work has scheduled would wait for the next one.
+    lws_cancel_service(this->lwsContext);
 }
 
 Timer Loop::after(Millis delay, std::function<void()> work)
--- a/src/limits/seats.cpp
+++ b/src/limits/seats.cpp
@@ -1,7 +1,6 @@
 #include "limits/seats.h"
 
 #include "base/digest.h"
-#include "base/json.h"
 
 #include <algorithm>
 
@@ -12,19 +11,6 @@
 // The record is written anew well before others may take it for abandoned.
 constexpr int BumpsPerAbandonment = 4;
 
-Json toJson(const proto::ProcessId &id)
-{
-    return {{"name", id.name()}, {"incarnation", hex64(id.incarnation())}};
-}
-
-proto::ProcessId readProcess(ObjectReader &reader)
-{
-    proto::ProcessId id;
-    id.set_name(reader.text("name", ""));
-    id.set_incarnation(std::strtoull(reader.text("incarnation", "0").c_str(), nullptr, 16));
-    return id;
-}
-
 proto::Envelope envelopeOf(const proto::ProcessId &from)
 {
     proto::Envelope envelope;
@@ -34,65 +20,6 @@
 
 } // namespace
 
-std::uint32_t seatOf(std::string_view organisation)
-{
-    return static_cast<std::uint32_t>(hash64(organisation) % SeatsPerRegion);
-}
-
-std::string seatObject(const std::string &region, std::uint32_t index)
-{
-    return "limits/" + region + "/" + std::to_string(index);
-}
-
-std::string toText(const proto::SeatRecord &record)
-{
-    const Json json{{"region", record.region()},
-                    {"index", record.index()},
-                    {"term", record.term()},
-                    {"holder", toJson(record.holder())},
-                    {"witness", toJson(record.witness())},
-                    {"host", record.holder_host()},
-                    {"port", record.holder_port()},
-                    {"boot", record.holder_boot()},
-                    {"renewals", record.renewals()}};
-    return json.dump();
-}
-
-Result<proto::SeatRecord> parseSeat(std::string_view text, const std::string &object)
-{
-    BOOST_LEAF_AUTO(json, parseJson(text, object));
-    ObjectReader reader(json, object, "");
-    proto::SeatRecord record;
-    record.set_region(reader.text("region"));
-    record.set_index(static_cast<std::uint32_t>(reader.integer("index", {0, SeatsPerRegion - 1})));
-    record.set_term(reader.integer("term", {1}));
-    reader.object("holder",
-                  [&](ObjectReader &entry) { *record.mutable_holder() = readProcess(entry); });
-    reader.object("witness",
-                  [&](ObjectReader &entry) { *record.mutable_witness() = readProcess(entry); });
-    record.set_holder_host(reader.text("host", ""));
-    record.set_holder_port(static_cast<std::uint32_t>(reader.integer("port", {0, 65535}, 0)));
-    record.set_holder_boot(reader.text("boot", ""));
-    record.set_renewals(reader.integer("renewals", {0}, 0));
-    reader.finish();
-    if (!reader.isGood())
-        return fail(ErrorCode::BadInput, "read seat", reader.firstError());
-    return record;
-}
-
-bool isSame(const proto::ProcessId &one, const proto::ProcessId &other)
-{
-    return one.incarnation() == other.incarnation() && one.name() == other.name();
-}
-
-proto::ProcessId processId(std::string name, std::uint64_t incarnation)
-{
-    proto::ProcessId id;
-    id.set_name(std::move(name));
-    id.set_incarnation(incarnation);
-    return id;
-}
-
 SeatKeeper::SeatKeeper(SeatSelf self, SeatTimings timings)
     : self(std::move(self))
     , timings(timings)
--- a/src/limits/seats.h
+++ b/src/limits/seats.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "base/errors.h"
+#include "limits/seatrecord.h"
 #include "platform/store.h"
-#include "proto/peer.pb.h"
 
 #include <functional>
 #include <map>
@@ -20,20 +19,6 @@
 /// nobody. The witness alone may take a silent holder's seat, after the lease has surely lapsed.
 namespace lavenderhall {
 
-inline constexpr std::uint32_t SeatsPerRegion = 16;
-
-/// Returns the seat of \a organisation's account, the same in each region.
-std::uint32_t seatOf(std::string_view organisation);
-
-/// Returns the name of the store's object for a seat.
-std::string seatObject(const std::string &region, std::uint32_t index);
-
-std::string toText(const proto::SeatRecord &record);
-Result<proto::SeatRecord> parseSeat(std::string_view text, const std::string &object);
-
-bool isSame(const proto::ProcessId &one, const proto::ProcessId &other);
-proto::ProcessId processId(std::string name, std::uint64_t incarnation);
-
 struct SeatTimings
 {
     Millis lease{3000}; ///< a holder decides for so long after its witness's word
