--- a/src/limits/limits_world.h
+++ b/src/limits/limits_world.h
@@ -367,7 +367,7 @@
         }
     }
 
-    void send(int from, const proto::ProcessId &to, proto::Envelope message)
+    void send(int from, const proto::ProcessId &to, const proto::Envelope &message)
     {
         for (int index = 0; index < NodeCount; ++index) {
             if (!isSame(this->nodes[index].id, to))
@@ -415,15 +415,16 @@
 
     void callStore(int index, const SeatAction &action)
     {
-        const auto reply = [this, index, action](MonoTime::duration delay, StoreReply answer) {
-            this->onNode(index, delay, [this, index, action, answer](Node &node) {
-                const MonoTime clock = this->clockOf(node);
-                this->carryOut(index,
-                               action.kind == SeatAction::Kind::Read
-                                   ? node.seats->onRead(action, answer, clock)
-                                   : node.seats->onWritten(action, answer, clock));
-            });
-        };
+        const auto reply
+            = [this, index, action](MonoTime::duration delay, const StoreReply &answer) {
+                  this->onNode(index, delay, [this, index, action, answer](Node &node) {
+                      const MonoTime clock = this->clockOf(node);
+                      this->carryOut(index,
+                                     action.kind == SeatAction::Kind::Read
+                                         ? node.seats->onRead(action, answer, clock)
+                                         : node.seats->onWritten(action, answer, clock));
+                  });
+              };
         if (this->store.mode == StoreMode::Down || !this->nodes[index].canReachStore)
             return reply(Millis(2), {StoreStatus::Down, 0, ""});
         const bool isLost
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -187,7 +187,7 @@
         if (!secret.empty())
             request.headers.push_back({"authorization", "Bearer " + secret});
         request.body = std::move(body);
-        const auto answer = std::make_shared<Answer>();
+        auto answer = std::make_shared<Answer>();
         http::CallHandlers handlers;
         handlers.onHead = [answer](int status, const http::Headers &found) {
             answer->status = status;
--- a/src/streams/streams_test.cpp
+++ b/src/streams/streams_test.cpp
@@ -60,7 +60,7 @@
         std::size_t at = 0;
         while (at < bytes.size()) {
             const std::size_t size = std::min<std::size_t>(1 + this->random(40), bytes.size() - at);
-            const RelayAction action = relay.onBytes(std::string_view(bytes).substr(at, size));
+            RelayAction action = relay.onBytes(std::string_view(bytes).substr(at, size));
             received += action.forward;
             at += size;
             if (action.step != RelayStep::Continue)
