--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -33,7 +33,7 @@
     Load(http::Loop &loop, Plan plan)
         : loop(loop)
         , plan(std::move(plan))
-        , client(loop, "load")
+        , client(loop)
     { }
 
     Json run()
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -26,10 +26,7 @@
     : loop(loop)
     , options(std::move(options))
     , server(loop,
-             {"fake-engine-" + std::to_string(this->options.listen.port),
-              this->options.listen,
-              MaxBodyBytes,
-              {"x-request-id", "last-event-id"}},
+             this->options.listen, http::limitsOf(MaxBodyBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 {
     this->loaded.insert(this->options.model + "@" + this->options.version);
--- a/fakes/service.cpp
+++ b/fakes/service.cpp
@@ -10,7 +10,7 @@
 
 Service::Service(http::Loop &loop, http::Address listen)
     : loop(loop)
-    , server(loop, {"fake-service", std::move(listen), MaxBodyBytes, {"x-request-id"}},
+    , server(loop, std::move(listen), http::limitsOf(MaxBodyBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 { }
 
--- a/fakes/store.cpp
+++ b/fakes/store.cpp
@@ -39,7 +39,7 @@
 
 Store::Store(http::Loop &loop, http::Address listen, int writesPerSecond, int readsPerSecond)
     : loop(loop)
-    , server(loop, {"fake-store", std::move(listen), MaxObjectBytes, {}},
+    , server(loop, std::move(listen), http::limitsOf(MaxObjectBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 {
     this->readBucket.perSecond = readsPerSecond;
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
 
 packages=(
     g++ cmake ninja-build clang-format clang-tidy python3
-    libwebsockets-dev libzmq3-dev cppzmq-dev libprotobuf-dev
+    libhttp-parser-dev libuv1-dev libzmq3-dev cppzmq-dev libprotobuf-dev
     prometheus-cpp-dev libpopt-dev liblog4cxx-dev libboost1.81-dev
     libcriterion-dev nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev
     libsodium-dev libbenchmark-dev libclang-rt-14-dev
--- a/src/claims/claim.h
+++ b/src/claims/claim.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/errors.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -247,7 +247,7 @@
     }
     openLog(settings.logLevel, settings.instance);
     try {
-        http::Loop loop(static_cast<unsigned>(settings.maxConnections));
+        http::Loop loop;
         Daemon daemon(loop, settings);
         return daemon.run();
     } catch (const std::runtime_error &error) {
--- a/src/config/publish.h
+++ b/src/config/publish.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config/chunks.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <optional>
 #include <string>
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,359 +1,365 @@
 #include "http/client.h"
 
 #include <algorithm>
-#include <array>
-#include <libwebsockets.h>
-#include <stdexcept>
+#include <charconv>
 
 namespace lavenderhall::http {
 
 namespace {
 
-constexpr std::size_t MaxWriteBytes = 16384;
-constexpr std::size_t ReadBufferBytes = 16384;
-constexpr std::uint16_t KeepWarmSeconds = 20;
-constexpr Millis SettleTime{1}; ///< from an answer's end until its connection is kept
-constexpr Millis CloseTime{1000}; ///< from a failure until its connection is surely gone
+constexpr Millis KeepTime{20'000}; ///< of an idle connection whose server names no time
+constexpr Millis KeepMargin{500}; ///< before a server closes an idle connection itself
+constexpr Millis RecentTime{1500}; ///< since its last answer, a connection counts as proven
 
-struct KnownHeader
+/// Reads "timeout=5" out of a Keep-Alive header; KeepTime if there is none.
+Millis keepTimeOf(const Headers &headers)
 {
-    lws_token_indexes token;
-    const char *name;
-};
-
-constexpr std::array<KnownHeader, 4> KnownHeaders{{
-    {WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type"},
-    {WSI_TOKEN_HTTP_ETAG, "etag"},
-    {WSI_TOKEN_HTTP_RETRY_AFTER, "retry-after"},
-    {WSI_TOKEN_HTTP_LOCATION, "location"},
-}};
+    constexpr std::string_view Label = "timeout=";
+    const std::string_view text = findHeader(headers, "keep-alive");
+    const std::size_t at = text.find(Label);
+    if (at == std::string_view::npos)
+        return KeepTime;
+    std::int64_t seconds = 0;
+    const char *from = text.data() + at + Label.size();
+    const auto read = std::from_chars(from, text.data() + text.size(), seconds);
+    constexpr std::int64_t MaxSeconds = 3600;
+    if (read.ec != std::errc{} || seconds < 0 || seconds > MaxSeconds)
+        return KeepTime;
+    return std::min<Millis>(KeepTime, std::chrono::seconds(seconds) - KeepMargin);
+}
 
-Call *callOf(lws *wsi)
+std::string serialize(const CallRequest &request)
 {
-    return static_cast<Call *>(lws_get_opaque_user_data(wsi));
+    std::string text = toString(request.method);
+    text.append(" ").append(request.path).append(" HTTP/1.1\r\n");
+    if (findHeader(request.headers, "host").empty())
+        text.append("host: ").append(request.to.toString()).append("\r\n");
+    for (const Header &header : request.headers)
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    const bool wantsLength = request.method != Method::Get && request.method != Method::Head;
+    if (wantsLength || !request.body.empty())
+        text += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    return text.append("\r\n").append(request.body);
 }
 
-int onClientEvent(lws *wsi, lws_callback_reasons reason, void *, void *in, size_t length)
+} // namespace
+
+/// One connection to a server: at most one call at a time.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
-    lws_vhost *vhost = lws_get_vhost(wsi);
-    auto *client = vhost ? static_cast<Client *>(lws_get_vhost_user(vhost)) : nullptr;
-    const auto *loop = static_cast<Loop *>(lws_context_user(lws_get_context(wsi)));
-    if (!client || !loop->hasOwner(client))
-        return 0;
-    return client->onEvent(wsi, reason, in, length);
-}
+public:
+    ClientConnection(Client &client, Address to)
+        : client(client)
+        , to(std::move(to))
+        , parser(MessageKind::Response,
+                 {[this](const MessageHead &head) { return this->onHead(head); },
+                  [this](std::string_view data) { this->onBody(data); }})
+    { }
 
-// The library keeps pointers into this table for as long as the context lives.
-const std::array<lws_protocols, 2> Protocols{{
-    {"http", onClientEvent, 0, 0, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-}};
+    void connect(Loop &loop)
+    {
+        SocketHandlers handlers;
+        handlers.onConnected = [this] { this->onConnected(); };
+        handlers.onData = [this](std::string_view data) { this->onData(data); };
+        handlers.onEnd
+            = [this](SocketEnd end, const std::string &reason) { this->onEnd(end, reason); };
+        this->socket = Socket::connect(loop, this->to, std::move(handlers));
+    }
 
-} // namespace
+    void begin(const CallPtr &next)
+    {
+        this->call = next;
+        next->progress.onKeptConnection = this->answers > 0;
+        if (this->isConnected)
+            this->send();
+    }
+
+    void close()
+    {
+        const auto self = this->shared_from_this();
+        this->call = nullptr;
+        this->idleTimer.cancel();
+        this->socket->close();
+        this->client.forget(self);
+    }
+
+    /// The client goes.
+    void abandon()
+    {
+        this->call = nullptr;
+        this->idleTimer.cancel();
+        this->socket->close();
+    }
+
+    const Address &address() const { return this->to; }
+    bool isRecent(MonoTime now) const { return now - this->lastAnswerAt < RecentTime; }
+    void setReading(bool on) { this->socket->setReading(on); }
+    void setIdleTimer(Timer timer) { this->idleTimer = std::move(timer); }
+    Millis keepTime() const { return this->keepFor; }
+
+private:
+    void onConnected()
+    {
+        this->isConnected = true;
+        if (this->call)
+            this->send();
+    }
+
+    void send()
+    {
+        const CallPtr held = this->call;
+        held->progress.maybeSent = true;
+        held->timer = this->client.loop.after(held->request.headTimeout,
+                                              [client = &this->client, weak = std::weak_ptr(held)] {
+                                                  const CallPtr late = weak.lock();
+                                                  if (!late)
+                                                      return;
+                                                  late->progress.timedOut = true;
+                                                  client->failCall(late, "no answer in time");
+                                              });
+        this->socket->write(serialize(held->request));
+    }
+
+    void onData(std::string_view data)
+    {
+        const auto self = this->shared_from_this();
+        // Bytes that no call waits for: a second answer, or garbage.
+        if (!this->call || !this->call->progress.maybeSent) {
+            if (this->call)
+                return this->client.failCall(this->call, "bytes before the request was sent");
+            return this->close();
+        }
+        const ParseStep step = this->parser.feed(data);
+        if (!this->call)
+            return; // cancelled by a handler
+        if (step.state == ParseState::NeedsMore)
+            return;
+        if (step.state != ParseState::Complete)
+            return this->client.failCall(this->call, "the answer is not HTTP/1.1");
+        this->complete(step.consumed == data.size());
+    }
+
+    bool onHead(const MessageHead &head)
+    {
+        const CallPtr held = this->call;
+        held->progress.headSeen = true;
+        held->timer.cancel();
+        if (head.hasLength && !head.isChunked)
+            held->announced = head.length;
+        this->keepFor = keepTimeOf(head.headers);
+        this->mayKeep = head.isKeepAlive;
+        const bool isHead = held->request.method == Method::Head;
+        if (held->handlers.onHead)
+            held->handlers.onHead(head.status, head.headers);
+        return isHead;
+    }
+
+    void onBody(std::string_view data)
+    {
+        if (this->call && this->call->handlers.onData)
+            this->call->handlers.onData(data);
+    }
+
+    // A server may answer before it has read the whole request; the rest must not be taken for
+    // the next one, so such a connection is closed.
+    void complete(bool isClean)
+    {
+        const CallPtr done = std::move(this->call);
+        this->call = nullptr;
+        done->connection = nullptr;
+        ++this->answers;
+        this->lastAnswerAt = monoNow();
+        const auto self = this->shared_from_this();
+        if (isClean && this->mayKeep && this->socket->backlog() == 0 && !this->socket->isClosed())
+            this->client.keep(self);
+        else
+            this->close();
+        const auto onEnd = done->handlers.onEnd;
+        this->client.finish(*done);
+        if (onEnd)
+            onEnd();
+    }
+
+    void onEnd(SocketEnd end, const std::string &reason)
+    {
+        const auto self = this->shared_from_this();
+        if (!this->call)
+            return this->close();
+        const bool isWhole = end == SocketEnd::Eof && this->parser.finishAtEof();
+        if (isWhole && this->call)
+            return this->complete(false);
+        if (!this->call)
+            return;
+        this->call->progress.wasReset = this->isConnected;
+        this->client.failCall(this->call, reason);
+    }
+
+    Client &client;
+    const Address to;
+    Parser parser;
+    Socket::Ptr socket;
+    CallPtr call;
+    Timer idleTimer;
+    Millis keepFor = KeepTime;
+    MonoTime lastAnswerAt{};
+    std::uint64_t answers = 0;
+    bool isConnected = false;
+    bool mayKeep = false;
+};
 
 void Call::cancel()
 {
     if (this->finished)
         return;
-    this->handlers = {};
-    lws *const socket = this->wsi;
-    const std::shared_ptr<Call> held = this->self;
-    this->client->finish(*this, CloseTime);
-    if (!socket)
-        return;
-    lws_set_opaque_user_data(socket, nullptr);
-    lws_set_timeout(socket, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    const CallPtr held = this->shared_from_this();
+    const auto used = std::move(this->connection);
+    this->connection = nullptr;
+    this->client->finish(*this);
+    if (used)
+        used->close();
 }
 
 void Call::setReading(bool on)
 {
-    if (this->wsi && !this->finished)
-        lws_rx_flow_control(this->wsi, on ? 1 : 0);
+    if (this->connection && !this->finished)
+        this->connection->setReading(on);
 }
 
-Client::Client(Loop &loop, std::string name, std::vector<std::string> headers)
+Client::Client(Loop &loop)
     : loop(loop)
-    , name(std::move(name))
-    , headers(std::move(headers))
-{
-    loop.addOwner(this);
-}
+{ }
 
 Client::~Client()
 {
     *this->alive = false;
-    while (!this->starting.empty())
-        this->starting.back()->cancel();
-    this->loop.removeOwner(this);
-    for (Lane &lane : this->lanes)
-        lws_vhost_destroy(lane.vhost);
+    for (const CallPtr &call : this->calls) {
+        call->finished = true;
+        call->timer.cancel();
+        call->connection = nullptr;
+    }
+    for (const auto &[to, connections] : this->open) {
+        for (const ConnectionPtr &connection : connections)
+            connection->abandon();
+    }
 }
 
 CallPtr Client::start(CallRequest request, CallHandlers handlers)
 {
     auto call = std::make_shared<Call>();
-    call->self = call;
     call->client = this;
     call->request = std::move(request);
     call->handlers = std::move(handlers);
-    call->lane = this->takeLane(call->request.to);
-    ++this->inFlight;
-    this->starting.push_back(call);
-    call->timer = this->loop.after(call->request.connectTimeout, [this, raw = call.get()] {
-        raw->progress.timedOut = true;
-        this->failCall(*raw, "connect timed out");
-    });
-    this->connect(call);
-    return call;
-}
-
-std::size_t Client::takeLane(const Address &to)
-{
-    this->carryOutReleases();
-    Occupancy &occupied = this->busy[to];
-    const auto free = std::find(occupied.begin(), occupied.end(), false);
-    const auto index = static_cast<std::size_t>(free - occupied.begin());
-    if (free == occupied.end())
-        occupied.push_back(true);
-    else
-        *free = true;
-    while (this->lanes.size() <= index) {
-        Lane lane;
-        lane.name = this->name + "-" + std::to_string(this->lanes.size());
-        lws_context_creation_info info{};
-        info.port = CONTEXT_PORT_NO_LISTEN;
-        info.protocols = Protocols.data();
-        info.vhost_name = lane.name.c_str();
-        info.user = this;
-        lane.vhost = lws_create_vhost(this->loop.context(), &info);
-        if (!lane.vhost)
-            throw std::runtime_error("http client: no vhost for " + lane.name);
-        this->lanes.push_back(std::move(lane));
+    this->calls.insert(call);
+    call->connection = this->takeIdle(call->request.to, call->request.reuse);
+    const bool isNew = !call->connection;
+    if (isNew) {
+        call->connection = std::make_shared<ClientConnection>(*this, call->request.to);
+        this->open[call->request.to].insert(call->connection);
+        ++this->made;
+        call->timer
+            = this->loop.after(call->request.connectTimeout, [this, weak = std::weak_ptr(call)] {
+                  const CallPtr late = weak.lock();
+                  if (!late)
+                      return;
+                  late->progress.timedOut = true;
+                  this->failCall(late, "connect timed out");
+              });
     }
-    return index;
-}
-
-// The library may still see the old connection for a moment; a call on the same lane would be
-// queued behind it, and fail with it if it is being closed.
-void Client::releaseLane(const Call &call, Millis delay)
-{
-    this->releases.push_back({monoNow() + delay, call.request.to, call.lane});
-}
-
-void Client::carryOutReleases()
-{
-    const MonoTime now = monoNow();
-    std::erase_if(this->releases, [&](const Release &release) {
-        if (release.due > now)
-            return false;
-        this->busy[release.to][release.lane] = false;
-        return true;
-    });
-}
-
-void Client::connect(const CallPtr &call)
-{
-    lws_client_connect_info info{};
-    info.context = this->loop.context();
-    info.vhost = this->lanes[call->lane].vhost;
-    info.address = call->request.to.host.c_str();
-    info.port = call->request.to.port;
-    info.path = call->request.path.c_str();
-    // The library finds a kept connection by comparing this name with the address.
-    info.host = call->request.to.host.c_str();
-    info.method = toString(call->request.method);
-    info.protocol = "http";
-    info.opaque_user_data = call.get();
-    info.pwsi = &call->wsi;
-    info.keep_warm_secs = KeepWarmSeconds;
-    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    if (call->request.reuse == Reuse::Allowed)
-        info.ssl_connection |= LCCSCF_PIPELINE;
-    if (lws_client_connect_via_info(&info))
-        return;
-    if (call->finished)
-        return;
-    call->wsi = nullptr;
-    this->loop.post([this, call, alive = this->alive] {
-        if (*alive && !call->finished)
-            this->failCall(*call, "cannot start the connection");
-    });
+    call->connection->begin(call);
+    if (isNew)
+        call->connection->connect(this->loop);
+    return call;
 }
 
-int Client::onEvent(lws *wsi, int reason, void *in, std::size_t length)
+std::size_t Client::connectionsTo(const Address &to) const
 {
-    Call *call = callOf(wsi);
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        if (!call)
-            return -1;
-        return this->appendHeaders(wsi, *call, static_cast<unsigned char **>(in),
-                                   *static_cast<unsigned char **>(in) + length);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return call ? this->writeBody(wsi, *call) : 0;
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        if (!call)
-            return -1;
-        this->onHead(wsi, *call);
-        return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return call ? this->readBody(wsi) : -1;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        if (call && call->handlers.onData)
-            call->handlers.onData({static_cast<const char *>(in), length});
-        return 0;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP: {
-        if (!call)
-            return 0;
-        const std::function<void()> onEnd = std::move(call->handlers.onEnd);
-        lws_set_opaque_user_data(wsi, nullptr);
-        this->finish(*call, SettleTime);
-        if (onEnd)
-            onEnd();
-        return 0;
-    }
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        if (call)
-            this->failCall(*call,
-                           in ? std::string(static_cast<const char *>(in), length)
-                              : "connection error");
-        return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    case LWS_CALLBACK_WSI_DESTROY:
-        if (call)
-            this->failCall(*call, "connection closed");
-        return 0;
-    default:
-        return 0;
-    }
+    const auto found = this->open.find(to);
+    return found == this->open.end() ? 0 : found->second.size();
 }
 
-int Client::appendHeaders(lws *wsi, Call &call, unsigned char **cursor, unsigned char *limit)
+Client::ConnectionPtr Client::takeIdle(const Address &to, Reuse reuse)
 {
-    call.progress.maybeSent = true;
-    call.timer = this->loop.after(call.request.headTimeout, [this, raw = &call] {
-        raw->progress.timedOut = true;
-        this->failCall(*raw, "no answer in time");
-    });
-    const auto add = [&](const std::string &key, const std::string &value) {
-        const std::string label = key + ":";
-        return lws_add_http_header_by_name(wsi,
-                                           reinterpret_cast<const unsigned char *>(label.c_str()),
-                                           reinterpret_cast<const unsigned char *>(value.data()),
-                                           static_cast<int>(value.size()), cursor, limit);
-    };
-    for (const Header &header : call.request.headers) {
-        if (add(header.name, header.value))
-            return -1;
-    }
-    if (call.request.body.empty()) {
-        const bool wantsLength
-            = call.request.method != Method::Get && call.request.method != Method::Head;
-        return wantsLength && add("content-length", "0") ? -1 : 0;
-    }
-    if (add("content-length", std::to_string(call.request.body.size())))
-        return -1;
-    lws_client_http_body_pending(wsi, 1);
-    lws_callback_on_writable(wsi);
-    return 0;
+    const auto found = this->idle.find(to);
+    if (reuse == Reuse::Never || found == this->idle.end() || found->second.empty())
+        return nullptr;
+    const ConnectionPtr best = found->second.back();
+    if (reuse == Reuse::Recent && !best->isRecent(monoNow()))
+        return nullptr;
+    found->second.pop_back();
+    best->setIdleTimer({});
+    return best;
 }
 
-int Client::writeBody(lws *wsi, Call &call)
+void Client::keep(const ConnectionPtr &connection)
 {
-    const std::string &body = call.request.body;
-    if (call.bodyOffset >= body.size())
-        return 0;
-    const std::size_t size = std::min(body.size() - call.bodyOffset, MaxWriteBytes);
-    std::array<unsigned char, LWS_PRE + MaxWriteBytes> buffer;
-    const auto *from = body.data() + call.bodyOffset;
-    std::copy(from, from + size, buffer.data() + LWS_PRE);
-    call.bodyOffset += size;
-    const bool last = call.bodyOffset == body.size();
-    if (lws_write(wsi, buffer.data() + LWS_PRE, size, last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
-        < 0)
-        return -1;
-    if (last)
-        lws_client_http_body_pending(wsi, 0);
-    else
-        lws_callback_on_writable(wsi);
-    return 0;
+    if (connection->keepTime() <= Millis(0))
+        return connection->close();
+    this->idle[connection->address()].push_back(connection);
+    connection->setIdleTimer(
+        this->loop.after(connection->keepTime(), [weak = std::weak_ptr(connection)] {
+            if (const auto kept = weak.lock())
+                kept->close();
+        }));
 }
 
-void Client::onHead(lws *wsi, Call &call)
+void Client::forget(const ConnectionPtr &connection)
 {
-    call.wsi = wsi;
-    call.progress.headSeen = true;
-    call.timer.cancel();
-    Headers found;
-    const auto copy = [&](const char *label, int length, auto &&read) {
-        if (length <= 0)
-            return;
-        std::string value(static_cast<std::size_t>(length) + 1, '\0');
-        const int copied = read(value.data(), length + 1);
-        value.resize(copied < 0 ? 0 : static_cast<std::size_t>(copied));
-        found.push_back({label, std::move(value)});
-    };
-    for (const KnownHeader &known : KnownHeaders) {
-        copy(known.name, lws_hdr_total_length(wsi, known.token),
-             [&](char *to, int size) { return lws_hdr_copy(wsi, to, size, known.token); });
-    }
-    for (const std::string &header : this->headers) {
-        const std::string key = header + ":";
-        const int keyLength = static_cast<int>(key.size());
-        copy(header.c_str(), lws_hdr_custom_length(wsi, key.c_str(), keyLength),
-             [&](char *to, int size) {
-                 return lws_hdr_custom_copy(wsi, to, size, key.c_str(), keyLength);
-             });
-    }
-    const auto status = static_cast<int>(lws_http_client_http_response(wsi));
-    if (call.handlers.onHead)
-        call.handlers.onHead(status, found);
+    const auto found = this->idle.find(connection->address());
+    if (found != this->idle.end())
+        std::erase(found->second, connection);
+    if (found != this->idle.end() && found->second.empty())
+        this->idle.erase(found);
+    const auto all = this->open.find(connection->address());
+    if (all != this->open.end())
+        all->second.erase(connection);
+    if (all != this->open.end() && all->second.empty())
+        this->open.erase(all);
+    this->loop.post([connection] {}); // it may be on the call stack
 }
 
-int Client::readBody(lws *wsi)
+void Client::forgetIdle(const Address &to)
 {
-    std::array<char, LWS_PRE + ReadBufferBytes> buffer;
-    char *data = buffer.data() + LWS_PRE;
-    int size = ReadBufferBytes;
-    return lws_http_client_read(wsi, &data, &size) < 0 ? -1 : 0;
+    const auto found = this->idle.find(to);
+    if (found == this->idle.end())
+        return;
+    const auto connections = found->second;
+    for (const ConnectionPtr &connection : connections)
+        connection->close();
 }
 
-void Client::finish(Call &call, Millis laneDelay)
+void Client::finish(Call &call)
 {
     call.finished = true;
     call.timer.cancel();
-    call.wsi = nullptr;
-    this->releaseLane(call, laneDelay);
-    --this->inFlight;
-    std::erase_if(this->starting, [&call](const CallPtr &other) { return other.get() == &call; });
-    const CallPtr held = std::move(call.self);
-    call.self = nullptr;
-    // The owner may hold the last reference inside one of its own handlers.
-    this->loop.post([held] {});
+    const CallPtr held = call.shared_from_this();
+    this->calls.erase(held);
+    // One of its handlers may be running now, so they are destroyed later.
+    const auto old = std::make_shared<CallHandlers>(std::move(call.handlers));
+    call.handlers = {};
+    this->loop.post([old, held] {});
 }
 
-void Client::failCall(Call &call, std::string reason)
+void Client::failCall(const CallPtr &call, std::string reason)
 {
-    if (call.finished)
+    if (call->finished)
         return;
-    lws *const wsi = call.wsi;
-    const CallHandlers handlers = std::move(call.handlers);
-    CallFailure failure = call.progress;
+    const auto onFailed = call->handlers.onFailed;
+    CallFailure failure = call->progress;
     failure.reason = std::move(reason);
-    if (wsi) {
-        lws_set_opaque_user_data(wsi, nullptr);
-        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    }
-    this->finish(call, CloseTime);
-    if (handlers.onFailed)
-        handlers.onFailed(failure);
+    const auto used = std::move(call->connection);
+    call->connection = nullptr;
+    this->finish(*call);
+    if (used)
+        used->close();
+    if (onFailed)
+        onFailed(failure);
 }
 
-SyncResult callAndWait(CallRequest request, std::vector<std::string> headers)
+SyncResult callAndWait(CallRequest request)
 {
     SyncResult result;
-    Loop loop(64);
-    Client client(loop, "sync", std::move(headers));
+    Loop loop;
+    Client client(loop);
     CallHandlers handlers;
     handlers.onHead = [&result](int status, const Headers &found) {
         result.response.status = status;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,22 +2,24 @@
 
 #include "http/loop.h"
 #include "http/message.h"
+#include "http/parser.h"
+#include "http/socket.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
-struct lws;
-struct lws_vhost;
-
-/// HTTP/1.1 client over libwebsockets with a pool of kept connections.
+/// HTTP/1.1 client with a pool of kept connections.
 namespace lavenderhall::http {
 
-/// Whether a call may use a connection that has carried others before.
+/// Which connection a call may use.
 enum class Reuse {
     Allowed,
+    Recent, ///< a kept one only if it has carried an answer a moment ago
     Never, ///< for calls that must not be repeated: a kept connection may be dead unseen
 };
 
@@ -26,7 +28,7 @@
     Address to;
     Method method = Method::Get;
     std::string path; ///< with the query
-    Headers headers;
+    Headers headers; ///< names in lower case; a host of its own goes before the address
     std::string body;
     Reuse reuse = Reuse::Allowed;
     Millis connectTimeout = std::chrono::milliseconds(500);
@@ -39,6 +41,8 @@
     bool maybeSent = false; ///< false only if no byte of the request can have left
     bool headSeen = false;
     bool timedOut = false;
+    bool wasReset = false; ///< the connection broke, as against a clean or own end
+    bool onKeptConnection = false; ///< the connection had carried other calls before
     std::string reason;
 };
 
@@ -51,8 +55,11 @@
     std::function<void(const CallFailure &failure)> onFailed;
 };
 
+class Client;
+class ClientConnection;
+
 /// One request in progress.
-class Call
+class Call : public std::enable_shared_from_this<Call>
 {
 public:
     /// Gives the call up: closes its connection; no handler is called any more.
@@ -60,20 +67,21 @@
     /// Stops or goes on reading from the socket, for backpressure.
     void setReading(bool on);
     bool isFinished() const { return this->finished; }
+    /// Body length that the answer's head announced; empty without one.
+    std::optional<std::uint64_t> answerLength() const { return this->announced; }
 
 private:
     friend class Client;
+    friend class ClientConnection;
 
     CallRequest request;
     CallHandlers handlers;
-    class Client *client = nullptr;
-    lws *wsi = nullptr;
-    std::size_t lane = 0;
-    std::size_t bodyOffset = 0;
+    Client *client = nullptr;
+    std::shared_ptr<ClientConnection> connection;
+    std::optional<std::uint64_t> announced;
     Timer timer;
     CallFailure progress;
     bool finished = false;
-    std::shared_ptr<Call> self;
 };
 
 using CallPtr = std::shared_ptr<Call>;
@@ -82,56 +90,36 @@
 class Client
 {
 public:
-    /// \a name is unique among the clients of a loop; \a headers are those of answers to keep
-    /// beyond the usual ones, lower case.
-    Client(Loop &loop, std::string name, std::vector<std::string> headers = {});
+    explicit Client(Loop &loop);
     ~Client();
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
     /// Starts a call. A failure to start is reported to the handlers from the loop.
     CallPtr start(CallRequest request, CallHandlers handlers);
-    std::size_t callsInFlight() const { return this->inFlight; }
-
-    /// Callback of libwebsockets. For the library only.
-    int onEvent(lws *wsi, int reason, void *in, std::size_t length);
+    std::size_t callsInFlight() const { return this->calls.size(); }
+    /// Connections to \a to, in use or kept.
+    std::size_t connectionsTo(const Address &to) const;
+    std::uint64_t connectionsMade() const { return this->made; }
+    /// Closes the kept connections to \a to.
+    void forgetIdle(const Address &to);
 
 private:
     friend class Call;
-    // Of each endpoint a lane holds at most one connection, so that the library's own
-    // queueing of requests behind each other on a kept connection never comes into play.
-    struct Lane
-    {
-        std::string name;
-        lws_vhost *vhost = nullptr;
-    };
-    using Occupancy = std::vector<bool>;
-    struct Release
-    {
-        MonoTime due{};
-        Address to;
-        std::size_t lane = 0;
-    };
-
-    std::size_t takeLane(const Address &to);
-    void releaseLane(const Call &call, Millis delay);
-    void carryOutReleases();
-    void connect(const CallPtr &call);
-    int appendHeaders(lws *wsi, Call &call, unsigned char **cursor, unsigned char *limit);
-    int writeBody(lws *wsi, Call &call);
-    int readBody(lws *wsi);
-    void onHead(lws *wsi, Call &call);
-    void finish(Call &call, Millis laneDelay);
-    void failCall(Call &call, std::string reason);
+    friend class ClientConnection;
+    using ConnectionPtr = std::shared_ptr<ClientConnection>;
+
+    ConnectionPtr takeIdle(const Address &to, Reuse reuse);
+    void keep(const ConnectionPtr &connection);
+    void forget(const ConnectionPtr &connection);
+    void finish(Call &call);
+    void failCall(const CallPtr &call, std::string reason);
 
     Loop &loop;
-    std::string name;
-    std::vector<std::string> headers;
-    std::vector<Lane> lanes;
-    std::map<Address, Occupancy> busy;
-    std::vector<Release> releases;
-    std::vector<CallPtr> starting;
-    std::size_t inFlight = 0;
+    std::map<Address, std::vector<ConnectionPtr>> idle; ///< most recently used last
+    std::map<Address, std::set<ConnectionPtr>> open;
+    std::set<CallPtr> calls;
+    std::uint64_t made = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -142,6 +130,6 @@
     CallFailure failure;
     bool ok = false;
 };
-SyncResult callAndWait(CallRequest request, std::vector<std::string> headers = {});
+SyncResult callAndWait(CallRequest request);
 
 } // namespace lavenderhall::http
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -1,8 +1,12 @@
 #include "http/client.h"
+#include "http/parser.h"
 #include "http/server.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <netinet/in.h>
+#include <pcg_random.hpp>
+#include <uv.h>
 
 using namespace lavenderhall;
 using namespace lavenderhall::http;
@@ -21,9 +25,9 @@
     std::vector<ExchangePtr> held;
 
     Fixture()
-        : server(this->loop, {"test", Local, 1000, {"x-extra"}},
+        : server(this->loop, Local, limitsOf(1000),
                  [this](const ExchangePtr &exchange) { this->serve(exchange); })
-        , client(this->loop, "client", {"x-extra"})
+        , client(this->loop)
     { }
 
     void serve(const ExchangePtr &exchange)
@@ -159,7 +163,7 @@
 Test(http, an_answer_that_never_comes_times_out)
 {
     Fixture fixture;
-    Server silent(fixture.loop, {"silent", {"127.0.0.1", 18102}, 1000, {}},
+    Server silent(fixture.loop, {"127.0.0.1", 18102}, limitsOf(1000),
                   [&](const ExchangePtr &exchange) { fixture.held.push_back(exchange); });
     CallRequest call = request(Method::Get, "/never");
     call.to.port = 18102;
@@ -169,3 +173,185 @@
     cr_assert(result.failure.timedOut);
     cr_assert(result.failure.maybeSent);
 }
+
+namespace {
+
+/// All messages that a parser finds in \a input, which comes in pieces of \a pieceBytes.
+struct Parsed
+{
+    std::vector<MessageHead> heads;
+    std::vector<std::string> bodies;
+    std::size_t whole = 0;
+    ParseState last = ParseState::NeedsMore;
+};
+
+Parsed parseAll(MessageKind kind, std::string_view input, std::size_t pieceBytes)
+{
+    Parsed parsed;
+    Parser parser(kind,
+                  {[&](const MessageHead &head) {
+                       parsed.heads.push_back(head);
+                       parsed.bodies.emplace_back();
+                       return false;
+                   },
+                   [&](std::string_view data) { parsed.bodies.back().append(data); }});
+    parser.setMaxHeadBytes(500);
+    while (!input.empty()) {
+        std::string_view piece = input.substr(0, pieceBytes);
+        input.remove_prefix(piece.size());
+        while (!piece.empty()) {
+            const ParseStep step = parser.feed(piece);
+            piece.remove_prefix(std::min(step.consumed, piece.size()));
+            parsed.last = step.state;
+            parsed.whole += step.state == ParseState::Complete ? 1 : 0;
+            if (step.state != ParseState::Complete && step.state != ParseState::NeedsMore)
+                return parsed;
+        }
+    }
+    return parsed;
+}
+
+/// Bytes that answer each connection alike, whatever is asked; then the connection ends.
+struct RawServer
+{
+    Loop &loop;
+    uv_tcp_t *listener = new uv_tcp_t;
+    std::string bytes;
+    bool resets = false;
+    std::vector<Socket::Ptr> sockets;
+
+    RawServer(Loop &loop, std::uint16_t port, std::string bytes)
+        : loop(loop)
+        , bytes(std::move(bytes))
+    {
+        uv_tcp_init(loop.handle(), this->listener);
+        this->listener->data = this;
+        sockaddr_in address{};
+        uv_ip4_addr("127.0.0.1", port, &address);
+        uv_tcp_bind(this->listener, reinterpret_cast<const sockaddr *>(&address), 0);
+        uv_listen(reinterpret_cast<uv_stream_t *>(this->listener), 16,
+                  [](uv_stream_t *stream, int) {
+                      static_cast<RawServer *>(stream->data)->onConnection();
+                  });
+    }
+    ~RawServer()
+    {
+        for (const Socket::Ptr &socket : this->sockets)
+            socket->close();
+        uv_close(reinterpret_cast<uv_handle_t *>(this->listener),
+                 [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
+    }
+
+    void onConnection()
+    {
+        const std::size_t index = this->sockets.size();
+        SocketHandlers handlers;
+        handlers.onData = [this, index](std::string_view) {
+            this->sockets[index]->write(this->bytes);
+            // Unread bytes turn the close into a reset.
+            if (this->resets)
+                this->sockets[index]->setReading(false);
+            else
+                this->sockets[index]->closeGracefully();
+        };
+        this->sockets.push_back(Socket::accept(
+            this->loop, reinterpret_cast<uv_stream_t *>(this->listener), std::move(handlers)));
+    }
+};
+
+constexpr std::uint16_t RawPort = 18103;
+
+SyncResult callRaw(Fixture &fixture, Method method = Method::Get)
+{
+    CallRequest call = request(method, "/raw");
+    call.to.port = RawPort;
+    call.headTimeout = Millis(500);
+    return fixture.call(call);
+}
+
+} // namespace
+
+Test(http, targets_and_headers_are_kept_as_sent)
+{
+    const Parsed parsed = parseAll(
+        MessageKind::Request,
+        "GET /a%2fb//c/../d?x=%26&&y HTTP/1.1\r\nHost: h\r\nOdd-Header: One  Two\r\n\r\n", 7);
+    cr_assert(parsed.whole == 1U);
+    cr_assert(parsed.heads[0].target == "/a%2fb//c/../d?x=%26&&y");
+    cr_assert(findHeader(parsed.heads[0].headers, "odd-header") == "One  Two");
+}
+
+Test(http, pipelined_messages_are_found_whatever_the_pieces)
+{
+    const std::string input = "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+                              "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "2\r\nde\r\n1\r\nf\r\n0\r\n\r\nGET /c HTTP/1.1\r\n\r\n";
+    for (std::size_t piece = 1; piece <= input.size(); ++piece) {
+        const Parsed parsed = parseAll(MessageKind::Request, input, piece);
+        cr_assert(parsed.whole == 3U, "pieces of %zu", piece);
+        cr_assert(parsed.bodies[0] == "abc");
+        cr_assert(parsed.bodies[1] == "def");
+        cr_assert(parsed.heads[2].target == "/c");
+    }
+}
+
+Test(http, a_request_that_is_framed_in_two_ways_is_refused)
+{
+    const Parsed parsed
+        = parseAll(MessageKind::Request,
+                   "POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+                   1000);
+    cr_assert(parsed.last == ParseState::Bad);
+    cr_assert(parsed.whole == 0U);
+}
+
+Test(http, too_large_a_head_is_told)
+{
+    const Parsed parsed = parseAll(MessageKind::Request,
+                                   "GET / HTTP/1.1\r\nA: " + std::string(600, 'x') + "\r\n", 100);
+    cr_assert(parsed.last == ParseState::HeadTooLarge);
+}
+
+Test(http, damaged_messages_crash_nothing)
+{
+    const std::string sound
+        = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=5\r\n\r\nabc"
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n";
+    pcg32 random(7);
+    for (int round = 0; round < 20'000; ++round) {
+        std::string damaged = sound;
+        const unsigned hits = 1 + random(6);
+        for (unsigned hit = 0; hit < hits; ++hit)
+            damaged[random(static_cast<unsigned>(damaged.size()))] = static_cast<char>(random(256));
+        const Parsed parsed = parseAll(MessageKind::Response, damaged, 1 + random(60));
+        cr_assert(parsed.whole <= 3U);
+    }
+}
+
+Test(http, an_answer_without_a_length_is_whole_only_if_its_connection_ends_cleanly)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort, "HTTP/1.1 200 OK\r\n\r\nall of it");
+    const SyncResult whole = callRaw(fixture);
+    cr_assert(whole.ok);
+    cr_assert(whole.response.body == "all of it");
+}
+
+Test(http, bytes_after_an_answer_are_not_taken_for_the_next_one)
+{
+    Fixture fixture;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    RawServer server(fixture.loop, RawPort, answer + answer);
+    cr_assert(callRaw(fixture).ok);
+    cr_assert(fixture.client.connectionsTo({"127.0.0.1", RawPort}) == 0U);
+}
+
+Test(http, an_answer_cut_short_fails)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok");
+    const SyncResult cut = callRaw(fixture);
+    cr_assert(not(cut.ok));
+    cr_assert(cut.failure.headSeen);
+}
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -1,32 +1,33 @@
 #include "http/loop.h"
 
-#include <libwebsockets.h>
-#include <stdexcept>
 #include <uv.h>
 
 namespace lavenderhall::http {
 
+/// Freed by libuv's close callback, so it outlives the handle that the caller holds.
 struct Timer::State
 {
-    // Of standard layout, so that the library's list entry leads back to its owner.
-    struct Entry
-    {
-        lws_sorted_usec_list_t sul;
-        State *owner;
-    };
-
-    Entry entry{};
+    uv_timer_t handle{};
     std::function<void()> work;
-    // Keeps the state alive while the library holds a pointer to its list entry.
     std::shared_ptr<State> self;
-};
-
-namespace {
 
-constexpr unsigned short MaxHeaderBytes = 16384;
-constexpr unsigned ServiceBufferBytes = 32768;
+    void fire()
+    {
+        if (uv_is_closing(reinterpret_cast<uv_handle_t *>(&this->handle)))
+            return;
+        const std::shared_ptr<State> held = this->self;
+        held->close();
+        held->work();
+    }
 
-} // namespace
+    void close()
+    {
+        if (uv_is_closing(reinterpret_cast<uv_handle_t *>(&this->handle)))
+            return;
+        uv_close(reinterpret_cast<uv_handle_t *>(&this->handle),
+                 [](uv_handle_t *closed) { static_cast<State *>(closed->data)->self.reset(); });
+    }
+};
 
 struct Loop::SignalWatch
 {
@@ -47,13 +48,11 @@
 {
     const std::shared_ptr<State> held = std::move(this->state);
     this->state = nullptr;
-    if (!held || !held->self)
-        return;
-    lws_sul_cancel(&held->entry.sul);
-    held->self = nullptr;
+    if (held)
+        held->close();
 }
 
-Loop::Loop(unsigned maxFds)
+Loop::Loop()
     : uvLoop(std::make_unique<uv_loop_t>())
     , wakeUp(std::make_unique<uv_async_t>())
 {
@@ -61,32 +60,15 @@
     uv_async_init(this->uvLoop.get(), this->wakeUp.get(),
                   [](uv_async_t *handle) { static_cast<Loop *>(handle->data)->drainPosted(); });
     this->wakeUp->data = this;
-
-    lws_set_log_level(LLL_ERR, nullptr);
-    void *foreignLoops[] = {this->uvLoop.get()};
-    lws_context_creation_info info{};
-    info.port = CONTEXT_PORT_NO_LISTEN;
-    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBUV;
-    info.foreign_loops = foreignLoops;
-    info.fd_limit_per_thread = maxFds;
-    info.max_http_header_data = MaxHeaderBytes;
-    info.pt_serv_buf_size = ServiceBufferBytes;
-    info.user = this;
-    this->lwsContext = lws_create_context(&info);
-    if (!this->lwsContext)
-        throw std::runtime_error("http loop: the libwebsockets context cannot be created");
 }
 
-// With a loop of our own the library closes its handles in two steps, with the loop run between.
+// Handles whose owners have gone are closing already; their callbacks run here.
 Loop::~Loop()
 {
-    lws_context_destroy(this->lwsContext);
     uv_close(reinterpret_cast<uv_handle_t *>(this->wakeUp.get()), nullptr);
     for (const auto &watch : this->signalWatches)
         uv_close(reinterpret_cast<uv_handle_t *>(&watch->handle), nullptr);
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
-    lws_context_destroy(this->lwsContext);
-    uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
     uv_loop_close(this->uvLoop.get());
 }
 
@@ -98,7 +80,6 @@
 void Loop::runFor(Millis duration)
 {
     const Timer timer = this->after(duration, [this] { uv_stop(this->uvLoop.get()); });
-    lws_cancel_service(this->lwsContext);
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
 }
 
@@ -137,9 +118,6 @@
     }
     for (const auto &work : batch)
         work();
-    // The library sets its libuv timer only after an event of its own, so timers that posted
-    // work has scheduled would wait for the next one.
-    lws_cancel_service(this->lwsContext);
 }
 
 Timer Loop::after(Millis delay, std::function<void()> work)
@@ -148,15 +126,19 @@
     timer.state = std::make_shared<Timer::State>();
     timer.state->work = std::move(work);
     timer.state->self = timer.state;
-    timer.state->entry.owner = timer.state.get();
-    const auto fire = [](lws_sorted_usec_list_t *sul) {
-        auto *state = reinterpret_cast<Timer::State::Entry *>(sul)->owner;
-        const std::shared_ptr<Timer::State> held = std::move(state->self);
-        state->self = nullptr;
-        held->work();
-    };
-    lws_sul_schedule(this->lwsContext, 0, &timer.state->entry.sul, fire,
-                     std::chrono::duration_cast<Micros>(delay).count());
+    uv_timer_t &handle = timer.state->handle;
+    uv_timer_init(this->uvLoop.get(), &handle);
+    handle.data = timer.state.get();
+    if (delay <= Millis(0)) {
+        // The library would run a timer without delay over and over in one turn of the loop.
+        this->post([state = timer.state] { state->fire(); });
+        return timer;
+    }
+    // The loop's cached time may be as old as the work that runs now.
+    uv_update_time(this->uvLoop.get());
+    const auto onFired
+        = [](uv_timer_t *fired) { static_cast<Timer::State *>(fired->data)->fire(); };
+    uv_timer_start(&handle, onFired, static_cast<std::uint64_t>(delay.count()), 0);
     return timer;
 }
 
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -5,14 +5,12 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <vector>
 
-struct lws_context;
 struct uv_loop_s;
 struct uv_async_s;
 
-/// The event loop of one task: libuv under a libwebsockets context, touched by one thread only.
+/// The event loop of one task, over libuv and touched by one thread only.
 namespace lavenderhall::http {
 
 /// Cancels its timer when destroyed or reset. An empty handle cancels nothing.
@@ -37,8 +35,7 @@
 class Loop
 {
 public:
-    /// Creates the context. \a maxFds bounds the connections of both directions.
-    explicit Loop(unsigned maxFds = 8192);
+    Loop();
     ~Loop();
     Loop(const Loop &) = delete;
     Loop &operator=(const Loop &) = delete;
@@ -58,13 +55,7 @@
     /// Calls \a work on the loop's thread each time the process gets \a signal.
     void onSignal(int signal, std::function<void()> work);
 
-    /// Owners of connections say here whether they still want the library's callbacks: at the
-    /// end of the loop it calls back for connections whose owner has gone.
-    void addOwner(const void *owner) { this->owners.insert(owner); }
-    void removeOwner(const void *owner) { this->owners.erase(owner); }
-    bool hasOwner(const void *owner) const { return this->owners.contains(owner); }
-
-    lws_context *context() { return this->lwsContext; }
+    uv_loop_s *handle() { return this->uvLoop.get(); }
 
 private:
     void drainPosted();
@@ -74,8 +65,6 @@
     std::unique_ptr<uv_loop_s> uvLoop;
     std::unique_ptr<uv_async_s> wakeUp;
     std::vector<std::unique_ptr<SignalWatch>> signalWatches;
-    lws_context *lwsContext = nullptr;
-    std::set<const void *> owners;
     std::mutex postedMutex;
     std::vector<std::function<void()>> posted;
 };
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,7 +30,8 @@
 struct Request
 {
     Method method = Method::Get;
-    std::string path; ///< without the query
+    std::string target; ///< path and query as sent
+    std::string path; ///< as sent, without the query
     std::string query; ///< without the "?"
     Headers headers;
     std::string body;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -3,17 +3,20 @@
 #include "http/loop.h"
 #include "http/message.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
-struct lws;
-struct lws_vhost;
+struct uv_tcp_s;
 
-/// HTTP/1.1 server over libwebsockets, with whole requests and streamed answers.
+/// HTTP/1.1 server with whole requests and streamed answers.
 namespace lavenderhall::http {
 
+class ServerConnection;
+
 /// One request and its answer. The owner keeps it while it still means to write.
 class Exchange
 {
@@ -24,6 +27,8 @@
     void respond(Response response);
     /// Starts an answer of unknown length, sent in chunks.
     void begin(int status, Headers headers);
+    /// Starts an answer whose body is \a length bytes long.
+    void beginSized(int status, Headers headers, std::uint64_t length);
     /// Appends to a started answer.
     void write(std::string_view data);
     /// Ends a started answer cleanly.
@@ -32,8 +37,8 @@
     void abort();
 
     /// Bytes accepted by write() that the socket has not taken yet.
-    std::size_t backlog() const { return this->pending.size() - this->pendingOffset; }
-    bool isClosed() const { return this->wsi == nullptr; }
+    std::size_t backlog() const;
+    bool isClosed() const { return this->connection == nullptr; }
     bool hasBegun() const { return this->begun; }
 
     /// Called when the backlog has been sent.
@@ -42,75 +47,81 @@
     void onClosed(std::function<void()> handler) { this->closed = std::move(handler); }
 
 private:
-    friend class Server;
+    friend class ServerConnection;
+
+    void start(int status, const Headers &headers);
 
     Request received;
-    lws *wsi = nullptr;
-    std::string pending;
-    std::size_t pendingOffset = 0;
-    int status = 0;
-    Headers answerHeaders;
-    std::size_t length = 0;
+    ServerConnection *connection = nullptr;
+    std::uint64_t remaining = 0; ///< of a sized answer
+    bool isKeepAlive = false;
     bool chunked = false;
     bool begun = false;
-    bool headSent = false;
     bool ended = false;
-    bool aborted = false;
     std::function<void()> drained;
     std::function<void()> closed;
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
-struct ServerOptions
+/// Bounds on what callers may send and how long they may take.
+struct ServerLimits
 {
-    std::string name; ///< unique among the servers of one loop
-    Address listen; ///< port 0 is not allowed
     std::size_t maxBodyBytes = 8U << 20U;
-    std::vector<std::string> headers; ///< headers beyond the usual ones to keep, lower case
+    std::size_t maxHeadBytes = 16U << 10U;
     Millis requestTimeout = std::chrono::seconds(15); ///< for head and body to arrive
+    Millis idleTimeout = std::chrono::seconds(60); ///< of a connection between requests
+
+    bool operator==(const ServerLimits &) const = default;
 };
 
+/// Returns the usual limits with another bound on bodies.
+inline ServerLimits limitsOf(std::size_t maxBodyBytes)
+{
+    ServerLimits limits;
+    limits.maxBodyBytes = maxBodyBytes;
+    return limits;
+}
+
 /// Listens on one address. Lives on its loop's thread and must outlive the loop's run.
 class Server
 {
 public:
     using Handler = std::function<void(const ExchangePtr &)>;
+    /// Builds the answer for a request that the server itself refuses.
+    using Refusal = std::function<Response(int status, std::string_view reason)>;
 
     /// Throws std::runtime_error when the address cannot be bound.
-    Server(Loop &loop, ServerOptions options, Handler handler);
+    Server(Loop &loop, Address listen, ServerLimits limits, Handler handler);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
+    void setLimits(ServerLimits limits) { this->limits = limits; }
+    void setRefusal(Refusal refusal) { this->refusal = std::move(refusal); }
     /// Closes the listening socket; open exchanges go on.
     void stopListening();
+    /// From now on each answer is the last on its connection.
+    void closeAfterAnswers() { this->isClosing = true; }
     /// Cuts each connection, answered or not, as a crash would.
     void cutAll();
     std::size_t connectionCount() const { return this->connections.size(); }
     std::size_t openExchanges() const { return this->exchangeCount; }
 
-    /// Callback of libwebsockets. For the library only.
-    int onEvent(lws *wsi, int reason, void *user, void *in, std::size_t length);
-
 private:
-    struct Connection;
-    int onRequestHead(lws *wsi, Connection &connection);
-    int onBody(Connection &connection, std::string_view data);
-    int dispatch(Connection &connection);
-    int onWritable(lws *wsi, Connection &connection);
-    int writeHead(lws *wsi, Exchange &exchange);
-    int writePending(lws *wsi, Connection &connection);
-    int finish(lws *wsi, Connection &connection);
-    void onGone(Connection &connection);
-    int refuse(Connection &connection, int status, std::string_view text);
+    friend class ServerConnection;
+
+    void onConnection();
+    void forget(const std::shared_ptr<ServerConnection> &connection);
 
     Loop &loop;
-    ServerOptions options;
+    ServerLimits limits;
     Handler handler;
-    lws_vhost *vhost = nullptr;
-    std::vector<lws *> connections;
+    Refusal refusal;
+    uv_tcp_s *listener = nullptr;
+    std::set<std::shared_ptr<ServerConnection>> connections;
     std::size_t exchangeCount = 0;
+    bool isClosing = false;
 };
 
 } // namespace lavenderhall::http
--- /dev/null
+++ b/src/http/socket.cpp
@@ -0,0 +1,213 @@
+#include "http/socket.h"
+
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+namespace lavenderhall::http {
+
+namespace {
+
+constexpr Millis LingerTime{1000}; ///< for the peer to close after our end of the stream
+constexpr unsigned KeepAliveSeconds = 2;
+// Bytes that stay unacknowledged for so long mean that the connection is lost.
+constexpr unsigned UserTimeoutMillis = 3000;
+
+// Each read is taken out of the buffer before the next one starts, so one serves all sockets.
+std::array<char, 65536> &readBuffer()
+{
+    static std::array<char, 65536> buffer;
+    return buffer;
+}
+
+} // namespace
+
+/// The library's handle, freed once it has closed.
+struct Socket::Handle
+{
+    uv_tcp_t tcp{};
+    uv_connect_t connecting{};
+    uv_shutdown_t shuttingDown{};
+    Ptr owner;
+
+    uv_stream_t *stream() { return reinterpret_cast<uv_stream_t *>(&this->tcp); }
+
+    // After an orderly close the buffered bytes must still reach the peer, so only the time
+    // that they may stay unacknowledged is bounded.
+    void tune()
+    {
+        uv_tcp_nodelay(&this->tcp, 1);
+        uv_tcp_keepalive(&this->tcp, 1, KeepAliveSeconds);
+        uv_os_fd_t fd = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&this->tcp), &fd) == 0)
+            setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMillis,
+                       sizeof(UserTimeoutMillis));
+    }
+};
+
+struct Socket::Write
+{
+    uv_write_t request{};
+    std::string data;
+    Ptr socket;
+};
+
+Socket::Socket(Loop &loop)
+    : loop(loop)
+    , tcp(new Handle)
+{
+    uv_tcp_init(loop.handle(), &this->tcp->tcp);
+    this->tcp->tcp.data = this->tcp;
+}
+
+Socket::Ptr Socket::connect(Loop &loop, const Address &to, SocketHandlers handlers)
+{
+    const Ptr socket(new Socket(loop));
+    socket->handlers = std::move(handlers);
+    socket->tcp->owner = socket;
+    sockaddr_in address{};
+    if (uv_ip4_addr(to.host.c_str(), to.port, &address) != 0) {
+        loop.post([socket] { socket->end(SocketEnd::Failed, "not an IPv4 address"); });
+        return socket;
+    }
+    socket->tcp->connecting.data = socket->tcp;
+    const auto onConnect = [](uv_connect_t *request, int status) {
+        const Ptr self = static_cast<Handle *>(request->data)->owner;
+        if (!self || self->closing)
+            return;
+        if (status < 0)
+            return self->end(SocketEnd::Failed, uv_strerror(status));
+        self->tcp->tune();
+        self->startReading();
+        if (self->handlers.onConnected)
+            self->handlers.onConnected();
+    };
+    const int code = uv_tcp_connect(&socket->tcp->connecting, &socket->tcp->tcp,
+                                    reinterpret_cast<const sockaddr *>(&address), onConnect);
+    if (code < 0)
+        loop.post([socket, code] { socket->end(SocketEnd::Failed, uv_strerror(code)); });
+    return socket;
+}
+
+Socket::Ptr Socket::accept(Loop &loop, uv_stream_s *listener, SocketHandlers handlers)
+{
+    const Ptr socket(new Socket(loop));
+    socket->handlers = std::move(handlers);
+    socket->tcp->owner = socket;
+    if (uv_accept(listener, socket->tcp->stream()) < 0) {
+        socket->close();
+        return nullptr;
+    }
+    socket->tcp->tune();
+    socket->startReading();
+    return socket;
+}
+
+void Socket::startReading()
+{
+    const auto allocate = [](uv_handle_t *, std::size_t, uv_buf_t *buffer) {
+        *buffer = uv_buf_init(readBuffer().data(), static_cast<unsigned>(readBuffer().size()));
+    };
+    const auto onRead = [](uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer) {
+        const Ptr self = static_cast<Handle *>(stream->data)->owner;
+        if (!self || self->closing || size == 0)
+            return;
+        if (size == UV_EOF)
+            return self->end(SocketEnd::Eof, "closed by the peer");
+        if (size < 0)
+            return self->end(SocketEnd::Failed, uv_strerror(static_cast<int>(size)));
+        if (self->handlers.onData && !self->isDraining)
+            self->handlers.onData({buffer->base, static_cast<std::size_t>(size)});
+    };
+    uv_read_start(this->tcp->stream(), allocate, onRead);
+}
+
+void Socket::setReading(bool on)
+{
+    if (this->closing)
+        return;
+    if (on)
+        this->startReading();
+    else
+        uv_read_stop(this->tcp->stream());
+}
+
+void Socket::write(std::string data)
+{
+    if (this->closing || data.empty())
+        return;
+    std::size_t written = 0;
+    if (this->queued == 0) {
+        const uv_buf_t buffer = uv_buf_init(data.data(), static_cast<unsigned>(data.size()));
+        const int code = uv_try_write(this->tcp->stream(), &buffer, 1);
+        written = code > 0 ? static_cast<std::size_t>(code) : 0;
+    }
+    if (written == data.size())
+        return;
+    auto *write = new Write;
+    write->data = data.substr(written);
+    write->socket = this->shared_from_this();
+    write->request.data = write;
+    this->queued += write->data.size();
+    const uv_buf_t rest
+        = uv_buf_init(write->data.data(), static_cast<unsigned>(write->data.size()));
+    const auto onWritten = [](uv_write_t *request, int status) {
+        const std::unique_ptr<Write> done(static_cast<Write *>(request->data));
+        Socket &self = *done->socket;
+        self.queued -= done->data.size();
+        if (self.closing)
+            return;
+        if (status < 0)
+            return self.end(SocketEnd::Failed, uv_strerror(status));
+        if (self.queued == 0 && self.handlers.onDrained)
+            self.handlers.onDrained();
+    };
+    if (uv_write(&write->request, this->tcp->stream(), &rest, 1, onWritten) == 0)
+        return;
+    this->queued -= write->data.size();
+    delete write;
+    this->loop.post([self = this->shared_from_this()] {
+        self->end(SocketEnd::Failed, "the connection takes no bytes");
+    });
+}
+
+void Socket::end(SocketEnd how, std::string reason)
+{
+    if (this->closing)
+        return;
+    const auto onEnd = std::move(this->handlers.onEnd);
+    this->close();
+    if (onEnd)
+        onEnd(how, reason);
+}
+
+void Socket::close()
+{
+    if (this->closing)
+        return;
+    this->closing = true;
+    this->lingerTimer.cancel();
+    // One of these handlers may be running now, so they are destroyed later.
+    auto old = std::make_shared<SocketHandlers>(std::move(this->handlers));
+    this->handlers = {};
+    this->loop.post([old] {});
+    uv_close(reinterpret_cast<uv_handle_t *>(&this->tcp->tcp),
+             [](uv_handle_t *handle) { delete static_cast<Handle *>(handle->data); });
+}
+
+void Socket::closeGracefully()
+{
+    if (this->closing || this->isDraining)
+        return;
+    this->isDraining = true;
+    this->handlers.onDrained = nullptr;
+    this->handlers.onEnd = nullptr;
+    this->startReading();
+    uv_shutdown(&this->tcp->shuttingDown, this->tcp->stream(), [](uv_shutdown_t *, int) {});
+    this->lingerTimer
+        = this->loop.after(LingerTime, [self = this->shared_from_this()] { self->close(); });
+}
+
+} // namespace lavenderhall::http
--- a/src/limits/seats.h
+++ b/src/limits/seats.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "limits/seatrecord.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <functional>
 #include <map>
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -18,7 +18,7 @@
     : timeline(timeline)
     , metrics(metrics)
     , hooks(std::move(hooks))
-    , server(loop, {"admin", settings.admin, MaxBodyBytes, {}},
+    , server(loop, settings.admin, http::limitsOf(MaxBodyBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 { }
 
--- a/src/router/configfeed.h
+++ b/src/router/configfeed.h
@@ -2,7 +2,7 @@
 
 #include "config/tracker.h"
 #include "http/loop.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <functional>
 #include <pcg_random.hpp>
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -19,8 +19,6 @@
 constexpr Millis DrainCheckInterval{50};
 constexpr Millis HandoverPatience{3000};
 
-const std::vector<std::string> CallerHeaders{IdempotencyHeader};
-const std::vector<std::string> EndpointHeaders{RequestIdHeader};
 
 LoadReport readLoadReport(const Json &json)
 {
@@ -43,7 +41,7 @@
     : loop(loop)
     , settings(std::move(given))
     , timeline(this->settings.instance, TimelineCapacity)
-    , endpoints(this->loop, "endpoints", EndpointHeaders)
+    , endpoints(this->loop)
     , store(this->loop, this->settings.store)
     , feed(
           this->loop, this->store,
@@ -83,13 +81,9 @@
     };
     this->admin = std::make_unique<Admin>(this->loop, this->settings, this->timeline, this->metrics,
                                           std::move(hooks));
-    http::ServerOptions options;
-    options.name = "callers";
-    options.listen = this->settings.listen;
-    options.maxBodyBytes = static_cast<std::size_t>(this->settings.maxBodyBytes);
-    options.headers = CallerHeaders;
     this->callers = std::make_unique<http::Server>(
-        this->loop, options,
+        this->loop, this->settings.listen,
+        http::limitsOf(static_cast<std::size_t>(this->settings.maxBodyBytes)),
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
 }
 
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -129,7 +129,7 @@
         , second(this->loop, engineOptions(2))
         , desk(this->loop, local(3))
         , daemon(this->loop, settingsOf(0))
-        , client(this->loop, "caller", {OutcomeHeader, RequestIdHeader, ReplayedHeader})
+        , client(this->loop)
     {
         this->daemon.start();
         this->setKeys({this->mill}, {this->rival});
--- a/src/platform/store.cpp
+++ b/src/store/store.cpp
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <cstdlib>
 
@@ -121,7 +121,7 @@
 
 StoreClient::StoreClient(http::Loop &loop, http::Address address)
     : requests{std::move(address)}
-    , client(loop, "store")
+    , client(loop)
 { }
 
 void StoreClient::read(const std::string &name, const StoreHandler &handler)
