--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front end of the CMake build. "make demo" and "make check" work on a fresh machine.
 
 BUILD ?= build
-SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
 .PHONY: all packages build check check-asan lint format demo up bench-path bench-capacity proto clean
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -60,8 +60,10 @@
     }
 }
 
-ObjectReader::ObjectReader(const Json &value, std::string file, std::string path)
+ObjectReader::ObjectReader(const Json &value, std::string file, std::string path,
+                           UnknownFields unknown)
     : value(value)
+    , unknown(unknown)
     , file(std::move(file))
     , path(std::move(path))
 {
@@ -171,6 +173,38 @@
     return entry->get<bool>();
 }
 
+double ObjectReader::number(const std::string &name, double fallback)
+{
+    const Json *entry = this->find(name, false, "a number");
+    if (!entry)
+        return fallback;
+    if (!entry->is_number()) {
+        this->complain(name, describeJson(*entry), "a number");
+        return fallback;
+    }
+    return entry->get<double>();
+}
+
+std::map<std::string, std::string> ObjectReader::textMap(const std::string &name)
+{
+    std::map<std::string, std::string> values;
+    const Json *entry = this->find(name, false, "an object of texts");
+    if (!entry)
+        return values;
+    if (!entry->is_object()) {
+        this->complain(name, describeJson(*entry), "an object of texts");
+        return values;
+    }
+    for (const auto &[key, value] : entry->items()) {
+        if (!value.is_string()) {
+            this->complain(name + "." + key, describeJson(value), "a text");
+            continue;
+        }
+        values.emplace(key, value.get<std::string>());
+    }
+    return values;
+}
+
 std::size_t ObjectReader::choice(const std::string &name, const std::vector<std::string> &names)
 {
     const std::string found = this->text(name);
@@ -216,7 +250,7 @@
 
 void ObjectReader::finish()
 {
-    if (!this->value.is_object())
+    if (!this->value.is_object() || this->unknown == UnknownFields::Ignored)
         return;
     for (const auto &[name, entry] : this->value.items()) {
         if (std::find(this->asked.begin(), this->asked.end(), name) == this->asked.end())
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -25,6 +26,10 @@
 /// Parses \a text; \a file is named in errors.
 Result<Json> parseJson(std::string_view text, std::string_view file);
 
+/// What to do with fields that a reader does not know: a person's typing error, or a newer field
+/// of another system.
+enum class UnknownFields { Refused, Ignored };
+
 /// Reads one JSON object, field by field, and collects the first error.
 ///
 /// Fields that no call asked for are found by finish(), so that a misspelt name is an error
@@ -33,7 +38,9 @@
 {
 public:
     /// \a path is where \a value stands in the file, e.g. "organisations[2]".
-    ObjectReader(const Json &value, std::string file, std::string path);
+    /// \a unknown tells whether fields that nobody asks for are errors.
+    ObjectReader(const Json &value, std::string file, std::string path,
+                 UnknownFields unknown = UnknownFields::Refused);
 
     std::string text(const std::string &name);
     std::string text(const std::string &name, std::string fallback);
@@ -42,6 +49,9 @@
     std::int64_t integer(const std::string &name, IntRange range);
     std::int64_t integer(const std::string &name, IntRange range, std::int64_t fallback);
     bool boolean(const std::string &name, bool fallback);
+    double number(const std::string &name, double fallback);
+    /// An object whose fields are all texts; empty if it is not there.
+    std::map<std::string, std::string> textMap(const std::string &name);
     /// One of \a names; returns its index.
     std::size_t choice(const std::string &name, const std::vector<std::string> &names);
     std::size_t choice(const std::string &name, const std::vector<std::string> &names,
@@ -65,6 +75,7 @@
     std::string pathOf(const std::string &name) const;
 
     const Json &value;
+    UnknownFields unknown;
     std::string file;
     std::string path;
     std::vector<std::string> asked;
@@ -90,7 +101,8 @@
     std::size_t index = 0;
     for (const Json &entry : *list) {
         ObjectReader reader(entry, this->file,
-                            this->pathOf(name) + "[" + std::to_string(index++) + "]");
+                            this->pathOf(name) + "[" + std::to_string(index++) + "]",
+                            this->unknown);
         read(reader);
         reader.finish();
         if (this->error.empty())
@@ -103,7 +115,7 @@
     const Json *entry = this->find(name, false, "an object");
     if (!entry)
         return false;
-    ObjectReader reader(*entry, this->file, this->pathOf(name));
+    ObjectReader reader(*entry, this->file, this->pathOf(name), this->unknown);
     read(reader);
     reader.finish();
     if (this->error.empty())
--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -1,6 +1,7 @@
 #include "client/command.h"
 
 #include "client/librarytext.h"
+#include "forward/forwarddaemon.h"
 #include "router/daemon.h"
 
 #include <array>
@@ -197,10 +198,12 @@
     }
 }
 
-int runSubcommand(const Subcommand &subcommand, int argc, const char **argv)
+int runSubcommand(const Subcommand &subcommand, int argc, const char **argv,
+                  const PlatformAdapter &adapter)
 {
     const auto outcome = attempt([&]() -> Result<int> {
         BOOST_LEAF_AUTO(arguments, parseArguments(subcommand, argc, argv));
+        arguments.adapter = &adapter;
         return subcommand.run(arguments);
     });
     if (const auto *error = std::get_if<Error>(&outcome)) {
@@ -212,7 +215,7 @@
 
 } // namespace
 
-int runCommandLine(int argc, const char **argv)
+int runCommandLine(int argc, const char **argv, const PlatformAdapter &adapter)
 {
     if (sodium_init() < 0) {
         std::cerr << "lavenderhall: the random generator cannot be opened" << std::endl;
@@ -229,7 +232,7 @@
     }
     for (const Subcommand &subcommand : subcommands()) {
         if (name == subcommand.name)
-            return runSubcommand(subcommand, argc - 1, argv + 1);
+            return runSubcommand(subcommand, argc - 1, argv + 1, adapter);
     }
     std::cerr << "lavenderhall: found \"" << name << "\", expected a subcommand\n" << std::endl;
     printHelp();
@@ -248,6 +251,10 @@
     openLog(settings.logLevel, settings.instance);
     try {
         http::Loop loop;
+        if (settings.dialect == Dialect::Forward) {
+            ForwardDaemon daemon(loop, settings, arguments.settingsFile, *arguments.adapter);
+            return daemon.run();
+        }
         Daemon daemon(loop, settings);
         return daemon.run();
     } catch (const std::runtime_error &error) {
--- a/src/client/command.h
+++ b/src/client/command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/errors.h"
+#include "forward/adapter.h"
 #include "http/message.h"
 
 #include <string>
@@ -38,10 +39,12 @@
     bool asProgram = false;
     bool checkOnly = false;
     bool printTrace = false;
+    const PlatformAdapter *adapter = nullptr;
 };
 
-/// Parses the command line and runs the subcommand; returns the exit code.
-int runCommandLine(int argc, const char **argv);
+/// Parses the command line and runs the subcommand; returns the exit code. \a adapter translates
+/// for instances in the forward dialect.
+int runCommandLine(int argc, const char **argv, const PlatformAdapter &adapter);
 
 // Configuration and keys, in the platform's store.
 Result<int> runCheck(const Arguments &arguments);
--- /dev/null
+++ b/src/forward/forwarddaemon.cpp
@@ -0,0 +1,343 @@
+#include "forward/forwarddaemon.h"
+
+#include "base/digest.h"
+#include "membership/members.h"
+
+#include <csignal>
+
+namespace lavenderhall {
+
+namespace {
+
+constexpr std::size_t TimelineCapacity = 5'000;
+constexpr Millis TickInterval{100};
+constexpr Millis SettingsInterval{1000};
+constexpr Millis DrainCheckInterval{50};
+// The balancer turns away from an instance after two questions, one second apart.
+constexpr Millis BalancerTime{3000};
+constexpr Millis StopMargin{500}; ///< before the process is killed
+
+LeaseTimings leaseTimingsOf(const Settings &settings)
+{
+    LeaseTimings timings;
+    timings.lease = settings.bounds.lease;
+    timings.renewInterval = settings.bounds.lease / 3;
+    timings.margin = settings.bounds.lease / 10;
+    return timings;
+}
+
+} // namespace
+
+ForwardDaemon::ForwardDaemon(http::Loop &loop, Settings given, std::string settingsFile,
+                             const PlatformAdapter &adapter)
+    : loop(loop)
+    , settings(std::move(given))
+    , settingsFile(std::move(settingsFile))
+    , adapter(adapter)
+    , timeline(this->settings.instance, TimelineCapacity)
+    , store(loop, this->settings.store, adapter.objects)
+    , loads({this->settings.zone, this->settings.regionOfZone}, {})
+    , context{loop,
+              adapter,
+              this->metrics,
+              this->loads,
+              this->budget,
+              http::Client(loop),
+              {},
+              nullptr,
+              {},
+              pcg32(randomSeed())}
+    , forwarder(this->context)
+    , rollout(loop, adapter, this->store, this->loads,
+              Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
+                    leaseTimingsOf(this->settings)))
+    , configurationFeed(
+          loop, this->store, adapter.kinds.configuration,
+          {[this](const auto &objects, std::int64_t, bool) { this->onConfiguration(objects); },
+           [this](const std::vector<ObjectEvent> &events) {
+               for (const ObjectEvent &event : events) {
+                   if (!event.isDeleted)
+                       this->onConfiguration({event.object});
+               }
+           }},
+          randomSeed())
+    , endpointFeed(loop, this->store, adapter.kinds.endpoints,
+                   {[this](const auto &objects, std::int64_t revision, bool wasAway) {
+                        this->onEndpointsListed(objects, revision, wasAway);
+                    },
+                    [this](const std::vector<ObjectEvent> &events) {
+                        for (const ObjectEvent &event : events) {
+                            if (event.isDeleted)
+                                this->roster.remove(event.object.name, event.object.revision);
+                            else
+                                this->putEndpoint(event.object);
+                        }
+                        this->applyRosterChanges();
+                    }},
+                   randomSeed())
+    , weightsFeed(loop, this->store, adapter.kinds.weights,
+                  {[this](const auto &objects, std::int64_t, bool) {
+                       for (const StoredObject &object : objects)
+                           this->putWeights(object);
+                   },
+                   [this](const std::vector<ObjectEvent> &events) {
+                       for (const ObjectEvent &event : events)
+                           this->putWeights(event.object);
+                   }},
+                  randomSeed())
+{
+    AdminHooks hooks;
+    hooks.isReady = [this] { return this->context.table && !this->isDraining; };
+    hooks.status = [this] { return this->status(); };
+    hooks.drain = [this] { this->drain(); };
+    hooks.beforeMetrics = [this] {
+        this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
+        this->metrics.countStoreCalls(static_cast<double>(this->store.callCount()));
+    };
+    this->admin
+        = std::make_unique<Admin>(loop, this->settings.admin, this->timeline, this->metrics, hooks);
+    if (this->settings.metrics)
+        this->metricsServer = std::make_unique<Admin>(loop, *this->settings.metrics, this->timeline,
+                                                      this->metrics, hooks);
+    this->callers = std::make_unique<http::Server>(
+        loop, this->settings.listen, http::ServerLimits{},
+        [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); });
+    this->callers->setRefusal([this](int status, std::string_view reason) {
+        return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
+    });
+    this->context.tokens.ask
+        = [](const OrganisationSpec &, double, const TokensGate::Handler &handler) {
+              handler({true, {}});
+              return std::uint64_t{0};
+          };
+    this->context.tokens.giveBack = [](std::uint64_t, double) {};
+    this->applySettings();
+}
+
+void ForwardDaemon::applySettings()
+{
+    const ForwardBounds &bounds = this->settings.bounds;
+    RetryBudgetSettings budgetSettings;
+    budgetSettings.ratio = bounds.retryRatio;
+    budgetSettings.slack = bounds.retrySlack;
+    budgetSettings.window = bounds.retryWindow;
+    budgetSettings.instances = 8;
+    this->budget.setSettings(budgetSettings);
+}
+
+void ForwardDaemon::start()
+{
+    this->startedAt = monoNow();
+    this->timeline.add(EventKind::ProcessStarted, "", "", {{"version", LAVENDERHALL_VERSION}});
+    logEvent(LogLevel::Info, "started",
+             {{"listen", this->settings.listen.toString()},
+              {"admin", this->settings.admin.toString()},
+              {"zone", this->settings.zone}});
+    this->rollout.setPatience(Millis(this->context.random(1500)));
+    this->configurationFeed.start();
+    this->endpointFeed.start();
+    this->weightsFeed.start();
+    this->tick();
+    this->reloadSettings("start");
+}
+
+int ForwardDaemon::run()
+{
+    int signals = 0;
+    const auto onStop = [this, &signals] {
+        if (++signals > 1)
+            return this->loop.stop();
+        this->drain();
+    };
+    this->loop.onSignal(SIGTERM, onStop);
+    this->loop.onSignal(SIGINT, onStop);
+    this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
+    this->start();
+    this->loop.run();
+    logEvent(LogLevel::Info, "stopped", {{"open_requests", this->forwarder.openCalls()}});
+    return 0;
+}
+
+void ForwardDaemon::onConfiguration(const std::vector<StoredObject> &objects)
+{
+    for (const StoredObject &object : objects)
+        this->offerTable(object.content, object.revision);
+}
+
+// What was accepted once stays in force until a newer one: an older or malformed one is left out.
+void ForwardDaemon::offerTable(const Json &content, std::int64_t revision)
+{
+    if (revision <= this->tableRevision)
+        return;
+    auto read = attempt([&] { return this->adapter.readTable(content); });
+    if (const auto *error = std::get_if<Error>(&read)) {
+        logEvent(LogLevel::Error, "configuration_refused",
+                 {{"revision", revision}, {"detail", error->detail}});
+        return;
+    }
+    auto table = std::make_shared<const RoutingTable>(std::get<TableContent>(std::move(read)));
+    if (this->context.table && table->version() <= this->context.table->version())
+        return;
+    this->tableRevision = revision;
+    this->context.table = table;
+    const CallerLimits &bounds = table->content().limits;
+    http::ServerLimits limits;
+    limits.maxBodyBytes = bounds.maxBodyBytes;
+    limits.maxHeadBytes = bounds.maxHeadBytes;
+    limits.requestTimeout = bounds.headTimeout;
+    limits.idleTimeout = bounds.idleTimeout;
+    this->callers->setLimits(limits);
+    for (const ServiceSpec &service : table->content().services) {
+        if (service.engine)
+            this->loads.setCacheTokens(service.name, service.engine->cacheTokens);
+    }
+    this->metrics.setConfigVersion(static_cast<double>(table->version()));
+    this->timeline.add(EventKind::ConfigInForce, "", "", {{"version", table->version()}});
+    logEvent(LogLevel::Info, "config_in_force",
+             {{"version", table->version()},
+              {"revision", revision},
+              {"routes", table->content().routes.size()},
+              {"organisations", table->content().organisations.size()}});
+}
+
+void ForwardDaemon::putEndpoint(const StoredObject &object)
+{
+    const auto read = attempt([&] { return this->adapter.readEndpoint(object); });
+    if (const auto *entry = std::get_if<RosterEntry>(&read))
+        return this->roster.put(*entry, object.revision);
+    logEvent(LogLevel::Warning, "endpoint_malformed",
+             {{"endpoint", object.name}, {"detail", std::get<Error>(read).detail}});
+}
+
+void ForwardDaemon::onEndpointsListed(const std::vector<StoredObject> &objects,
+                                      std::int64_t revision, bool wasAway)
+{
+    std::vector<std::string> ids;
+    for (const StoredObject &object : objects) {
+        ids.push_back(object.name);
+        this->putEndpoint(object);
+    }
+    this->roster.onListed(ids, revision, wasAway, monoNow());
+    this->applyRosterChanges();
+}
+
+void ForwardDaemon::applyRosterChanges()
+{
+    static constexpr std::array Names{"joined", "restarted", "leaving", "gone", "updated"};
+    for (const RosterChange &change : this->roster.takeChanges()) {
+        this->loads.onChange(change);
+        const bool isOver = change.kind == RosterChange::Kind::Gone
+            || change.kind == RosterChange::Kind::Restarted;
+        if (isOver)
+            this->context.client.forgetIdle(change.entry.address);
+        logEvent(LogLevel::Info, "endpoint",
+                 {{"endpoint", change.entry.id},
+                  {"change", Names.at(static_cast<std::size_t>(change.kind))},
+                  {"service", change.entry.service},
+                  {"zone", change.entry.zone},
+                  {"revision", this->roster.revision()}});
+    }
+}
+
+void ForwardDaemon::putWeights(const StoredObject &object)
+{
+    const auto read = attempt([&] { return this->adapter.readWeights(object.content); });
+    const auto *weights = std::get_if<NamedWeights>(&read);
+    if (!weights) {
+        logEvent(LogLevel::Warning, "weights_malformed",
+                 {{"name", object.name}, {"detail", std::get<Error>(read).detail}});
+        return;
+    }
+    std::int64_t &known = this->context.namedWeights[weights->model];
+    if (weights->version <= known)
+        return;
+    known = weights->version;
+    logEvent(
+        LogLevel::Info, "weights_named",
+        {{"model", weights->model}, {"version", weights->version}, {"revision", object.revision}});
+    this->rollout.setWanted(this->context.namedWeights);
+}
+
+void ForwardDaemon::tick()
+{
+    const MonoTime now = monoNow();
+    this->roster.onTick(now);
+    this->applyRosterChanges();
+    this->rollout.onTick(this->roster, now);
+    this->tickTimer = this->loop.after(TickInterval, [this] { this->tick(); });
+}
+
+// The file may also change without a signal, so it is looked at now and then.
+void ForwardDaemon::reloadSettings(const char *cause)
+{
+    this->settingsTimer
+        = this->loop.after(SettingsInterval, [this] { this->reloadSettings("file"); });
+    const auto text = attempt([this] { return readFile(this->settingsFile); });
+    const auto *found = std::get_if<std::string>(&text);
+    if (!found || *found == this->settingsText)
+        return;
+    const bool isFirst = this->settingsText.empty();
+    this->settingsText = *found;
+    if (isFirst)
+        return;
+    const auto read = attempt([&] { return parseSettings(*found, this->settingsFile); });
+    if (const auto *error = std::get_if<Error>(&read)) {
+        logEvent(LogLevel::Error, "settings_refused", {{"detail", error->detail}});
+        return;
+    }
+    this->settings.bounds = std::get<Settings>(read).bounds;
+    this->settings.seeds = std::get<Settings>(read).seeds;
+    this->applySettings();
+    logEvent(LogLevel::Info, "settings_reloaded", {{"cause", cause}});
+}
+
+void ForwardDaemon::drain()
+{
+    if (this->isDraining)
+        return;
+    this->isDraining = true;
+    this->drainBeganAt = monoNow();
+    this->rollout.stop();
+    this->callers->closeAfterAnswers();
+    logEvent(LogLevel::Info, "drain_began", {{"open_requests", this->forwarder.openCalls()}});
+    this->checkDrained();
+}
+
+void ForwardDaemon::checkDrained()
+{
+    const auto elapsed = monoNow() - this->drainBeganAt;
+    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->openExchanges() == 0;
+    const bool isOver = elapsed > this->settings.bounds.grace - StopMargin;
+    if ((isIdle && elapsed > BalancerTime) || isOver)
+        return this->loop.stop();
+    this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->checkDrained(); });
+}
+
+Json ForwardDaemon::status() const
+{
+    Json endpoints = Json::array();
+    for (const auto &[id, entry] : this->roster.entries()) {
+        endpoints.push_back({{"name", id},
+                             {"service", entry.service},
+                             {"zone", entry.zone},
+                             {"state", entry.isLeaving ? "leaving" : "ready"},
+                             {"in_flight", this->loads.inFlight(id)},
+                             {"weights", entry.weights}});
+    }
+    return {{"instance", this->settings.instance},
+            {"region", this->settings.region},
+            {"zone", this->settings.zone},
+            {"version", LAVENDERHALL_VERSION},
+            {"state",
+             this->isDraining          ? "draining"
+                 : this->context.table ? "ready"
+                                       : "starting"},
+            {"config", {{"version", this->context.table ? this->context.table->version() : 0}}},
+            {"store",
+             {{"silent_ms", this->configurationFeed.age().count()},
+              {"calls", this->store.callCount()}}},
+            {"open_requests", this->forwarder.openCalls()},
+            {"endpoints", std::move(endpoints)}};
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/forward/forwarddaemon.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "forward/forwarder.h"
+#include "forward/rollout.h"
+#include "router/admin.h"
+#include "router/settings.h"
+#include "store/kindfeed.h"
+#include "timeline/ring.h"
+
+#include <memory>
+#include <string>
+
+/// One instance in the forward dialect: its tasks, from start to graceful stop.
+namespace lavenderhall {
+
+class ForwardDaemon
+{
+public:
+    /// Throws std::runtime_error when an address cannot be bound.
+    ForwardDaemon(http::Loop &loop, Settings settings, std::string settingsFile,
+                  const PlatformAdapter &adapter);
+
+    /// Serves until a signal or an operator stops it; returns the exit code.
+    int run();
+    /// Begins to serve on the loop, which the caller runs.
+    void start();
+    /// Starts a graceful stop: readiness off, requests go on until the balancer has noticed.
+    void drain();
+
+private:
+    void onConfiguration(const std::vector<StoredObject> &objects);
+    void offerTable(const Json &content, std::int64_t revision);
+    void onEndpointsListed(const std::vector<StoredObject> &objects, std::int64_t revision,
+                           bool wasAway);
+    void putEndpoint(const StoredObject &object);
+    void applyRosterChanges();
+    void putWeights(const StoredObject &object);
+    void tick();
+    void checkDrained();
+    void reloadSettings(const char *cause);
+    void applySettings();
+    Json status() const;
+
+    http::Loop &loop;
+    Settings settings;
+    const std::string settingsFile;
+    std::string settingsText;
+    const PlatformAdapter &adapter;
+    TimelineRing timeline;
+    Metrics metrics;
+    ObjectClient store;
+    Roster roster;
+    LoadBook loads;
+    RetryBudget budget;
+    ForwardContext context;
+    Forwarder forwarder;
+    Rollout rollout;
+    KindFeed configurationFeed;
+    KindFeed endpointFeed;
+    KindFeed weightsFeed;
+    std::unique_ptr<Admin> admin;
+    std::unique_ptr<Admin> metricsServer;
+    std::unique_ptr<http::Server> callers;
+    std::int64_t tableRevision = 0;
+    http::Timer tickTimer;
+    http::Timer settingsTimer;
+    http::Timer drainTimer;
+    MonoTime startedAt{};
+    MonoTime drainBeganAt{};
+    bool isDraining = false;
+};
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/forward/forwarder.cpp
@@ -0,0 +1,469 @@
+#include "forward/forwarder.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace lavenderhall {
+
+namespace {
+
+// A refusal reaches the caller before it gives up by itself.
+constexpr Millis AnswerMargin{30};
+constexpr Millis DefaultPatience{30'000};
+constexpr Millis ConnectTimeout{400};
+// What is left to try another endpoint must be worth the try.
+constexpr Millis LeastRetryTime{60};
+constexpr Millis RefusedPause{250}; ///< an endpoint that refused comes last for so long
+constexpr Millis BrokenPause{1000}; ///< the same for one that broke off
+constexpr std::size_t PauseBacklogBytes = 64U << 10U;
+constexpr std::size_t MaxBufferedBytes = 8U << 20U;
+constexpr int PatienceParts = 3; ///< a caller comes back within this part of the time it has left
+constexpr Millis LongestRetryAfter{1000};
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+ForwardCall::ForwardCall(ForwardContext &context, http::ExchangePtr exchange,
+                         ForwardRequest request, Done done)
+    : context(context)
+    , exchange(std::move(exchange))
+    , request(std::move(request))
+    , done(std::move(done))
+    , table(context.table)
+    , arrivedAt(monoNow())
+{ }
+
+void ForwardCall::start()
+{
+    if (!this->table)
+        return this->refuse({503, "no_configuration", Millis(300)});
+    if (!this->findRoute() || !this->authenticate())
+        return;
+    const Millis patience = this->request.patience.value_or(DefaultPatience);
+    const Millis bound = std::min(patience - AnswerMargin, this->route->timeout);
+    this->deadline = this->arrivedAt + bound;
+    this->deadlineTimer
+        = this->context.loop.after(bound, [self = this->shared_from_this()] { self->onTimeUp(); });
+    this->exchange->onClosed([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onCallerGone();
+    });
+    this->run = RunRecord(this->route->mayRepeat(), this->route->maxAttempts);
+    this->service = chooseShare(*this->route, this->context.random());
+    this->context.budget.onRequest(this->service, this->arrivedAt);
+    const std::string wall = this->organisation && this->organisation->isIsolated
+        ? this->organisation->name
+        : "shared";
+    const auto named = this->context.namedWeights.find(this->request.model);
+    const std::int64_t version = named == this->context.namedWeights.end() ? 0 : named->second;
+    this->cacheSalt = wall + "/" + this->request.model + "/" + std::to_string(version);
+    this->chain = chainOf(this->cacheSalt, this->request.parts);
+    this->admit();
+}
+
+bool ForwardCall::findRoute()
+{
+    this->route = this->table->findRoute(this->request.host, this->request.path);
+    if (!this->route)
+        this->refuse({404, "unknown_route", {}});
+    return this->route != nullptr;
+}
+
+bool ForwardCall::authenticate()
+{
+    this->organisation = this->table->findByKey(this->request.key);
+    if (this->organisation || this->route->isPublic || !this->table->hasOrganisations())
+        return true;
+    this->refuse({401, "unknown_key", {}});
+    return false;
+}
+
+void ForwardCall::admit()
+{
+    if (!this->organisation || this->organisation->tokensPerSecond <= 0)
+        return this->onAdmitted();
+    this->tokensAsked = this->request.promptTokens
+        ? static_cast<double>(*this->request.promptTokens + this->request.maxOutputTokens)
+        : static_cast<double>(this->organisation->plainTokens);
+    const auto onAnswer = [self = this->shared_from_this()](const TokensAnswer &answer) {
+        if (self->finished)
+            return;
+        if (answer.granted)
+            return self->onAdmitted();
+        self->refuse({429, "rate_exceeded", answer.retryAfter});
+    };
+    this->tokensNumber = this->context.tokens.ask(*this->organisation, this->tokensAsked, onAnswer);
+}
+
+void ForwardCall::onAdmitted()
+{
+    this->startAttempt();
+}
+
+ChoiceQuery ForwardCall::query() const
+{
+    ChoiceQuery query;
+    query.service = this->service;
+    query.model = this->request.model;
+    query.chain = this->chain;
+    query.tried = this->tried;
+    const auto named = this->context.namedWeights.find(this->request.model);
+    if (named != this->context.namedWeights.end())
+        query.newestWeights = named->second;
+    if (this->isStreaming)
+        query.onlyWeights = this->streamWeights;
+    return query;
+}
+
+RetryChance ForwardCall::chance()
+{
+    const MonoTime now = monoNow();
+    RetryChance chance;
+    chance.hasBudget = this->context.budget.hasLeft(this->service, now);
+    chance.hasCandidate = this->context.loads.choose(this->query(), now).has_value();
+    chance.hasTime = this->deadline - now > LeastRetryTime;
+    return chance;
+}
+
+AttemptMarks ForwardCall::marksFor(const Choice &chosen) const
+{
+    AttemptMarks marks;
+    marks.endpointId = chosen.endpointId;
+    const MonoTime now = monoNow();
+    const Millis waited = std::chrono::duration_cast<Millis>(now - this->arrivedAt);
+    marks.timeLeft = this->request.patience
+        ? std::max(Millis(1), *this->request.patience - waited)
+        : std::chrono::duration_cast<Millis>(this->deadline - now);
+    if (this->organisation)
+        marks.organisation = this->organisation->name;
+    marks.cacheSalt = this->request.model.empty() ? "" : this->cacheSalt;
+    if (!this->request.model.empty())
+        marks.priority = this->organisation && this->organisation->priority
+            ? *this->organisation->priority
+            : this->route->priority;
+    if (this->isStreaming) {
+        marks.weightsVersion = this->streamWeights;
+        marks.resumeAfter = this->lastEventId;
+    }
+    return marks;
+}
+
+void ForwardCall::startAttempt()
+{
+    const MonoTime now = monoNow();
+    const auto chosen = this->context.loads.choose(this->query(), now);
+    if (!chosen)
+        return this->refuse({503, "no_endpoint", Millis(400)});
+    this->choice = *chosen;
+    const RosterEntry *entry = this->context.loads.entryOf(chosen->endpointId);
+    this->tried.push_back(chosen->endpointId);
+    this->head = {};
+    this->body.clear();
+    this->cutter.reset();
+    this->isForeign = false;
+    this->isPromptRead = false;
+    this->uncachedTokens
+        = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
+    http::CallRequest outgoing
+        = this->context.adapter.writeAttempt(this->request, this->marksFor(*chosen));
+    outgoing.to = entry->address;
+    outgoing.connectTimeout = ConnectTimeout;
+    outgoing.headTimeout = std::max(
+        Millis(1), std::chrono::duration_cast<Millis>(this->deadline - now) + AnswerMargin);
+    outgoing.reuse = this->run.attempts() > 0 || !this->route->mayRepeat() ? http::Reuse::Recent
+                                                                           : http::Reuse::Allowed;
+    this->context.loads.onSent(chosen->endpointId, this->chain, this->uncachedTokens);
+    http::CallHandlers handlers;
+    const auto self = this->shared_from_this();
+    handlers.onHead
+        = [self](int status, const http::Headers &headers) { self->onHead(status, headers); };
+    handlers.onData = [self](std::string_view data) { self->onData(data); };
+    handlers.onEnd = [self] { self->onAnswerEnd(); };
+    handlers.onFailed = [self](const http::CallFailure &failure) { self->onCallFailed(failure); };
+    this->call = this->context.client.start(std::move(outgoing), std::move(handlers));
+}
+
+void ForwardCall::onHead(int status, const http::Headers &headers)
+{
+    this->head = this->context.adapter.readAnswerHead(status, headers);
+    const bool isOurs = this->head.requestId == this->request.id;
+    this->isForeign = !isOurs && !this->head.isNotRun;
+    if (this->head.weightsVersion && !this->isStreaming)
+        this->streamWeights = this->head.weightsVersion;
+}
+
+void ForwardCall::onData(std::string_view data)
+{
+    if (this->finished)
+        return;
+    if (!this->isPromptRead) {
+        this->isPromptRead = true;
+        this->context.loads.onPromptRead(this->choice.endpointId, this->uncachedTokens);
+    }
+    const bool isStream = this->route->kind == RequestKind::Stream && isSuccess(this->head.status)
+        && this->head.isSealed && !this->isForeign;
+    if (isStream)
+        return this->onStreamData(data);
+    if (this->body.size() + data.size() <= MaxBufferedBytes)
+        this->body.append(data);
+}
+
+void ForwardCall::onStreamData(std::string_view data)
+{
+    for (RawEvent &event : this->cutter.feed(data)) {
+        const auto number = eventNumber(event.id);
+        // A resumed run may repeat what the caller has.
+        if (number && *number <= this->lastEvent)
+            continue;
+        if (!this->isStreaming)
+            this->beginStream();
+        if (number) {
+            this->lastEvent = *number;
+            this->lastEventId = event.id;
+        }
+        this->exchange->write(event.bytes);
+    }
+    if (this->exchange->backlog() <= PauseBacklogBytes || this->isPaused || !this->call)
+        return;
+    this->isPaused = true;
+    this->call->setReading(false);
+}
+
+void ForwardCall::beginStream()
+{
+    this->isStreaming = true;
+    const auto elapsed = std::chrono::duration<double>(monoNow() - this->arrivedAt).count();
+    this->context.metrics.observeFirstToken(elapsed);
+    this->exchange->begin(this->head.status, this->head.headers);
+    this->exchange->onDrained([weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || !self->isPaused || !self->call)
+            return;
+        self->isPaused = false;
+        self->call->setReading(true);
+    });
+}
+
+void ForwardCall::onAnswerEnd()
+{
+    this->call = nullptr;
+    if (this->finished)
+        return;
+    if (this->isForeign)
+        return this->endAttempt(AttemptEnd::Broken, "foreign_answer");
+    if (this->head.isNotRun)
+        return this->endAttempt(AttemptEnd::Refused, "status_" + std::to_string(this->head.status));
+    if (!isSuccess(this->head.status))
+        return this->endAttempt(AttemptEnd::Failed, "status_" + std::to_string(this->head.status));
+    if (!this->head.isSealed)
+        return this->endAttempt(AttemptEnd::Broken, "no_seal");
+    if (!this->cutter.rest().empty())
+        return this->endAttempt(AttemptEnd::Broken, "half_event");
+    this->endAttempt(AttemptEnd::Succeeded, "");
+}
+
+void ForwardCall::onCallFailed(const http::CallFailure &failure)
+{
+    this->call = nullptr;
+    if (this->finished)
+        return;
+    if (!failure.maybeSent)
+        return this->endAttempt(AttemptEnd::NeverSent, failure.reason);
+    this->endAttempt(AttemptEnd::Broken, failure.reason);
+}
+
+void ForwardCall::avoidEndpoint(AttemptEnd end)
+{
+    const MonoTime now = monoNow();
+    if (end == AttemptEnd::Refused)
+        this->context.loads.avoid(this->choice.endpointId, now + RefusedPause);
+    else if (end == AttemptEnd::Broken || end == AttemptEnd::NeverSent)
+        this->context.loads.avoid(this->choice.endpointId, now + BrokenPause);
+}
+
+void ForwardCall::releaseAttempt()
+{
+    if (this->choice.endpointId.empty())
+        return;
+    if (!this->isPromptRead)
+        this->context.loads.onPromptRead(this->choice.endpointId, this->uncachedTokens);
+    this->context.loads.onEnded(this->choice.endpointId);
+    this->choice.endpointId.clear();
+}
+
+void ForwardCall::endAttempt(AttemptEnd end, const std::string &reason)
+{
+    const std::string endpoint = this->choice.endpointId;
+    this->avoidEndpoint(end);
+    this->releaseAttempt();
+    if (end != AttemptEnd::Succeeded) {
+        this->context.metrics.countAttemptFailure(toString(end));
+        logEvent(LogLevel::Info, "attempt_failed",
+                 {{"request", this->request.id},
+                  {"endpoint", endpoint},
+                  {"end", toString(end)},
+                  {"reason", reason},
+                  {"table", this->table->version()}});
+    }
+    if (this->isStreaming && end != AttemptEnd::Succeeded)
+        return this->breakStream(reason);
+    switch (this->run.onAttemptEnd(end, this->chance())) {
+    case RunStep::Retry:
+        this->context.budget.onRepeat(this->service, monoNow());
+        return this->startAttempt();
+    case RunStep::PassOn:
+        return this->passAnswerOn();
+    case RunStep::Refuse:
+        return this->refuse({503, "endpoints_refuse", Millis(300)});
+    case RunStep::Fail:
+        this->exchange->respond(
+            this->context.adapter.writeRefusal({502, reason, {}}, this->request.id));
+        return this->finish(502, "unknown");
+    }
+}
+
+// The part that the caller has stays true: another run may only go on after it.
+void ForwardCall::breakStream(const std::string &reason)
+{
+    if (this->run.mayResume(this->chance()) && !this->lastEventId.empty()) {
+        this->context.budget.onRepeat(this->service, monoNow());
+        this->context.metrics.countResume();
+        logEvent(LogLevel::Info, "stream_resumed",
+                 {{"request", this->request.id}, {"after", this->lastEventId}, {"reason", reason}});
+        return this->startAttempt();
+    }
+    this->exchange->abort();
+    this->finish(0, "broken_stream");
+}
+
+void ForwardCall::passAnswerOn()
+{
+    if (this->isStreaming) {
+        this->exchange->end();
+        return this->finish(this->head.status, "ran");
+    }
+    this->exchange->respond({this->head.status, this->head.headers, this->body});
+    this->finish(this->head.status, "ran");
+}
+
+void ForwardCall::onTimeUp()
+{
+    if (this->finished)
+        return;
+    const bool isSent = this->call != nullptr;
+    if (this->call)
+        this->call->cancel();
+    this->call = nullptr;
+    this->releaseAttempt();
+    if (this->isStreaming) {
+        this->exchange->abort();
+        return this->finish(0, "time_up");
+    }
+    if (this->run.onTimeUp(isSent) == RunStep::Refuse)
+        return this->refuse({503, "time_up", Millis(0)});
+    this->exchange->respond(
+        this->context.adapter.writeRefusal({504, "time_up", {}}, this->request.id));
+    this->finish(504, "unknown");
+}
+
+void ForwardCall::onCallerGone()
+{
+    if (this->finished)
+        return;
+    if (this->call)
+        this->call->cancel();
+    this->call = nullptr;
+    this->releaseAttempt();
+    this->finish(0, "caller_gone");
+}
+
+void ForwardCall::stop(const std::string &reason)
+{
+    if (this->finished)
+        return;
+    const bool isSent = this->call != nullptr;
+    if (this->call)
+        this->call->cancel();
+    this->call = nullptr;
+    this->releaseAttempt();
+    if (this->isStreaming)
+        this->exchange->abort();
+    else if (this->run.onTimeUp(isSent) == RunStep::Refuse)
+        return this->refuse({503, reason, Millis(200)});
+    else
+        this->exchange->respond(
+            this->context.adapter.writeRefusal({502, reason, {}}, this->request.id));
+    this->finish(502, reason);
+}
+
+void ForwardCall::refuse(ForwardRefusal refusal)
+{
+    if (refusal.retryAfter && this->request.patience) {
+        const auto waited = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
+        const Millis most = (*this->request.patience - waited) / PatienceParts;
+        const auto spread = static_cast<unsigned>(refusal.retryAfter->count() / 2 + 1);
+        refusal.retryAfter = std::clamp(*refusal.retryAfter + Millis(this->context.random(spread)),
+                                        Millis(0), std::max(Millis(0), most));
+        refusal.retryAfter = std::min(*refusal.retryAfter, LongestRetryAfter);
+    }
+    this->context.metrics.countRefusal(refusal.reason);
+    this->exchange->respond(this->context.adapter.writeRefusal(refusal, this->request.id));
+    this->finish(refusal.status, refusal.reason);
+}
+
+void ForwardCall::finish(int status, const std::string &outcome)
+{
+    if (this->finished)
+        return;
+    this->finished = true;
+    this->deadlineTimer.cancel();
+    this->exchange->onClosed(nullptr);
+    if (this->tokensNumber != 0)
+        this->context.tokens.giveBack(this->tokensNumber,
+                                      this->run.mayHaveRun() ? 0 : this->tokensAsked);
+    const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
+    logEvent(LogLevel::Info, "request_done",
+             {{"request", this->request.id},
+              {"route", this->route ? this->route->name : ""},
+              {"organisation", this->organisation ? this->organisation->name : ""},
+              {"status", status},
+              {"outcome", outcome},
+              {"attempts", this->run.attempts()},
+              {"endpoint", this->tried.empty() ? "" : this->tried.back()},
+              {"ms", elapsed.count()},
+              {"table", this->table ? this->table->version() : 0}});
+    const auto self = this->shared_from_this();
+    this->done(*this);
+}
+
+void Forwarder::onRequest(const http::ExchangePtr &exchange)
+{
+    auto read = attempt([&] { return this->context.adapter.readRequest(exchange->request()); });
+    if (const auto *error = std::get_if<Error>(&read)) {
+        logEvent(LogLevel::Warning, "request_malformed", {{"detail", error->detail}});
+        exchange->respond(this->context.adapter.writeRefusal({400, error->detail, {}}, ""));
+        return;
+    }
+    std::shared_ptr<ForwardCall> call;
+    call = std::make_shared<ForwardCall>(
+        this->context, exchange, std::get<ForwardRequest>(std::move(read)),
+        [this](const ForwardCall &ended) {
+            this->calls.erase(const_cast<ForwardCall &>(ended).shared_from_this());
+        });
+    this->calls.insert(call);
+    call->start();
+}
+
+void Forwarder::stopAll(const std::string &reason)
+{
+    const auto all = this->calls;
+    for (const auto &call : all)
+        call->stop(reason);
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/forward/forwarder.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "forward/adapter.h"
+#include "forward/loadbook.h"
+#include "forward/retrybudget.h"
+#include "forward/run.h"
+#include "http/server.h"
+#include "router/metrics.h"
+#include "streams/eventcutter.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+
+/// Carries callers' requests to endpoints and the answers back.
+namespace lavenderhall {
+
+/// Outcome of asking for an organisation's tokens.
+struct TokensAnswer
+{
+    bool granted = false;
+    Millis retryAfter{0};
+};
+
+/// How requests are admitted against their organisations' rates.
+struct TokensGate
+{
+    using Handler = std::function<void(const TokensAnswer &answer)>;
+    /// Asks; the handler is called once, at once or later. Returns a number for cancel().
+    std::function<std::uint64_t(const OrganisationSpec &organisation, double tokens,
+                                Handler handler)>
+        ask;
+    /// The request needs no answer any more, or did not run.
+    std::function<void(std::uint64_t number, double unused)> giveBack;
+};
+
+/// What all requests in progress share.
+struct ForwardContext
+{
+    http::Loop &loop;
+    const PlatformAdapter &adapter;
+    Metrics &metrics;
+    LoadBook &loads;
+    RetryBudget &budget;
+    http::Client client;
+    TokensGate tokens;
+    RoutingTablePtr table; ///< nullptr until a configuration is known
+    std::map<std::string, std::int64_t> namedWeights; ///< by model
+    pcg32 random;
+};
+
+/// Identifies a loop of decisions on one request, from its arrival to its last byte.
+class ForwardCall : public std::enable_shared_from_this<ForwardCall>
+{
+public:
+    using Done = std::function<void(const ForwardCall &call)>;
+
+    ForwardCall(ForwardContext &context, http::ExchangePtr exchange, ForwardRequest request,
+                Done done);
+
+    void start();
+    /// Ends the request now: refused if it has certainly not run, else failed.
+    void stop(const std::string &reason);
+
+private:
+    void refuse(ForwardRefusal refusal);
+    bool findRoute();
+    bool authenticate();
+    void admit();
+    void onAdmitted();
+    void startAttempt();
+    AttemptMarks marksFor(const Choice &choice) const;
+    ChoiceQuery query() const;
+    RetryChance chance();
+    void onHead(int status, const http::Headers &headers);
+    void onData(std::string_view data);
+    void onStreamData(std::string_view data);
+    void onAnswerEnd();
+    void onCallFailed(const http::CallFailure &failure);
+    void endAttempt(AttemptEnd end, const std::string &reason);
+    void breakStream(const std::string &reason);
+    void avoidEndpoint(AttemptEnd end);
+    void releaseAttempt();
+    void passAnswerOn();
+    void beginStream();
+    void onTimeUp();
+    void onCallerGone();
+    void finish(int status, const std::string &outcome);
+
+    ForwardContext &context;
+    http::ExchangePtr exchange;
+    ForwardRequest request;
+    Done done;
+    RoutingTablePtr table; ///< in force when the request came
+    const ForwardRoute *route = nullptr;
+    const OrganisationSpec *organisation = nullptr;
+    std::string service;
+    std::string cacheSalt;
+    PromptChain chain;
+    RunRecord run{false, 1};
+    MonoTime arrivedAt{};
+    MonoTime deadline{};
+    http::Timer deadlineTimer;
+    std::uint64_t tokensNumber = 0;
+    double tokensAsked = 0;
+
+    http::CallPtr call;
+    Choice choice;
+    std::int64_t uncachedTokens = 0;
+    bool isPromptRead = false;
+    bool isForeign = false; ///< the answer under way belongs to another request
+    AnswerHead head;
+    std::string body;
+    std::vector<std::string> tried;
+
+    EventCutter cutter;
+    bool isStreaming = false; ///< the caller has got the head of a stream
+    bool isPaused = false;
+    std::int64_t lastEvent = -1; ///< number of the last event passed on
+    std::string lastEventId;
+    std::optional<std::int64_t> streamWeights;
+    bool finished = false;
+};
+
+class Forwarder
+{
+public:
+    explicit Forwarder(ForwardContext &context)
+        : context(context)
+    { }
+
+    /// Takes in one request.
+    void onRequest(const http::ExchangePtr &exchange);
+    std::size_t openCalls() const { return this->calls.size(); }
+    /// Ends all requests in progress.
+    void stopAll(const std::string &reason);
+
+private:
+    ForwardContext &context;
+    std::set<std::shared_ptr<ForwardCall>> calls;
+};
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/forward/rollout.cpp
@@ -0,0 +1,151 @@
+#include "forward/rollout.h"
+
+#include "base/log.h"
+
+namespace lavenderhall {
+
+namespace {
+
+constexpr const char *LeaseName = "weights";
+constexpr Millis CallTimeout{800};
+constexpr Millis ConnectTimeout{400};
+constexpr Millis AnnounceTime{1800}; ///< an engine is avoided for so long from its order on
+
+} // namespace
+
+Rollout::Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store,
+                 LoadBook &loads, Lease lease)
+    : loop(loop)
+    , adapter(adapter)
+    , store(store)
+    , loads(loads)
+    , client(loop)
+    , lease(std::move(lease))
+{ }
+
+void Rollout::onTick(const Roster &roster, MonoTime now)
+{
+    const std::size_t outdated = this->planner.outdated(roster).size();
+    // Progress of another instance starts the wait anew.
+    if (outdated == 0 || outdated != this->outdatedCount)
+        this->workSince = now;
+    this->outdatedCount = outdated;
+    const bool isDue = this->lease.wasLastHolder() || now - this->workSince >= this->patience;
+    this->lease.setWanted(outdated > 0 && !this->isStopped && (isDue || this->lease.isHeld(now)));
+    if (const auto action = this->lease.onTick(now))
+        this->callStore(*action);
+    const bool isHeld = this->lease.isHeld(now) && !this->isStopped;
+    if (isHeld != this->wasHeld)
+        logEvent(LogLevel::Info, isHeld ? "lease_gained" : "lease_ended",
+                 {{"lease", LeaseName}, {"fence", this->lease.fence()}, {"outdated", outdated}});
+    this->wasHeld = isHeld;
+    for (const RolloutAction &action : this->planner.onTick(roster, isHeld, now))
+        this->carryOut(action);
+}
+
+void Rollout::callStore(const LeaseAction &action)
+{
+    const auto onReply = [this, held = this->alive, action](const ObjectReply &reply) {
+        if (*held)
+            this->lease.onReply(action, reply, monoNow());
+    };
+    const StoredObject object{LeaseName, action.revision, toJson(action.record)};
+    switch (action.kind) {
+    case LeaseAction::Kind::Read:
+        return this->store.read(this->adapter.kinds.leases, LeaseName, onReply);
+    case LeaseAction::Kind::Create:
+        return this->store.create(this->adapter.kinds.leases, object, onReply);
+    case LeaseAction::Kind::Replace:
+        return this->store.replace(this->adapter.kinds.leases, object, onReply);
+    }
+}
+
+void Rollout::carryOut(const RolloutAction &action)
+{
+    switch (action.kind) {
+    case RolloutAction::Kind::Announce:
+        this->loads.onWeightsChange(action.engine.id, monoNow() + AnnounceTime);
+        if (this->announce)
+            this->announce(action.engine, AnnounceTime);
+        return;
+    case RolloutAction::Kind::AskReport:
+        return this->askReport(action.engine);
+    case RolloutAction::Kind::GiveOrder:
+        return this->giveOrder(action.engine, action.order);
+    case RolloutAction::Kind::Done:
+        return;
+    }
+}
+
+namespace {
+
+/// Makes a call whose whole answer is small; \a onAnswer gets nullptr if there is none.
+void callWhole(http::Client &client, http::CallRequest request, const http::Address &to,
+               std::function<void(const http::Response *response, bool maybeSent)> onAnswer)
+{
+    request.to = to;
+    request.headTimeout = CallTimeout;
+    request.connectTimeout = ConnectTimeout;
+    const auto response = std::make_shared<http::Response>();
+    http::CallHandlers handlers;
+    handlers.onHead = [response](int status, const http::Headers &headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    handlers.onData = [response](std::string_view data) { response->body.append(data); };
+    handlers.onEnd = [response, onAnswer] { onAnswer(response.get(), true); };
+    handlers.onFailed
+        = [onAnswer](const http::CallFailure &failure) { onAnswer(nullptr, failure.maybeSent); };
+    client.start(std::move(request), std::move(handlers));
+}
+
+} // namespace
+
+void Rollout::askReport(const RosterEntry &engine)
+{
+    const auto onAnswer
+        = [this, held = this->alive, id = engine.id](const http::Response *response, bool) {
+              if (!*held)
+                  return;
+              const MonoTime now = monoNow();
+              if (!response)
+                  return this->planner.onReportFailed(id, now);
+              const auto report = attempt([&] { return this->adapter.readReport(*response); });
+              if (const auto *good = std::get_if<EngineReport>(&report))
+                  return this->planner.onReport(id, *good, now);
+              logEvent(LogLevel::Warning, "report_malformed",
+                       {{"endpoint", id}, {"detail", std::get<Error>(report).detail}});
+              this->planner.onReportFailed(id, now);
+          };
+    callWhole(this->client, this->adapter.writeReportCall(engine), engine.address, onAnswer);
+}
+
+// The lease is looked at once more right before the order leaves.
+void Rollout::giveOrder(const RosterEntry &engine, WeightsOrder order)
+{
+    if (!this->lease.isHeld(monoNow()))
+        return this->planner.onReportFailed(engine.id, monoNow());
+    order.holder = this->lease.holderName();
+    order.fence = this->lease.fence();
+    const auto onAnswer = [this, held = this->alive, engine, order](const http::Response *response,
+                                                                    bool maybeSent) {
+        if (!*held)
+            return;
+        const MonoTime now = monoNow();
+        const OrderAnswer failed = maybeSent ? OrderAnswer::Unknown : OrderAnswer::Conflict;
+        const OrderAnswer answer = response ? this->adapter.readOrderAnswer(*response) : failed;
+        logEvent(LogLevel::Info, "order",
+                 {{"endpoint", engine.id},
+                  {"model", order.model},
+                  {"version", order.version},
+                  {"fence", order.fence},
+                  {"condition", order.ifOrdersTaken},
+                  {"answer", toString(answer)}});
+        if (answer == OrderAnswer::Fenced)
+            this->lease.onFenced(now);
+        this->planner.onOrderAnswer(engine.id, answer, now);
+    };
+    callWhole(this->client, this->adapter.writeOrder(engine, order), engine.address, onAnswer);
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/forward/rollout.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "forward/adapter.h"
+#include "forward/loadbook.h"
+#include "rollout/lease.h"
+#include "rollout/planner.h"
+
+#include <functional>
+#include <memory>
+
+/// Brings engines to the weights that the operators have named: carries out what the lease and
+/// the planner decide.
+namespace lavenderhall {
+
+class Rollout
+{
+public:
+    /// Tells the other instances that an engine takes no new work for a while.
+    using Announce = std::function<void(const RosterEntry &engine, Millis howLong)>;
+
+    Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store, LoadBook &loads,
+            Lease lease);
+    ~Rollout() { *this->alive = false; }
+
+    void setWanted(const std::map<std::string, std::int64_t> &versions)
+    {
+        this->planner.setWanted(versions);
+    }
+    void setAnnounce(Announce how) { this->announce = std::move(how); }
+    /// How long this instance leaves the duty to those before it, once there is work.
+    void setPatience(Millis patience) { this->patience = patience; }
+    void onTick(const Roster &roster, MonoTime now);
+    /// Gives no more orders.
+    void stop() { this->isStopped = true; }
+
+private:
+    void callStore(const LeaseAction &action);
+    void carryOut(const RolloutAction &action);
+    void askReport(const RosterEntry &engine);
+    void giveOrder(const RosterEntry &engine, WeightsOrder order);
+
+    http::Loop &loop;
+    const PlatformAdapter &adapter;
+    ObjectClient &store;
+    LoadBook &loads;
+    http::Client client;
+    Lease lease;
+    RolloutPlanner planner;
+    Announce announce;
+    Millis patience{0};
+    MonoTime workSince{};
+    std::size_t outdatedCount = 0;
+    bool wasHeld = false;
+    bool isStopped = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace lavenderhall
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include "client/command.h"
+#include "platform.h"
 
 int main(int argc, const char **argv)
 {
-    return lavenderhall::runCommandLine(argc, argv);
+    return lavenderhall::runCommandLine(argc, argv, lavenderhall::platform::adapter());
 }
--- /dev/null
+++ b/src/rollout/planner.cpp
@@ -0,0 +1,187 @@
+#include "rollout/planner.h"
+
+#include <algorithm>
+
+namespace lavenderhall {
+
+namespace {
+
+std::int64_t versionIn(const std::map<std::string, std::int64_t> &weights, const std::string &model)
+{
+    const auto found = weights.find(model);
+    return found == weights.end() ? 0 : found->second;
+}
+
+} // namespace
+
+std::string RolloutPlanner::outdatedModel(const RosterEntry &entry) const
+{
+    const auto seen = this->reported.find(entry.id);
+    const auto born = this->reportedBorn.find(entry.id);
+    const bool isCurrent = seen != this->reported.end() && born->second == entry.bornMillis;
+    for (const auto &[model, version] : entry.weights) {
+        const std::int64_t known
+            = std::max(version, isCurrent ? versionIn(seen->second.weights, model) : 0);
+        if (known < versionIn(this->wanted, model))
+            return model;
+    }
+    return {};
+}
+
+std::vector<const RosterEntry *> RolloutPlanner::outdated(const Roster &roster) const
+{
+    std::vector<const RosterEntry *> found;
+    for (const auto &[id, entry] : roster.entries()) {
+        if (!entry.isLeaving && !this->outdatedModel(entry).empty())
+            found.push_back(&entry);
+    }
+    return found;
+}
+
+std::vector<RolloutAction> RolloutPlanner::onTick(const Roster &roster, bool mayOrder, MonoTime now)
+{
+    std::vector<RolloutAction> actions;
+    std::erase_if(this->working, [&](const auto &work) {
+        const RosterEntry *entry = roster.find(work.first);
+        return !entry || entry->isLeaving || entry->bornMillis != work.second.bornMillis
+            || work.second.isLoaded;
+    });
+    if (!mayOrder) {
+        this->working.clear();
+        return actions;
+    }
+    this->begin(roster, now, actions);
+    for (auto &[id, engine] : this->working)
+        this->advance(*roster.find(id), engine, mayOrder, now, actions);
+    return actions;
+}
+
+// Engines in zones where the fewest load go first, so that each zone keeps serving.
+void RolloutPlanner::begin(const Roster &roster, MonoTime now, std::vector<RolloutAction> &actions)
+{
+    std::size_t engines = 0;
+    std::map<std::string, std::size_t> loadingInZone;
+    for (const auto &[id, entry] : roster.entries()) {
+        engines += entry.weights.empty() ? 0 : 1;
+        loadingInZone[entry.zone] += this->working.contains(id) ? 1 : 0;
+    }
+    const std::size_t most = std::max<std::size_t>(
+        1, (engines + this->timings.enginesPerLoad - 1) / this->timings.enginesPerLoad);
+    std::vector<const RosterEntry *> waiting = this->outdated(roster);
+    std::erase_if(waiting,
+                  [this](const RosterEntry *entry) { return this->working.contains(entry->id); });
+    while (this->working.size() < most && !waiting.empty()) {
+        const auto next = std::min_element(
+            waiting.begin(), waiting.end(), [&](const auto *one, const auto *other) {
+                return loadingInZone[one->zone] < loadingInZone[other->zone];
+            });
+        const RosterEntry &entry = **next;
+        Engine engine;
+        engine.bornMillis = entry.bornMillis;
+        engine.model = this->outdatedModel(entry);
+        engine.since = now;
+        this->working.emplace(entry.id, engine);
+        ++loadingInZone[entry.zone];
+        actions.push_back({RolloutAction::Kind::Announce, entry, {}});
+        waiting.erase(next);
+    }
+}
+
+void RolloutPlanner::advance(const RosterEntry &entry, Engine &engine, bool mayOrder, MonoTime now,
+                             std::vector<RolloutAction> &actions)
+{
+    if (engine.isWaiting)
+        return;
+    switch (engine.step) {
+    case Step::Steering:
+        if (now - engine.since < this->timings.steer)
+            return;
+        engine.step = Step::Asking;
+        engine.isWaiting = true;
+        actions.push_back({RolloutAction::Kind::AskReport, entry, {}});
+        return;
+    case Step::Asking:
+        if (now < engine.nextReport)
+            return;
+        engine.isWaiting = true;
+        actions.push_back({RolloutAction::Kind::AskReport, entry, {}});
+        return;
+    case Step::Ordering: {
+        if (!mayOrder)
+            return;
+        engine.version = versionIn(this->wanted, engine.model);
+        engine.isWaiting = true;
+        WeightsOrder order;
+        order.model = engine.model;
+        order.version = engine.version;
+        order.ifOrdersTaken = engine.ordersTaken;
+        actions.push_back({RolloutAction::Kind::GiveOrder, entry, order});
+        return;
+    }
+    case Step::Loading:
+        if (now < engine.nextReport)
+            return;
+        engine.isWaiting = true;
+        actions.push_back({RolloutAction::Kind::AskReport, entry, {}});
+        return;
+    }
+}
+
+void RolloutPlanner::onReport(const std::string &engineId, const EngineReport &report, MonoTime now)
+{
+    const auto found = this->working.find(engineId);
+    if (found == this->working.end())
+        return;
+    Engine &engine = found->second;
+    engine.isWaiting = false;
+    engine.nextReport = now + this->timings.reportInterval;
+    this->reported[engineId] = report;
+    this->reportedBorn[engineId] = engine.bornMillis;
+    const std::int64_t wantedVersion = versionIn(this->wanted, engine.model);
+    if (!report.isBusy && versionIn(report.weights, engine.model) >= wantedVersion) {
+        engine.isLoaded = true;
+        return;
+    }
+    engine.ordersTaken = report.ordersTaken;
+    if (report.isBusy) {
+        engine.step = Step::Loading;
+        return;
+    }
+    // Reports lag: an engine that has just taken an order may not show it yet.
+    const bool isLagging = engine.step == Step::Loading
+        && now - engine.since < this->timings.answerTimeout && engine.version == wantedVersion;
+    if (!isLagging)
+        engine.step = Step::Ordering;
+}
+
+void RolloutPlanner::onReportFailed(const std::string &engineId, MonoTime now)
+{
+    const auto found = this->working.find(engineId);
+    if (found == this->working.end())
+        return;
+    found->second.isWaiting = false;
+    found->second.nextReport = now + this->timings.reportInterval;
+}
+
+void RolloutPlanner::onOrderAnswer(const std::string &engineId, OrderAnswer answer, MonoTime now)
+{
+    const auto found = this->working.find(engineId);
+    if (found == this->working.end())
+        return;
+    Engine &engine = found->second;
+    engine.isWaiting = false;
+    engine.since = now;
+    engine.nextReport = now + this->timings.reportInterval;
+    if (answer == OrderAnswer::AlreadyDone) {
+        engine.isLoaded = true;
+        EngineReport &report = this->reported[engineId];
+        report.weights[engine.model] = engine.version;
+        this->reportedBorn[engineId] = engine.bornMillis;
+        return;
+    }
+    // Whatever else it said, the engine's report tells what is true now.
+    const bool mayBeTaken = answer == OrderAnswer::Accepted || answer == OrderAnswer::Unknown;
+    engine.step = mayBeTaken ? Step::Loading : Step::Asking;
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/rollout/planner.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "base/clock.h"
+#include "rollout/order.h"
+#include "routing/roster.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Which engines change their weights next, and how far each has come. Answers the load pattern
+/// of new weights that are named in quick succession while engines serve, crash and leave
+/// orders unanswered.
+namespace lavenderhall {
+
+struct RolloutTimings
+{
+    Millis steer{80}; ///< others send no new work to an engine for so long before its order
+    Millis reportInterval{250}; ///< between looks at an engine that loads
+    Millis loadTime{1500}; ///< that an engine takes at the most, as others are told
+    Millis answerTimeout{1500}; ///< until an unanswered order is looked into
+    std::size_t enginesPerLoad = 4; ///< one in so many engines loads at the same time
+
+    bool operator==(const RolloutTimings &) const = default;
+};
+
+/// What the planner wants done.
+struct RolloutAction
+{
+    enum class Kind {
+        Announce, ///< tell the others that the engine takes no new work for a while
+        AskReport,
+        GiveOrder,
+        Done, ///< the engine has the version
+    };
+
+    Kind kind = Kind::Announce;
+    RosterEntry engine;
+    WeightsOrder order; ///< GiveOrder: without holder and fence
+
+    bool operator==(const RolloutAction &) const = default;
+};
+
+class RolloutPlanner
+{
+public:
+    explicit RolloutPlanner(RolloutTimings timings = {})
+        : timings(timings)
+    { }
+
+    /// Takes in the wanted version of each model.
+    void setWanted(const std::map<std::string, std::int64_t> &versions) { this->wanted = versions; }
+    /// Engines that do not have a wanted version yet, as far as is known.
+    std::vector<const RosterEntry *> outdated(const Roster &roster) const;
+
+    /// \a mayOrder tells whether this process holds the lease now.
+    std::vector<RolloutAction> onTick(const Roster &roster, bool mayOrder, MonoTime now);
+    void onReport(const std::string &engineId, const EngineReport &report, MonoTime now);
+    void onReportFailed(const std::string &engineId, MonoTime now);
+    void onOrderAnswer(const std::string &engineId, OrderAnswer answer, MonoTime now);
+
+private:
+    enum class Step { Steering, Asking, Ordering, Loading };
+    struct Engine
+    {
+        std::int64_t bornMillis = 0;
+        Step step = Step::Steering;
+        std::string model;
+        std::int64_t version = 0;
+        MonoTime since{}; ///< of the step
+        MonoTime nextReport{};
+        std::int64_t ordersTaken = 0;
+        bool isReportDue = false;
+        bool isWaiting = false; ///< for an answer to a call
+        bool isLoaded = false;
+    };
+
+    std::string outdatedModel(const RosterEntry &entry) const;
+    void begin(const Roster &roster, MonoTime now, std::vector<RolloutAction> &actions);
+    void advance(const RosterEntry &entry, Engine &engine, bool mayOrder, MonoTime now,
+                 std::vector<RolloutAction> &actions);
+
+    RolloutTimings timings;
+    std::map<std::string, std::int64_t> wanted;
+    std::map<std::string, Engine> working;
+    std::map<std::string, EngineReport> reported; ///< newer than the roster
+    std::map<std::string, std::int64_t> reportedBorn;
+};
+
+} // namespace lavenderhall
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -13,12 +13,12 @@
 
 } // namespace
 
-Admin::Admin(http::Loop &loop, const Settings &settings, TimelineRing &timeline, Metrics &metrics,
-             AdminHooks hooks)
+Admin::Admin(http::Loop &loop, const http::Address &listen, TimelineRing &timeline,
+             Metrics &metrics, AdminHooks hooks)
     : timeline(timeline)
     , metrics(metrics)
     , hooks(std::move(hooks))
-    , server(loop, settings.admin, http::limitsOf(MaxBodyBytes),
+    , server(loop, listen, http::limitsOf(MaxBodyBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 { }
 
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -19,7 +19,6 @@
 constexpr Millis DrainCheckInterval{50};
 constexpr Millis HandoverPatience{3000};
 
-
 LoadReport readLoadReport(const Json &json)
 {
     LoadReport report;
@@ -79,8 +78,8 @@
         this->metrics.countStoreCalls(static_cast<double>(this->store.callCount()));
         this->fleet.updateMetrics();
     };
-    this->admin = std::make_unique<Admin>(this->loop, this->settings, this->timeline, this->metrics,
-                                          std::move(hooks));
+    this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
+                                          this->metrics, std::move(hooks));
     this->callers = std::make_unique<http::Server>(
         this->loop, this->settings.listen,
         http::limitsOf(static_cast<std::size_t>(this->settings.maxBodyBytes)),
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 
+#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -14,6 +15,7 @@
 constexpr std::int64_t DefaultMaxConnections = 8192;
 constexpr std::int64_t DefaultDrainMillis = 120'000;
 constexpr std::size_t Z85KeyLength = 40;
+const std::vector<std::string> DialectNames{"openai", "forward"};
 const std::vector<std::string> LogLevelNames{"debug", "info", "warning", "error"};
 
 http::Address readAddress(ObjectReader &reader)
@@ -24,6 +26,78 @@
     return address;
 }
 
+// "IP:PORT" in one text, as other systems write it.
+http::Address readAddressText(ObjectReader &reader, const std::string &name)
+{
+    const std::string text = reader.text(name);
+    const std::size_t colon = text.rfind(':');
+    http::Address address;
+    address.host = text.substr(0, colon);
+    const char *from = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
+    const char *end = text.data() + text.size();
+    const auto read = std::from_chars(from, end, address.port);
+    const bool isGood = read.ec == std::errc{} && read.ptr == end && address.port > 0
+        && http::isIpAddress(address.host);
+    if (reader.isGood() && !isGood)
+        reader.complain(name, "\"" + text + "\"", "a text \"IP:PORT\"");
+    return address;
+}
+
+Millis readMillis(ObjectReader &reader, const std::string &name, Millis fallback)
+{
+    constexpr IntRange MillisRange{1, 3'600'000};
+    return Millis(reader.integer(name, MillisRange, fallback.count()));
+}
+
+double readRatio(ObjectReader &reader, const std::string &name, double fallback)
+{
+    const double ratio = reader.number(name, fallback);
+    if (ratio < 0 || ratio > 1)
+        reader.complain(name, std::to_string(ratio), "a number from 0 to 1");
+    return ratio;
+}
+
+ForwardBounds readBounds(ObjectReader &reader)
+{
+    constexpr IntRange CountRange{0, 1'000'000'000'000};
+    ForwardBounds bounds;
+    bounds.lease = readMillis(reader, "lease_ms", bounds.lease);
+    bounds.drain = readMillis(reader, "drain_ms", bounds.drain);
+    bounds.grace = std::chrono::seconds(reader.integer("grace_s", {1, 3600}, 8));
+    bounds.retryRatio = readRatio(reader, "retry_ratio", bounds.retryRatio);
+    bounds.retrySlack = reader.integer("retry_slack", CountRange, 0);
+    bounds.retryWindow = std::chrono::seconds(reader.integer("retry_window_s", {1, 3600}, 10));
+    bounds.rateOverage = readRatio(reader, "rate_overage", bounds.rateOverage);
+    bounds.rateSlack = reader.integer("rate_slack", CountRange, 0);
+    bounds.rateWindow = std::chrono::seconds(reader.integer("rate_window_s", {1, 3600}, 8));
+    bounds.weights = readMillis(reader, "weights_ms", bounds.weights);
+    return bounds;
+}
+
+// The platform fills this file in, so addresses are texts, and the rest has defaults.
+Settings readForwardSettings(ObjectReader &reader)
+{
+    Settings settings;
+    settings.dialect = Dialect::Forward;
+    settings.instance = reader.text("instance");
+    settings.region = reader.text("region");
+    settings.zone = reader.text("zone");
+    settings.listen = readAddressText(reader, "listen");
+    settings.admin = readAddressText(reader, "admin");
+    settings.peer = readAddressText(reader, "peer");
+    settings.store = readAddressText(reader, "store");
+    settings.metrics = readAddressText(reader, "metrics");
+    for (const std::string &seed : reader.texts("seeds")) {
+        const std::string host = seed.substr(0, seed.rfind(':'));
+        if (http::isIpAddress(host) && host != settings.peer.host)
+            settings.seeds.push_back({host, settings.peer.port});
+    }
+    settings.regionOfZone = reader.textMap("zones");
+    settings.logLevel = static_cast<LogLevel>(reader.choice("log_level", LogLevelNames, 1));
+    reader.object("bounds", [&](ObjectReader &entry) { settings.bounds = readBounds(entry); });
+    return settings;
+}
+
 http::Address readRequiredAddress(ObjectReader &reader, const std::string &name)
 {
     http::Address address;
@@ -59,6 +133,13 @@
 {
     BOOST_LEAF_AUTO(json, parseJson(text, file));
     ObjectReader reader(json, file, "");
+    if (reader.choice("dialect", DialectNames, 0) == static_cast<std::size_t>(Dialect::Forward)) {
+        Settings forward = readForwardSettings(reader);
+        reader.finish();
+        if (!reader.isGood())
+            return fail(ErrorCode::BadInput, "check settings", reader.firstError());
+        return forward;
+    }
     Settings settings;
     settings.instance = reader.text("instance");
     settings.region = reader.text("region");
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -5,6 +5,8 @@
 #include "base/log.h"
 #include "http/message.h"
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +20,35 @@
     std::string secretKey;
 };
 
+/// How callers and endpoints speak.
+enum class Dialect {
+    OpenAi, ///< completions in JSON bodies; keys, routes and endpoints in our own configuration
+    Forward, ///< opaque bodies, described by headers; the platform's adapter translates
+};
+
+/// What the operators promise their callers, as bounds on our own timing.
+struct ForwardBounds
+{
+    Millis lease{3000}; ///< of the right to give orders
+    Millis drain{2500}; ///< an endpoint may get work for so long after it has begun to leave
+    Millis grace{8000}; ///< from SIGTERM until the process is killed
+    double retryRatio = 0.2; ///< repeats per request
+    std::int64_t retrySlack = 0; ///< repeats in a window beyond that
+    Millis retryWindow{10'000};
+    double rateOverage = 0; ///< part of a rate that may be granted beyond it
+    std::int64_t rateSlack = 0; ///< tokens in a window that may be granted beyond that
+    Millis rateWindow{8000};
+    Millis weights{10'000}; ///< until no request begins on weights that were replaced
+
+    bool operator==(const ForwardBounds &) const = default;
+};
+
 struct Settings
 {
+    Dialect dialect = Dialect::OpenAi;
+    ForwardBounds bounds; ///< of the forward dialect
+    std::map<std::string, std::string> regionOfZone; ///< of the forward dialect
+    std::optional<http::Address> metrics; ///< besides the admin address
     std::string instance; ///< unique name of this instance
     std::string region;
     std::string zone;
@@ -28,7 +57,7 @@
     http::Address peer; ///< for the other instances
     http::Address store; ///< the platform's object service
     std::vector<http::Address> seeds; ///< peers to ask first
-    FleetKeys fleetKeys;
+    FleetKeys fleetKeys; ///< empty in the forward dialect: its network is the platform's own
     std::string engineCredential; ///< sent to endpoints in place of callers' keys
     LogLevel logLevel = LogLevel::Info;
     std::int64_t maxBodyBytes = 0;
--- /dev/null
+++ b/src/routing/roster.cpp
@@ -0,0 +1,93 @@
+#include "routing/roster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhall {
+
+void Roster::put(const RosterEntry &entry, std::int64_t revision)
+{
+    std::int64_t &seen = this->revisions[entry.id];
+    if (revision <= seen)
+        return;
+    seen = revision;
+    this->newest = std::max(this->newest, revision);
+    this->missingSince.erase(entry.id);
+    const auto found = this->known.find(entry.id);
+    if (found == this->known.end()) {
+        this->known.emplace(entry.id, entry);
+        this->changes.push_back({RosterChange::Kind::Joined, entry});
+        return;
+    }
+    const RosterEntry before = std::exchange(found->second, entry);
+    if (before.bornMillis != entry.bornMillis || before.address != entry.address)
+        this->changes.push_back({RosterChange::Kind::Restarted, entry});
+    else if (entry.isLeaving && !before.isLeaving)
+        this->changes.push_back({RosterChange::Kind::Leaving, entry});
+    else if (before != entry)
+        this->changes.push_back({RosterChange::Kind::Updated, entry});
+}
+
+void Roster::remove(const std::string &id, std::int64_t revision)
+{
+    std::int64_t &seen = this->revisions[id];
+    if (revision <= seen)
+        return;
+    seen = revision;
+    this->newest = std::max(this->newest, revision);
+    this->drop(id);
+}
+
+void Roster::drop(const std::string &id)
+{
+    this->missingSince.erase(id);
+    const auto found = this->known.find(id);
+    if (found == this->known.end())
+        return;
+    this->changes.push_back({RosterChange::Kind::Gone, found->second});
+    this->known.erase(found);
+}
+
+void Roster::onListed(const std::vector<std::string> &ids, std::int64_t revision, bool wasAway,
+                      MonoTime now)
+{
+    if (revision < this->newest)
+        return;
+    this->newest = revision;
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : this->known) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing) {
+        if (wasAway)
+            this->missingSince.try_emplace(id, now);
+        else if (!this->missingSince.contains(id))
+            this->drop(id);
+    }
+    this->onTick(now);
+}
+
+void Roster::onTick(MonoTime now)
+{
+    std::vector<std::string> expired;
+    for (const auto &[id, since] : this->missingSince) {
+        if (now - since >= this->timings.returnGrace)
+            expired.push_back(id);
+    }
+    for (const std::string &id : expired)
+        this->drop(id);
+}
+
+const RosterEntry *Roster::find(const std::string &id) const
+{
+    const auto found = this->known.find(id);
+    return found == this->known.end() ? nullptr : &found->second;
+}
+
+std::vector<RosterChange> Roster::takeChanges()
+{
+    return std::exchange(this->changes, {});
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/routing/table.cpp
@@ -0,0 +1,81 @@
+#include "routing/table.h"
+
+#include <algorithm>
+
+namespace lavenderhall {
+
+namespace {
+
+template <typename Map>
+auto lookUp(const Map &map, std::string_view name) -> typename Map::mapped_type
+{
+    const auto found = map.find(std::string(name));
+    return found == map.end() ? nullptr : found->second;
+}
+
+} // namespace
+
+RoutingTable::RoutingTable(TableContent content)
+    : table(std::move(content))
+{
+    for (const ForwardRoute &route : this->table.routes)
+        this->byHost[route.host].push_back(&route);
+    for (auto &[host, routes] : this->byHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const auto *one, const auto *other) {
+            return one->pathPrefix.size() > other->pathPrefix.size();
+        });
+    }
+    for (const ServiceSpec &service : this->table.services)
+        this->services.emplace(service.name, &service);
+    for (const OrganisationSpec &organisation : this->table.organisations) {
+        this->organisations.emplace(organisation.name, &organisation);
+        for (const std::string &key : organisation.keys)
+            this->byKey.emplace(key, &organisation);
+    }
+}
+
+const ForwardRoute *RoutingTable::findRoute(std::string_view host, std::string_view path) const
+{
+    const std::string name(host.substr(0, host.find(':')));
+    const auto found = this->byHost.find(name);
+    if (found == this->byHost.end())
+        return nullptr;
+    for (const ForwardRoute *route : found->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const ServiceSpec *RoutingTable::findService(std::string_view name) const
+{
+    return lookUp(this->services, name);
+}
+
+const OrganisationSpec *RoutingTable::findOrganisation(std::string_view name) const
+{
+    return lookUp(this->organisations, name);
+}
+
+const OrganisationSpec *RoutingTable::findByKey(std::string_view key) const
+{
+    return key.empty() ? nullptr : lookUp(this->byKey, key);
+}
+
+const std::string &chooseShare(const ForwardRoute &route, std::uint64_t point)
+{
+    std::uint64_t total = 0;
+    for (const TrafficShare &share : route.shares)
+        total += static_cast<std::uint64_t>(share.weight);
+    std::uint64_t left = total > 0 ? point % total : 0;
+    for (const TrafficShare &share : route.shares) {
+        const auto weight = static_cast<std::uint64_t>(share.weight);
+        if (left < weight)
+            return share.service;
+        left -= weight;
+    }
+    static const std::string None;
+    return route.shares.empty() ? None : route.shares.back().service;
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/store/kindfeed.cpp
@@ -0,0 +1,106 @@
+#include "store/kindfeed.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace lavenderhall {
+
+namespace {
+
+// A watch that has fallen silent is noticed after this time, so it bounds how old belief gets.
+constexpr Millis WatchWait{1500};
+constexpr Millis FirstRetry{80};
+constexpr int MaxRetryDoublings = 3;
+
+} // namespace
+
+KindFeed::KindFeed(http::Loop &loop, ObjectClient &client, std::string kind, FeedHandlers handlers,
+                   std::uint64_t seed)
+    : loop(loop)
+    , client(client)
+    , kind(std::move(kind))
+    , handlers(std::move(handlers))
+    , random(seed)
+{ }
+
+Millis KindFeed::age() const
+{
+    return std::chrono::duration_cast<Millis>(monoNow() - this->lastKnown);
+}
+
+void KindFeed::list(const std::string &after)
+{
+    if (after.empty())
+        this->pending.clear();
+    this->askedAt = monoNow();
+    this->client.list(this->kind, after, [this, held = this->alive](const ObjectPage &page) {
+        if (*held)
+            this->onPage(page);
+    });
+}
+
+// Objects that change while further pages are read come again as events, since the watch goes
+// on from the revision of the first page.
+void KindFeed::onPage(const ObjectPage &page)
+{
+    if (page.status != StoreStatus::Ok)
+        return this->onFailure("list", page.status);
+    if (this->pending.empty())
+        this->pendingRevision = page.revision;
+    this->pending.insert(this->pending.end(), page.objects.begin(), page.objects.end());
+    if (page.hasMore && !page.objects.empty())
+        return this->list(page.objects.back().name);
+    if (this->failures > 0)
+        logEvent(LogLevel::Info, "store_back", {{"kind", this->kind}, {"revision", page.revision}});
+    this->failures = 0;
+    this->lastKnown = this->askedAt;
+    if (this->pendingRevision >= this->revision) {
+        this->revision = this->pendingRevision;
+        this->handlers.onListed(this->pending, this->revision, this->wasAway);
+    }
+    this->wasAway = false;
+    this->pending.clear();
+    this->watch();
+}
+
+void KindFeed::watch()
+{
+    this->askedAt = monoNow();
+    this->client.watch(this->kind, this->revision, WatchWait,
+                       [this, held = this->alive](const ObjectChanges &changes) {
+                           if (*held)
+                               this->onChanges(changes);
+                       });
+}
+
+void KindFeed::onChanges(const ObjectChanges &changes)
+{
+    // History that is gone says nothing about the store's health.
+    if (changes.status == StoreStatus::Compacted) {
+        logEvent(LogLevel::Info, "watch_restarted", {{"kind", this->kind}});
+        return this->list({});
+    }
+    if (changes.status != StoreStatus::Ok)
+        return this->onFailure("watch", changes.status);
+    this->lastKnown = this->askedAt;
+    this->revision = std::max(this->revision, changes.revision);
+    if (!changes.events.empty())
+        this->handlers.onEvents(changes.events);
+    this->watch();
+}
+
+// Jitter keeps a herd of instances from coming back to the store at the same moment.
+void KindFeed::onFailure(const char *step, StoreStatus status)
+{
+    if (this->failures == 0)
+        logEvent(LogLevel::Warning, "store_lost",
+                 {{"kind", this->kind}, {"step", step}, {"status", toString(status)}});
+    this->wasAway = true;
+    const int doublings = std::min(this->failures++, MaxRetryDoublings);
+    const Millis span = FirstRetry * (1 << doublings);
+    const Millis delay = span / 2 + Millis(this->random(static_cast<unsigned>(span.count())));
+    this->timer = this->loop.after(delay, [this] { this->list({}); });
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/store/kindfeed.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "http/loop.h"
+#include "store/objects.h"
+
+#include <functional>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+/// Follows all objects of one kind: a whole list first, then what changes, and a whole list
+/// again after any doubt.
+namespace lavenderhall {
+
+struct FeedHandlers
+{
+    /// All objects at \a revision; \a wasAway tells whether the store was out of reach before.
+    std::function<void(const std::vector<StoredObject> &objects, std::int64_t revision,
+                       bool wasAway)>
+        onListed;
+    std::function<void(const std::vector<ObjectEvent> &events)> onEvents;
+};
+
+class KindFeed
+{
+public:
+    KindFeed(http::Loop &loop, ObjectClient &client, std::string kind, FeedHandlers handlers,
+             std::uint64_t seed);
+    ~KindFeed() { *this->alive = false; }
+
+    void start() { this->list({}); }
+    /// How long ago the store's state was last known for sure.
+    Millis age() const;
+    bool isAway() const { return this->failures > 0; }
+
+private:
+    void list(const std::string &after);
+    void onPage(const ObjectPage &page);
+    void watch();
+    void onChanges(const ObjectChanges &changes);
+    void onFailure(const char *step, StoreStatus status);
+
+    http::Loop &loop;
+    ObjectClient &client;
+    std::string kind;
+    FeedHandlers handlers;
+    pcg32 random;
+    std::vector<StoredObject> pending; ///< of a list in several pages
+    std::int64_t pendingRevision = 0;
+    std::int64_t revision = 0;
+    MonoTime lastKnown{};
+    MonoTime askedAt{};
+    int failures = 0;
+    bool wasAway = false;
+    http::Timer timer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace lavenderhall
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -22,6 +22,8 @@
         return "unchanged";
     case StoreStatus::Conflict:
         return "conflict";
+    case StoreStatus::Compacted:
+        return "compacted";
     case StoreStatus::Limited:
         return "limited";
     case StoreStatus::Down:
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -19,6 +19,7 @@
     NotFound,
     Unchanged, ///< a watch ended without a change
     Conflict, ///< the condition of a write did not hold; nothing was written
+    Compacted, ///< the history asked for is gone
     Limited, ///< over the service's rate; nothing was written
     Down, ///< not reached; nothing was written
     Unknown, ///< the answer was lost; a write may have taken effect
--- /dev/null
+++ b/src/streams/eventcutter.cpp
@@ -0,0 +1,58 @@
+#include "streams/eventcutter.h"
+
+#include <charconv>
+
+namespace lavenderhall {
+
+namespace {
+
+constexpr std::string_view IdField = "id:";
+
+} // namespace
+
+std::optional<std::int64_t> eventNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::vector<RawEvent> EventCutter::feed(std::string_view bytes)
+{
+    std::vector<RawEvent> events;
+    for (const char c : bytes) {
+        this->pending += c;
+        if (c == '\n')
+            this->endLine(events);
+    }
+    return events;
+}
+
+void EventCutter::endLine(std::vector<RawEvent> &events)
+{
+    std::string_view line = std::string_view(this->pending).substr(this->lineStart);
+    line.remove_suffix(1);
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    if (line.starts_with(IdField)) {
+        line.remove_prefix(IdField.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        this->id = line;
+    } else if (line.empty()) {
+        events.push_back({std::move(this->pending), std::move(this->id)});
+        return this->reset();
+    }
+    this->lineStart = this->pending.size();
+}
+
+void EventCutter::reset()
+{
+    this->pending.clear();
+    this->id.clear();
+    this->lineStart = 0;
+}
+
+} // namespace lavenderhall
