Rollout takes the oldest weights first

Ruled out: the lease (held throughout) and slow loads (1.2 to 1.5 s each). Change: engines with the oldest version first, then by zone.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -24,7 +24,7 @@
     return log4cxx::Level::getInfo();
 }
 
-std::string quoted(const std::string &value)
+std::string quotedText(const std::string &value)
 {
     if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
         return value;
@@ -68,7 +68,7 @@
     const log4cxx::LevelPtr target = toLog4cxx(level);
     if (Root->getAllAppenders().empty() || !Root->isEnabledFor(target))
         return;
-    std::string line = "instance=" + quoted(instanceName()) + " event=" + std::string(event);
+    std::string line = "instance=" + quotedText(instanceName()) + " event=" + std::string(event);
     if (!fields.empty())
         line += " " + formatFields(fields);
     Root->forcedLog(target, line, LOG4CXX_LOCATION);
@@ -80,7 +80,7 @@
     for (const LogField &field : fields) {
         if (!line.empty())
             line += ' ';
-        line += field.key + '=' + quoted(field.value);
+        line += field.key + '=' + quotedText(field.value);
     }
     return line;
 }
--- a/src/client/program.cpp
+++ b/src/client/program.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-std::string quoted(const std::string &text)
+std::string quotedText(const std::string &text)
 {
     return Json(text).dump();
 }
@@ -21,7 +21,7 @@
 
 std::string printed(const Model &model)
 {
-    std::string line = "config.model(" + quoted(model.name) + ", version=" + quoted(model.version);
+    std::string line = "config.model(" + quotedText(model.name) + ", version=" + quotedText(model.version);
     if (!model.adapters.empty()) {
         Json adapters = Json::object();
         for (const Adapter &adapter : model.adapters)
@@ -34,8 +34,8 @@
 std::string printed(const Endpoint &endpoint)
 {
     std::string line = std::string("config.") + toString(endpoint.kind) + "("
-        + quoted(endpoint.name) + ", " + quoted(endpoint.address.toString())
-        + ", region=" + quoted(endpoint.region) + ", zone=" + quoted(endpoint.zone);
+        + quotedText(endpoint.name) + ", " + quotedText(endpoint.address.toString())
+        + ", region=" + quotedText(endpoint.region) + ", zone=" + quotedText(endpoint.zone);
     if (endpoint.kind == EndpointKind::Engine)
         line += ", models=" + list(endpoint.models);
     line += ", slots=" + std::to_string(endpoint.slots);
@@ -47,17 +47,17 @@
 std::string printed(const Route &route)
 {
     std::string line
-        = std::string("config.") + toString(route.kind) + "_route(" + quoted(route.name);
+        = std::string("config.") + toString(route.kind) + "_route(" + quotedText(route.name);
     if (route.kind == RouteKind::Model)
-        line += ", model=" + quoted(route.model);
+        line += ", model=" + quotedText(route.model);
     else
         line += ", endpoints=" + list(route.endpoints);
     if (!route.adapter.empty())
-        line += ", adapter=" + quoted(route.adapter);
+        line += ", adapter=" + quotedText(route.adapter);
     line += ", repeatable=" + std::string(flag(route.isRepeatable))
-        + ", traffic=" + quoted(toString(route.trafficClass));
+        + ", traffic=" + quotedText(toString(route.trafficClass));
     if (route.isOpen())
-        line += ", open_for=" + quoted(route.openFor);
+        line += ", open_for=" + quotedText(route.openFor);
     return line + ", timeout_ms=" + std::to_string(route.timeout.count())
         + ", gap_ms=" + std::to_string(route.gapTimeout.count()) + ")\n";
 }
@@ -70,12 +70,12 @@
         + std::to_string(root.version) + ".\"\"\"\n\nfrom lavenderhall import Configuration\n\n"
         + "config = Configuration()\n";
     for (const Region &region : document.regions)
-        text += "config.region(" + quoted(region.name) + ", share=" + std::to_string(region.share)
+        text += "config.region(" + quotedText(region.name) + ", share=" + std::to_string(region.share)
             + ")\n";
     for (const Organisation &organisation : document.organisations) {
         for (const KeyRecord &key : organisation.keys)
             text += "# key " + key.id + "\n";
-        text += "config.organisation(" + quoted(organisation.name)
+        text += "config.organisation(" + quotedText(organisation.name)
             + ", tokens_per_second=" + std::to_string(organisation.tokensPerSecond)
             + ", burst_tokens=" + std::to_string(organisation.burstTokens) + ")\n";
     }
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -15,6 +15,8 @@
 constexpr Millis DrainCheckInterval{50};
 // The balancer turns away from an instance after two questions, one second apart.
 constexpr Millis BalancerTime{3000};
+// Instances that do not hold the duty of the rollout take it up at different times.
+constexpr unsigned MostPatienceMillis = 600;
 constexpr Millis StopMargin{500}; ///< before the process is killed
 
 LeaseTimings leaseTimingsOf(const Settings &settings)
@@ -133,7 +135,7 @@
              {{"listen", this->settings.listen.toString()},
               {"admin", this->settings.admin.toString()},
               {"zone", this->settings.zone}});
-    this->rollout.setPatience(Millis(this->context.random(1500)));
+    this->rollout.setPatience(Millis(this->context.random(MostPatienceMillis)));
     this->configurationFeed.start();
     this->endpointFeed.start();
     this->weightsFeed.start();
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -72,8 +72,6 @@
         return this->askReport(action.engine);
     case RolloutAction::Kind::GiveOrder:
         return this->giveOrder(action.engine, action.order);
-    case RolloutAction::Kind::Done:
-        return;
     }
 }
 
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -14,15 +14,20 @@
 
 } // namespace
 
-std::string RolloutPlanner::outdatedModel(const RosterEntry &entry) const
+// What an engine has said of itself goes before the registry, which lags.
+std::int64_t RolloutPlanner::versionOf(const RosterEntry &entry, const std::string &model) const
 {
+    const std::int64_t listed = versionIn(entry.weights, model);
     const auto seen = this->reported.find(entry.id);
-    const auto born = this->reportedBorn.find(entry.id);
-    const bool isCurrent = seen != this->reported.end() && born->second == entry.bornMillis;
-    for (const auto &[model, version] : entry.weights) {
-        const std::int64_t known
-            = std::max(version, isCurrent ? versionIn(seen->second.weights, model) : 0);
-        if (known < versionIn(this->wanted, model))
+    if (seen == this->reported.end() || this->reportedBorn.at(entry.id) != entry.bornMillis)
+        return listed;
+    return std::max(listed, versionIn(seen->second.weights, model));
+}
+
+std::string RolloutPlanner::outdatedModel(const RosterEntry &entry) const
+{
+    for (const auto &[model, listed] : entry.weights) {
+        if (this->versionOf(entry, model) < versionIn(this->wanted, model))
             return model;
     }
     return {};
@@ -52,11 +57,12 @@
     }
     this->begin(roster, now, actions);
     for (auto &[id, engine] : this->working)
-        this->advance(*roster.find(id), engine, mayOrder, now, actions);
+        this->advance(*roster.find(id), engine, now, actions);
     return actions;
 }
 
-// Engines in zones where the fewest load go first, so that each zone keeps serving.
+// The oldest weights go first, so that no engine is left behind when versions are named faster
+// than all engines can load them; then zones where the fewest load, so that each keeps serving.
 void RolloutPlanner::begin(const Roster &roster, MonoTime now, std::vector<RolloutAction> &actions)
 {
     std::size_t engines = 0;
@@ -73,7 +79,11 @@
     while (this->working.size() < most && !waiting.empty()) {
         const auto next = std::min_element(
             waiting.begin(), waiting.end(), [&](const auto *one, const auto *other) {
-                return loadingInZone[one->zone] < loadingInZone[other->zone];
+                const auto rank = [&](const RosterEntry *entry) {
+                    return std::pair(this->versionOf(*entry, this->outdatedModel(*entry)),
+                                     loadingInZone[entry->zone]);
+                };
+                return rank(one) < rank(other);
             });
         const RosterEntry &entry = **next;
         Engine engine;
@@ -87,7 +97,7 @@
     }
 }
 
-void RolloutPlanner::advance(const RosterEntry &entry, Engine &engine, bool mayOrder, MonoTime now,
+void RolloutPlanner::advance(const RosterEntry &entry, Engine &engine, MonoTime now,
                              std::vector<RolloutAction> &actions)
 {
     if (engine.isWaiting)
@@ -100,15 +110,7 @@
         engine.isWaiting = true;
         actions.push_back({RolloutAction::Kind::AskReport, entry, {}});
         return;
-    case Step::Asking:
-        if (now < engine.nextReport)
-            return;
-        engine.isWaiting = true;
-        actions.push_back({RolloutAction::Kind::AskReport, entry, {}});
-        return;
     case Step::Ordering: {
-        if (!mayOrder)
-            return;
         engine.version = versionIn(this->wanted, engine.model);
         engine.isWaiting = true;
         WeightsOrder order;
@@ -118,6 +120,7 @@
         actions.push_back({RolloutAction::Kind::GiveOrder, entry, order});
         return;
     }
+    case Step::Asking:
     case Step::Loading:
         if (now < engine.nextReport)
             return;
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -32,7 +32,6 @@
         Announce, ///< tell the others that the engine takes no new work for a while
         AskReport,
         GiveOrder,
-        Done, ///< the engine has the version
     };
 
     Kind kind = Kind::Announce;
@@ -76,9 +75,10 @@
         bool isLoaded = false;
     };
 
+    std::int64_t versionOf(const RosterEntry &entry, const std::string &model) const;
     std::string outdatedModel(const RosterEntry &entry) const;
     void begin(const Roster &roster, MonoTime now, std::vector<RolloutAction> &actions);
-    void advance(const RosterEntry &entry, Engine &engine, bool mayOrder, MonoTime now,
+    void advance(const RosterEntry &entry, Engine &engine, MonoTime now,
                  std::vector<RolloutAction> &actions);
 
     RolloutTimings timings;
