--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -122,7 +122,8 @@
     const double micros = microsecondsPer(1, [&](int) { tracker.advance(); });
     const Keyring keyring(tracker.active()->document);
     Lender lender("region-one", {});
-    lender.configure(tracker.active()->document, MonoTime{});
+    const Document &active = tracker.active()->document;
+    lender.configure(active.regions, active.organisations, MonoTime{});
     print("configuration", organisations, "MB of heap", heapMegabytes() - before);
     print("configuration", organisations, "ms to put in force", micros / 1000);
     std::size_t largest = 0;
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -3,7 +3,9 @@
 #include "base/digest.h"
 #include "membership/members.h"
 
+#include <algorithm>
 #include <csignal>
+#include <set>
 
 namespace lavenderhall {
 
@@ -17,8 +19,21 @@
 constexpr Millis BalancerTime{3000};
 // Instances that do not hold the duty of the rollout take it up at different times.
 constexpr unsigned MostPatienceMillis = 600;
+constexpr Millis TokensPatience{200}; ///< for a rate to allow a request
+constexpr Millis UnknownRateRetryAfter{300};
+// Shares of what the whole fleet may do are cut for at least so many instances.
+constexpr std::size_t LeastInstances = 8;
 constexpr Millis StopMargin{500}; ///< before the process is killed
 
+// A holder's silence leaves its organisations without a decision for about one lease.
+SeatTimings seatTimings()
+{
+    SeatTimings timings;
+    timings.lease = Millis(1500);
+    timings.renewInterval = Millis(300);
+    return timings;
+}
+
 LeaseTimings leaseTimingsOf(const Settings &settings)
 {
     LeaseTimings timings;
@@ -53,40 +68,8 @@
     , rollout(loop, adapter, this->store, this->loads,
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
                     leaseTimingsOf(this->settings)))
-    , configurationFeed(
-          loop, this->store, adapter.kinds.configuration,
-          {[this](const auto &objects, std::int64_t, bool) { this->onConfiguration(objects); },
-           [this](const std::vector<ObjectEvent> &events) {
-               for (const ObjectEvent &event : events) {
-                   if (!event.isDeleted)
-                       this->onConfiguration({event.object});
-               }
-           }},
-          randomSeed())
-    , endpointFeed(loop, this->store, adapter.kinds.endpoints,
-                   {[this](const auto &objects, std::int64_t revision, bool wasAway) {
-                        this->onEndpointsListed(objects, revision, wasAway);
-                    },
-                    [this](const std::vector<ObjectEvent> &events) {
-                        for (const ObjectEvent &event : events) {
-                            if (event.isDeleted)
-                                this->roster.remove(event.object.name, event.object.revision);
-                            else
-                                this->putEndpoint(event.object);
-                        }
-                        this->applyRosterChanges();
-                    }},
-                   randomSeed())
-    , weightsFeed(loop, this->store, adapter.kinds.weights,
-                  {[this](const auto &objects, std::int64_t, bool) {
-                       for (const StoredObject &object : objects)
-                           this->putWeights(object);
-                   },
-                   [this](const std::vector<ObjectEvent> &events) {
-                       for (const ObjectEvent &event : events)
-                           this->putWeights(event.object);
-                   }},
-                  randomSeed())
+    , fleet(loop, this->settings, this->seatStore(), this->configSharing(), this->timeline,
+            this->metrics, seatTimings())
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -94,6 +77,7 @@
     hooks.drain = [this] { this->drain(); };
     hooks.beforeMetrics = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
+        this->fleet.updateMetrics();
         this->metrics.countStoreCalls(static_cast<double>(this->store.callCount()));
     };
     this->admin
@@ -107,12 +91,27 @@
     this->callers->setRefusal([this](int status, std::string_view reason) {
         return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
     });
-    this->context.tokens.ask
-        = [](const OrganisationSpec &, double, const TokensGate::Handler &handler) {
-              handler({true, {}});
-              return std::uint64_t{0};
-          };
-    this->context.tokens.giveBack = [](std::uint64_t, double) {};
+    for (std::size_t kind = 0; kind < FollowedCount; ++kind)
+        this->feeds.push_back(std::make_unique<KindFeed>(loop, this->store, this->kindName(kind),
+                                                         this->feedHandlers(kind), randomSeed()));
+    this->fleet.shareObjects(this->objectSharing());
+    this->context.tokens = this->tokensGate();
+    this->rollout.setAnnounce([this](const RosterEntry &engine, Millis howLong) {
+        proto::WeightsNotice notice;
+        notice.set_endpoint(engine.id);
+        notice.set_born_ms(engine.bornMillis);
+        notice.set_avoid_ms(howLong.count());
+        this->fleet.announce(notice);
+    });
+    this->rollout.setLoaded(
+        [this](const RosterEntry &engine, const std::string &model, std::int64_t version) {
+            proto::WeightsNotice notice;
+            notice.set_endpoint(engine.id);
+            notice.set_born_ms(engine.bornMillis);
+            notice.set_model(model);
+            notice.set_version(version);
+            this->fleet.announce(notice);
+        });
     this->applySettings();
 }
 
@@ -123,8 +122,14 @@
     budgetSettings.ratio = bounds.retryRatio;
     budgetSettings.slack = bounds.retrySlack;
     budgetSettings.window = bounds.retryWindow;
-    budgetSettings.instances = 8;
+    budgetSettings.instances = LeastInstances;
     this->budget.setSettings(budgetSettings);
+    AllowanceSettings allowed;
+    allowed.overage = bounds.rateOverage;
+    allowed.slack = static_cast<double>(bounds.rateSlack);
+    allowed.window = bounds.rateWindow;
+    allowed.instances = LeastInstances;
+    this->allowance.setSettings(allowed);
 }
 
 void ForwardDaemon::start()
@@ -136,9 +141,10 @@
               {"admin", this->settings.admin.toString()},
               {"zone", this->settings.zone}});
     this->rollout.setPatience(Millis(this->context.random(MostPatienceMillis)));
-    this->configurationFeed.start();
-    this->endpointFeed.start();
-    this->weightsFeed.start();
+    // The peer address is bound before anything is decided: whoever bound it before is dead.
+    this->fleet.start();
+    for (const auto &feed : this->feeds)
+        feed->start();
     this->tick();
     this->reloadSettings("start");
 }
@@ -160,10 +166,192 @@
     return 0;
 }
 
-void ForwardDaemon::onConfiguration(const std::vector<StoredObject> &objects)
+const std::string &ForwardDaemon::kindName(std::size_t kind) const
+{
+    const ObjectKinds &kinds = this->adapter.kinds;
+    const std::array<const std::string *, FollowedCount> names{&kinds.configuration,
+                                                               &kinds.endpoints, &kinds.weights};
+    return *names.at(kind);
+}
+
+FeedHandlers ForwardDaemon::feedHandlers(std::size_t kind)
 {
-    for (const StoredObject &object : objects)
-        this->offerTable(object.content, object.revision);
+    FeedHandlers handlers;
+    handlers.onListed
+        = [this, kind](const std::vector<StoredObject> &objects, std::int64_t revision,
+                       bool wasAway) { this->onListed(kind, objects, revision, wasAway); };
+    handlers.onEvents
+        = [this, kind](const std::vector<ObjectEvent> &events) { this->onEvents(kind, events); };
+    return handlers;
+}
+
+void ForwardDaemon::onListed(std::size_t kind, const std::vector<StoredObject> &objects,
+                             std::int64_t revision, bool wasAway)
+{
+    this->mirrors.at(kind).takeList(objects);
+    std::vector<std::string> names;
+    for (const StoredObject &object : objects) {
+        names.push_back(object.name);
+        this->apply(kind, {object, false});
+    }
+    if (kind == Endpoints)
+        this->roster.onListed(names, revision, wasAway, monoNow());
+    this->applyRosterChanges();
+}
+
+void ForwardDaemon::onEvents(std::size_t kind, const std::vector<ObjectEvent> &events)
+{
+    for (const ObjectEvent &event : this->mirrors.at(kind).take(events))
+        this->apply(kind, event);
+    this->applyRosterChanges();
+}
+
+void ForwardDaemon::apply(std::size_t kind, const ObjectEvent &event)
+{
+    const StoredObject &object = event.object;
+    if (kind == Endpoints && event.isDeleted)
+        return this->roster.remove(object.name, object.revision);
+    if (event.isDeleted)
+        return;
+    if (kind == Endpoints)
+        return this->putEndpoint(object);
+    if (kind == Weights)
+        return this->putWeights(object);
+    this->offerTable(object.content, object.revision);
+}
+
+// Configurations spread with the other kinds of objects here, not as chunks of their own.
+ConfigSharing ForwardDaemon::configSharing()
+{
+    ConfigSharing sharing;
+    sharing.version = [this] { return this->context.table ? this->context.table->version() : 0; };
+    sharing.storeSilence = [this] {
+        return this->feeds.at(Configuration)->isAway() ? this->feeds.at(Configuration)->age()
+                                                       : Millis(0);
+    };
+    sharing.request = [] { return proto::ConfigRequest(); };
+    sharing.answer = [](const proto::ConfigRequest &) { return std::nullopt; };
+    sharing.take = [](const proto::ConfigOffer &) {};
+    return sharing;
+}
+
+ObjectSharing ForwardDaemon::objectSharing()
+{
+    ObjectSharing sharing;
+    for (std::size_t kind = 0; kind < FollowedCount; ++kind)
+        sharing.kinds.push_back(this->kindName(kind));
+    sharing.revision = [this](std::size_t kind) { return this->mirrors.at(kind).revision(); };
+    sharing.answer = [this](std::size_t kind, std::int64_t after) {
+        proto::ObjectsOffer offer;
+        offer.set_kind(this->kindName(kind));
+        for (const ObjectEvent &event : this->mirrors.at(kind).after(after)) {
+            proto::SharedObject &object = *offer.add_objects();
+            object.set_name(event.object.name);
+            object.set_revision(event.object.revision);
+            object.set_is_deleted(event.isDeleted);
+            object.set_content(event.object.content.dump());
+        }
+        return offer;
+    };
+    sharing.take = [this](std::size_t kind, const proto::ObjectsOffer &offer) {
+        std::vector<ObjectEvent> events;
+        for (const proto::SharedObject &object : offer.objects()) {
+            Json content = Json::parse(object.content(), nullptr, false);
+            events.push_back(
+                {{object.name(), object.revision(), std::move(content)}, object.is_deleted()});
+        }
+        logEvent(LogLevel::Info, "objects_from_peer",
+                 {{"kind", this->kindName(kind)},
+                  {"objects", events.size()},
+                  {"known", this->mirrors.at(kind).revision()}});
+        this->onEvents(kind, events);
+    };
+    sharing.onNotice = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
+    return sharing;
+}
+
+void ForwardDaemon::onNotice(const proto::WeightsNotice &notice)
+{
+    const RosterEntry *entry = this->loads.entryOf(notice.endpoint());
+    if (!entry || entry->bornMillis != notice.born_ms())
+        return;
+    if (notice.version() > 0)
+        return this->loads.onWeightsLoaded(notice.endpoint(), notice.model(), notice.version());
+    this->loads.onWeightsChange(notice.endpoint(), monoNow() + Millis(notice.avoid_ms()));
+}
+
+// A record is one object, named after its region and seat.
+SeatStore ForwardDaemon::seatStore()
+{
+    const auto nameOf = [](const std::string &object) {
+        std::string name = object.substr(object.find('/') + 1);
+        std::replace(name.begin(), name.end(), '/', '.');
+        return name;
+    };
+    const auto toReply = [](const ObjectReply &reply) {
+        StoreReply made;
+        made.status = reply.status;
+        if (reply.object) {
+            made.version = reply.object->revision;
+            made.body = textIn(reply.object->content, "record");
+        }
+        return made;
+    };
+    SeatStore seats;
+    seats.read = [this, nameOf, toReply](const std::string &object, const StoreHandler &handler) {
+        this->store.read(this->adapter.kinds.limits, nameOf(object),
+                         [handler, toReply](const ObjectReply &reply) { handler(toReply(reply)); });
+    };
+    seats.write = [this, nameOf, toReply](const std::string &object, std::string text,
+                                          std::int64_t expected, const StoreHandler &handler) {
+        const StoredObject stored{nameOf(object), expected, Json{{"record", std::move(text)}}};
+        const auto onReply
+            = [handler, toReply](const ObjectReply &reply) { handler(toReply(reply)); };
+        if (expected == CreateVersion)
+            return this->store.create(this->adapter.kinds.limits, stored, onReply);
+        this->store.replace(this->adapter.kinds.limits, stored, onReply);
+    };
+    return seats;
+}
+
+TokensGate ForwardDaemon::tokensGate()
+{
+    TokensGate gate;
+    gate.ask = [this](const OrganisationSpec &organisation, double tokens,
+                      const TokensGate::Handler &handler) {
+        const auto onResult = [this, name = organisation.name,
+                               rate = static_cast<double>(organisation.tokensPerSecond),
+                               burst = static_cast<double>(organisation.burstTokens), tokens,
+                               handler](const BorrowResult &result) {
+            if (result.granted)
+                return handler({true, true, {}});
+            const bool isAllowed = this->allowance.take(name, rate, burst, tokens, monoNow());
+            handler({isAllowed, result.isAnswered,
+                     result.isAnswered ? result.retryAfter : UnknownRateRetryAfter});
+        };
+        return this->fleet.requestTokens(organisation.name, tokens, TokensPatience, onResult);
+    };
+    gate.giveBack = [this](std::uint64_t number, bool isGranted, double unused) {
+        if (isGranted)
+            this->fleet.returnTokens(number, unused);
+        else
+            this->fleet.cancelTokens(number);
+    };
+    return gate;
+}
+
+void ForwardDaemon::shareLimits(const TableContent &content)
+{
+    std::set<std::string> names;
+    for (const auto &[zone, region] : this->settings.regionOfZone)
+        names.insert(region);
+    std::vector<Region> regions;
+    for (const std::string &name : names)
+        regions.push_back({name, 1});
+    std::vector<Organisation> organisations;
+    for (const OrganisationSpec &spec : content.organisations)
+        organisations.push_back({spec.name, spec.tokensPerSecond, spec.burstTokens, {}});
+    this->fleet.onConfig(content.version, regions, organisations);
 }
 
 // What was accepted once stays in force until a newer one: an older or malformed one is left out.
@@ -191,8 +379,9 @@
     this->callers->setLimits(limits);
     for (const ServiceSpec &service : table->content().services) {
         if (service.engine)
-            this->loads.setCacheTokens(service.name, service.engine->cacheTokens);
+            this->loads.setEngines(service.name, *service.engine);
     }
+    this->shareLimits(table->content());
     this->metrics.setConfigVersion(static_cast<double>(table->version()));
     this->timeline.add(EventKind::ConfigInForce, "", "", {{"version", table->version()}});
     logEvent(LogLevel::Info, "config_in_force",
@@ -211,18 +400,6 @@
              {{"endpoint", object.name}, {"detail", std::get<Error>(read).detail}});
 }
 
-void ForwardDaemon::onEndpointsListed(const std::vector<StoredObject> &objects,
-                                      std::int64_t revision, bool wasAway)
-{
-    std::vector<std::string> ids;
-    for (const StoredObject &object : objects) {
-        ids.push_back(object.name);
-        this->putEndpoint(object);
-    }
-    this->roster.onListed(ids, revision, wasAway, monoNow());
-    this->applyRosterChanges();
-}
-
 void ForwardDaemon::applyRosterChanges()
 {
     static constexpr std::array Names{"joined", "restarted", "leaving", "gone", "updated"};
@@ -300,6 +477,7 @@
     this->isDraining = true;
     this->drainBeganAt = monoNow();
     this->rollout.stop();
+    this->fleet.leave();
     this->callers->closeAfterAnswers();
     logEvent(LogLevel::Info, "drain_began", {{"open_requests", this->forwarder.openCalls()}});
     this->checkDrained();
@@ -309,6 +487,11 @@
 {
     const auto elapsed = monoNow() - this->drainBeganAt;
     const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->openExchanges() == 0;
+    if (elapsed > BalancerTime && !this->isRefusing) {
+        this->isRefusing = true;
+        this->forwarder.refuseNew();
+        this->callers->closeIdle();
+    }
     const bool isOver = elapsed > this->settings.bounds.grace - StopMargin;
     if ((isIdle && elapsed > BalancerTime) || isOver)
         return this->loop.stop();
@@ -336,7 +519,7 @@
                                        : "starting"},
             {"config", {{"version", this->context.table ? this->context.table->version() : 0}}},
             {"store",
-             {{"silent_ms", this->configurationFeed.age().count()},
+             {{"silent_ms", this->feeds.at(Configuration)->age().count()},
               {"calls", this->store.callCount()}}},
             {"open_requests", this->forwarder.openCalls()},
             {"endpoints", std::move(endpoints)}};
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -2,11 +2,15 @@
 
 #include "forward/forwarder.h"
 #include "forward/rollout.h"
+#include "limits/allowance.h"
 #include "router/admin.h"
+#include "router/fleet.h"
 #include "router/settings.h"
 #include "store/kindfeed.h"
+#include "store/mirror.h"
 #include "timeline/ring.h"
 
+#include <array>
 #include <memory>
 #include <string>
 
@@ -28,10 +32,22 @@
     void drain();
 
 private:
-    void onConfiguration(const std::vector<StoredObject> &objects);
+    /// The kinds of objects that this instance follows and shares with the others.
+    enum Followed : std::size_t { Configuration, Endpoints, Weights, FollowedCount };
+
+    const std::string &kindName(std::size_t kind) const;
+    FeedHandlers feedHandlers(std::size_t kind);
+    void onListed(std::size_t kind, const std::vector<StoredObject> &objects, std::int64_t revision,
+                  bool wasAway);
+    void onEvents(std::size_t kind, const std::vector<ObjectEvent> &events);
+    void apply(std::size_t kind, const ObjectEvent &event);
+    ConfigSharing configSharing();
+    ObjectSharing objectSharing();
+    SeatStore seatStore();
+    TokensGate tokensGate();
+    void onNotice(const proto::WeightsNotice &notice);
     void offerTable(const Json &content, std::int64_t revision);
-    void onEndpointsListed(const std::vector<StoredObject> &objects, std::int64_t revision,
-                           bool wasAway);
+    void shareLimits(const TableContent &content);
     void putEndpoint(const StoredObject &object);
     void applyRosterChanges();
     void putWeights(const StoredObject &object);
@@ -55,9 +71,10 @@
     ForwardContext context;
     Forwarder forwarder;
     Rollout rollout;
-    KindFeed configurationFeed;
-    KindFeed endpointFeed;
-    KindFeed weightsFeed;
+    Fleet fleet;
+    Allowance allowance{monoNow()};
+    std::array<ObjectMirror, FollowedCount> mirrors;
+    std::vector<std::unique_ptr<KindFeed>> feeds; ///< one for each followed kind
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
@@ -68,6 +85,7 @@
     MonoTime startedAt{};
     MonoTime drainBeganAt{};
     bool isDraining = false;
+    bool isRefusing = false; ///< the balancer has turned away, what still comes is refused
 };
 
 } // namespace lavenderhall
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderhall {
 
@@ -20,6 +21,7 @@
 constexpr std::size_t MaxBufferedBytes = 8U << 20U;
 constexpr int PatienceParts = 3; ///< a caller comes back within this part of the time it has left
 constexpr Millis LongestRetryAfter{1000};
+constexpr Millis StoppingRetryAfter{20};
 
 bool isSuccess(int status)
 {
@@ -59,10 +61,8 @@
     const std::string wall = this->organisation && this->organisation->isIsolated
         ? this->organisation->name
         : "shared";
-    const auto named = this->context.namedWeights.find(this->request.model);
-    const std::int64_t version = named == this->context.namedWeights.end() ? 0 : named->second;
-    this->cacheSalt = wall + "/" + this->request.model + "/" + std::to_string(version);
-    this->chain = chainOf(this->cacheSalt, this->request.parts);
+    this->cacheWall = wall + "/" + this->request.model;
+    this->chain = chainOf(this->cacheWall, this->request.parts);
     this->admit();
 }
 
@@ -95,13 +95,25 @@
             return;
         if (answer.granted)
             return self->onAdmitted();
-        self->refuse({429, "rate_exceeded", answer.retryAfter});
+        self->refuse({answer.isKnown ? 429 : 503, answer.isKnown ? "rate_exceeded" : "rate_unknown",
+                      answer.retryAfter});
     };
     this->tokensNumber = this->context.tokens.ask(*this->organisation, this->tokensAsked, onAnswer);
+    if (this->finished)
+        this->giveTokensBack();
+}
+
+void ForwardCall::giveTokensBack()
+{
+    if (this->tokensNumber == 0)
+        return;
+    const double unused = this->run.mayHaveRun() ? 0 : this->tokensAsked;
+    this->context.tokens.giveBack(std::exchange(this->tokensNumber, 0), this->isAdmitted, unused);
 }
 
 void ForwardCall::onAdmitted()
 {
+    this->isAdmitted = true;
     this->startAttempt();
 }
 
@@ -141,15 +153,19 @@
         : std::chrono::duration_cast<Millis>(this->deadline - now);
     if (this->organisation)
         marks.organisation = this->organisation->name;
-    marks.cacheSalt = this->request.model.empty() ? "" : this->cacheSalt;
-    if (!this->request.model.empty())
-        marks.priority = this->organisation && this->organisation->priority
-            ? *this->organisation->priority
-            : this->route->priority;
-    if (this->isStreaming) {
-        marks.weightsVersion = this->streamWeights;
+    if (this->isStreaming)
         marks.resumeAfter = this->lastEventId;
-    }
+    if (this->request.model.empty())
+        return marks;
+    marks.priority = this->organisation && this->organisation->priority
+        ? *this->organisation->priority
+        : this->route->priority;
+    // Parts are kept under the version that they are made with, and only an engine that runs it
+    // may make them: so no request finds any that were made with other weights.
+    marks.weightsVersion
+        = this->isStreaming ? this->streamWeights.value_or(0) : chosen.weightsVersion;
+    marks.cacheSalt = this->cacheWall + "/" + std::to_string(*marks.weightsVersion);
+    marks.cacheSource = chosen.source;
     return marks;
 }
 
@@ -177,7 +193,7 @@
         Millis(1), std::chrono::duration_cast<Millis>(this->deadline - now) + AnswerMargin);
     outgoing.reuse = this->run.attempts() > 0 || !this->route->mayRepeat() ? http::Reuse::Recent
                                                                            : http::Reuse::Allowed;
-    this->context.loads.onSent(chosen->endpointId, this->chain, this->uncachedTokens);
+    this->context.loads.onSent(chosen->endpointId, this->chain, this->uncachedTokens, now);
     http::CallHandlers handlers;
     const auto self = this->shared_from_this();
     handlers.onHead
@@ -195,6 +211,21 @@
     this->isForeign = !isOurs && !this->head.isNotRun;
     if (this->head.weightsVersion && !this->isStreaming)
         this->streamWeights = this->head.weightsVersion;
+    this->learnWeights();
+}
+
+// Answers tell which weights ran. An engine that refuses for its weights has loaded newer ones
+// than is known here; orders lead straight to the newest.
+void ForwardCall::learnWeights()
+{
+    if (this->request.model.empty() || this->isForeign)
+        return;
+    constexpr int OtherWeights = 421;
+    std::int64_t version = this->head.weightsVersion.value_or(0);
+    const auto named = this->context.namedWeights.find(this->request.model);
+    if (this->head.status == OtherWeights && named != this->context.namedWeights.end())
+        version = std::max(version, named->second);
+    this->context.loads.onWeightsLoaded(this->choice.endpointId, this->request.model, version);
 }
 
 void ForwardCall::onData(std::string_view data)
@@ -423,9 +454,7 @@
     this->finished = true;
     this->deadlineTimer.cancel();
     this->exchange->onClosed(nullptr);
-    if (this->tokensNumber != 0)
-        this->context.tokens.giveBack(this->tokensNumber,
-                                      this->run.mayHaveRun() ? 0 : this->tokensAsked);
+    this->giveTokensBack();
     const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
     logEvent(LogLevel::Info, "request_done",
              {{"request", this->request.id},
@@ -449,8 +478,15 @@
         exchange->respond(this->context.adapter.writeRefusal({400, error->detail, {}}, ""));
         return;
     }
-    std::shared_ptr<ForwardCall> call;
-    call = std::make_shared<ForwardCall>(
+    if (this->isRefusing) {
+        const std::string &id = std::get<ForwardRequest>(read).id;
+        logEvent(LogLevel::Info, "request_done",
+                 {{"request", id}, {"status", 503}, {"outcome", "stopping"}});
+        exchange->respond(
+            this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
+        return;
+    }
+    const auto call = std::make_shared<ForwardCall>(
         this->context, exchange, std::get<ForwardRequest>(std::move(read)),
         [this](const ForwardCall &ended) {
             this->calls.erase(const_cast<ForwardCall &>(ended).shared_from_this());
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -22,6 +22,7 @@
 struct TokensAnswer
 {
     bool granted = false;
+    bool isKnown = true; ///< whether anybody could decide
     Millis retryAfter{0};
 };
 
@@ -33,8 +34,9 @@
     std::function<std::uint64_t(const OrganisationSpec &organisation, double tokens,
                                 Handler handler)>
         ask;
-    /// The request needs no answer any more, or did not run.
-    std::function<void(std::uint64_t number, double unused)> giveBack;
+    /// The request has ended: \a unused tokens of those granted were not needed. One that was
+    /// not granted needs no answer any more.
+    std::function<void(std::uint64_t number, bool isGranted, double unused)> giveBack;
 };
 
 /// What all requests in progress share.
@@ -71,6 +73,8 @@
     bool authenticate();
     void admit();
     void onAdmitted();
+    void giveTokensBack();
+    void learnWeights();
     void startAttempt();
     AttemptMarks marksFor(const Choice &choice) const;
     ChoiceQuery query() const;
@@ -98,7 +102,7 @@
     const ForwardRoute *route = nullptr;
     const OrganisationSpec *organisation = nullptr;
     std::string service;
-    std::string cacheSalt;
+    std::string cacheWall; ///< who shares cached parts, and the model
     PromptChain chain;
     RunRecord run{false, 1};
     MonoTime arrivedAt{};
@@ -106,6 +110,7 @@
     http::Timer deadlineTimer;
     std::uint64_t tokensNumber = 0;
     double tokensAsked = 0;
+    bool isAdmitted = false;
 
     http::CallPtr call;
     Choice choice;
@@ -135,12 +140,15 @@
     /// Takes in one request.
     void onRequest(const http::ExchangePtr &exchange);
     std::size_t openCalls() const { return this->calls.size(); }
+    /// From now on new requests are refused: another instance serves them.
+    void refuseNew() { this->isRefusing = true; }
     /// Ends all requests in progress.
     void stopAll(const std::string &reason);
 
 private:
     ForwardContext &context;
     std::set<std::shared_ptr<ForwardCall>> calls;
+    bool isRefusing = false;
 };
 
 } // namespace lavenderhall
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -27,6 +27,16 @@
     return best;
 }
 
+namespace {
+
+std::int64_t versionIn(const RosterEntry &entry, const std::string &model)
+{
+    const auto found = entry.weights.find(model);
+    return found == entry.weights.end() ? 0 : found->second;
+}
+
+} // namespace
+
 void LoadBook::onChange(const RosterChange &change)
 {
     if (change.kind == RosterChange::Kind::Gone) {
@@ -36,21 +46,36 @@
     Load &load = this->loads[change.entry.id];
     if (change.kind == RosterChange::Kind::Restarted)
         load = Load{};
-    if (load.entry.weights != change.entry.weights)
+    RosterEntry entry = change.entry;
+    // The registry lags: an engine's weights do not go back within one incarnation.
+    for (auto &[model, version] : entry.weights)
+        version = std::max(version, versionIn(load.entry, model));
+    if (load.entry.weights != entry.weights)
         load.memory.clear();
-    load.entry = change.entry;
-    const auto tokens = this->cacheTokens.find(change.entry.service);
-    if (tokens != this->cacheTokens.end())
-        load.memory.setCapacity(tokens->second);
+    load.entry = entry;
+    load.memory.setCapacity(this->serviceOf(entry.service).cacheTokens);
 }
 
-void LoadBook::setCacheTokens(const std::string &service, std::int64_t tokens)
+const LoadBook::Service &LoadBook::serviceOf(const std::string &name) const
 {
-    const auto usable = static_cast<std::int64_t>(CachePart * static_cast<double>(tokens));
-    this->cacheTokens[service] = usable;
+    static const Service Unknown;
+    const auto found = this->services.find(name);
+    return found == this->services.end() ? Unknown : found->second;
+}
+
+void LoadBook::setEngines(const std::string &service, const EngineSpec &engine)
+{
+    constexpr double BitsPerByte = 8;
+    constexpr double BitsPerMilliAtOneMbps = 1000;
+    Service &known = this->services[service];
+    known.cacheTokens
+        = static_cast<std::int64_t>(CachePart * static_cast<double>(engine.cacheTokens));
+    known.move.millisPerToken = engine.linkMbps > 0
+        ? engine.tokenBytes * BitsPerByte / (engine.linkMbps * BitsPerMilliAtOneMbps)
+        : 0;
     for (auto &[id, load] : this->loads) {
         if (load.entry.service == service)
-            load.memory.setCapacity(usable);
+            load.memory.setCapacity(known.cacheTokens);
     }
 }
 
@@ -60,71 +85,91 @@
         return false;
     if (std::find(query.tried.begin(), query.tried.end(), load.entry.id) != query.tried.end())
         return false;
-    if (!query.onlyWeights)
-        return true;
-    const auto weights = load.entry.weights.find(query.model);
-    return weights != load.entry.weights.end() && weights->second == *query.onlyWeights;
+    return !query.onlyWeights || versionIn(load.entry, query.model) == *query.onlyWeights;
 }
 
-double LoadBook::hopMillis(const std::string &zone) const
+bool LoadBook::isInRegionOf(const std::string &zone, const std::string &other) const
 {
-    if (zone == this->place.zone)
-        return 0;
-    const auto own = this->place.regionOfZone.find(this->place.zone);
-    const auto other = this->place.regionOfZone.find(zone);
-    const bool isNear = own != this->place.regionOfZone.end()
-        && other != this->place.regionOfZone.end() && own->second == other->second;
-    return static_cast<double>(
-        (isNear ? this->settings.zoneHop : this->settings.regionHop).count());
+    const auto one = this->place.regionOfZone.find(zone);
+    const auto two = this->place.regionOfZone.find(other);
+    const auto end = this->place.regionOfZone.end();
+    return one != end && two != end && one->second == two->second;
 }
 
-double LoadBook::costOf(const Load &load, const ChoiceQuery &query, const std::string &home,
-                        std::int64_t &cached) const
+double LoadBook::costOf(const Load &load, const ChoiceQuery &query) const
 {
-    double cost = this->hopMillis(load.entry.zone);
+    constexpr double QueueMillis = 100; // for each request that waits for a slot
+    double cost = 0;
+    const bool isNear = this->isInRegionOf(load.entry.zone, this->place.zone);
+    if (load.entry.zone != this->place.zone)
+        cost += static_cast<double>(
+            (isNear ? this->settings.zoneHop : this->settings.regionHop).count());
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, load.entry.slots));
     const auto inFlight = static_cast<double>(load.inFlight);
     cost += inFlight * static_cast<double>(this->settings.requestCost.count());
-    // A request beyond the slots waits for a whole one before it.
     if (inFlight >= slots)
-        cost += (inFlight - slots + 1) * 100;
-    if (query.model.empty())
-        return cost;
-    cached = load.memory.knownTokens(query.chain);
-    const PromptChain::Link *shared = query.chain.shared();
-    if (shared && load.entry.id == home) {
-        const std::int64_t sharedTokens
-            = query.chain.totalTokens() - query.chain.links.back().tokens;
-        cached = std::max(cached,
-                          static_cast<std::int64_t>(this->settings.homeShare
-                                                    * static_cast<double>(sharedTokens)));
-    }
-    const std::int64_t unread = load.unreadTokens + query.chain.totalTokens() - cached;
-    cost += static_cast<double>(unread) / this->settings.promptTokensPerMilli;
-    const auto weights = load.entry.weights.find(query.model);
-    const std::int64_t version = weights == load.entry.weights.end() ? 0 : weights->second;
-    if (version < query.newestWeights)
+        cost += (inFlight - slots + 1) * QueueMillis;
+    if (!query.model.empty() && versionIn(load.entry, query.model) < query.newestWeights)
         cost += static_cast<double>(this->settings.oldWeightsCost.count());
     return cost;
 }
 
+// All instances send prompts with the same parts to the same home first. Once a prompt has been
+// sent there, other engines may fetch its parts from the home, if both run the same weights.
+void LoadBook::addPromptCost(const Load &load, const ChoiceQuery &query, const Load *home,
+                             MonoTime now, Choice &choice) const
+{
+    const std::int64_t total = query.chain.totalTokens();
+    const std::int64_t shared = total - query.chain.links.back().tokens;
+    std::int64_t cached = load.memory.knownTokens(query.chain, now);
+    const std::int64_t atHome = home ? home->memory.knownTokens(query.chain, now) : 0;
+    const double moveMillis = this->serviceOf(load.entry.service).move.millisPerToken;
+    const bool canFetch = home && home != &load && moveMillis > 0
+        && atHome - cached >= this->settings.leastFetchTokens
+        && versionIn(home->entry, query.model) == choice.weightsVersion;
+    if (canFetch) {
+        double factor = 1;
+        if (home->entry.zone != load.entry.zone)
+            factor = this->isInRegionOf(home->entry.zone, load.entry.zone)
+                ? this->settings.fetchZoneFactor
+                : this->settings.fetchRegionFactor;
+        choice.source = home->entry.address;
+        choice.costMillis += static_cast<double>(this->settings.fetchSetup.count())
+            + static_cast<double>(atHome - cached) * moveMillis * factor;
+        cached = atHome;
+    }
+    const std::int64_t reread
+        = home && home != &load ? std::max<std::int64_t>(0, shared - cached) : 0;
+    choice.cachedTokens = cached;
+    choice.costMillis += static_cast<double>(load.unreadTokens + total - cached)
+            / this->settings.promptTokensPerMilli
+        + static_cast<double>(reread) * this->settings.rereadMillisPerToken;
+}
+
 std::optional<Choice> LoadBook::choose(const ChoiceQuery &query, MonoTime now) const
 {
     std::vector<const Load *> candidates;
-    std::vector<const std::string *> ids;
+    std::vector<const std::string *> steady; // not about to change, leave or fail
     for (const auto &[id, load] : this->loads) {
         if (!this->isCandidate(load, query))
             continue;
         candidates.push_back(&load);
-        ids.push_back(&id);
+        if (load.avoidedUntil <= now)
+            steady.push_back(&id);
     }
     const PromptChain::Link *shared = query.chain.shared();
-    const std::string *home = shared ? homeOf(shared->hash, ids) : nullptr;
+    const std::string *homeId = shared ? homeOf(shared->hash, steady) : nullptr;
+    const Load *home = homeId ? &this->loads.at(*homeId) : nullptr;
     std::optional<Choice> best;
     bool isBestAvoided = false;
     for (const Load *load : candidates) {
-        Choice choice{load->entry.id, 0, 0, candidates.size()};
-        choice.costMillis = this->costOf(*load, query, home ? *home : "", choice.cachedTokens);
+        Choice choice;
+        choice.endpointId = load->entry.id;
+        choice.candidates = candidates.size();
+        choice.weightsVersion = versionIn(load->entry, query.model);
+        choice.costMillis = this->costOf(*load, query);
+        if (!query.chain.links.empty())
+            this->addPromptCost(*load, query, home, now, choice);
         const bool isAvoided = load->avoidedUntil > now;
         const bool isBetter = !best || (isBestAvoided && !isAvoided)
             || (isBestAvoided == isAvoided && choice.costMillis < best->costMillis);
@@ -137,14 +182,14 @@
 }
 
 void LoadBook::onSent(const std::string &endpointId, const PromptChain &chain,
-                      std::int64_t uncachedTokens)
+                      std::int64_t uncachedTokens, MonoTime now)
 {
     const auto found = this->loads.find(endpointId);
     if (found == this->loads.end())
         return;
     ++found->second.inFlight;
     found->second.unreadTokens += uncachedTokens;
-    found->second.memory.onSent(chain);
+    found->second.memory.onSent(chain, now);
 }
 
 // An endpoint that has restarted in between starts from zero, hence the bounds.
@@ -179,6 +224,17 @@
         found->second.memory.clear();
 }
 
+void LoadBook::onWeightsLoaded(const std::string &endpointId, const std::string &model,
+                               std::int64_t version)
+{
+    const auto found = this->loads.find(endpointId);
+    if (found == this->loads.end() || versionIn(found->second.entry, model) >= version)
+        return;
+    found->second.entry.weights[model] = version;
+    found->second.memory.clear();
+    found->second.avoidedUntil = {};
+}
+
 const RosterEntry *LoadBook::entryOf(const std::string &endpointId) const
 {
     const auto found = this->loads.find(endpointId);
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -2,6 +2,7 @@
 
 #include "forward/promptmemory.h"
 #include "routing/roster.h"
+#include "routing/table.h"
 
 #include <map>
 #include <optional>
@@ -20,7 +21,12 @@
     Millis requestCost{4}; ///< added to the wait by each request in flight
     Millis zoneHop{2}; ///< there and back between zones of a region
     Millis regionHop{24}; ///< there and back between regions
-    double homeShare = 0.6; ///< of a shared prompt, thought to be cached at its home
+    Millis fetchSetup{2}; ///< to fetch cached parts from another engine
+    double fetchZoneFactor = 2; ///< a fetch between zones takes so many times as long
+    double fetchRegionFactor = 10; ///< and between regions
+    std::int64_t leastFetchTokens = 256; ///< fewer are read again instead
+    /// Reading a shared part away from its home costs the fleet a second reading of it there.
+    double rereadMillisPerToken = 0.06;
     Millis oldWeightsCost{400}; ///< for weights that are to be replaced
 
     bool operator==(const ChoiceSettings &) const = default;
@@ -49,10 +55,20 @@
 {
     std::string endpointId;
     double costMillis = 0;
-    std::int64_t cachedTokens = 0;
+    std::int64_t cachedTokens = 0; ///< thought to be there, or to be fetched
+    std::optional<http::Address> source; ///< to fetch them from
+    std::int64_t weightsVersion = 0; ///< thought to be loaded there
     std::size_t candidates = 0;
 };
 
+/// What moving cached memory between engines of a service costs.
+struct CacheMoveCost
+{
+    double millisPerToken = 0; ///< within a zone; 0 if it cannot be moved
+
+    auto operator<=>(const CacheMoveCost &) const = default;
+};
+
 class LoadBook
 {
 public:
@@ -63,14 +79,14 @@
 
     /// Takes in what changed in the roster.
     void onChange(const RosterChange &change);
-    /// Memory of the engines of a service, in tokens.
-    void setCacheTokens(const std::string &service, std::int64_t tokens);
+    /// Takes in what is configured of the engines of a service.
+    void setEngines(const std::string &service, const EngineSpec &engine);
 
     std::optional<Choice> choose(const ChoiceQuery &query, MonoTime now) const;
 
     /// A request goes to the endpoint; \a uncachedTokens are to be read there.
     void onSent(const std::string &endpointId, const PromptChain &chain,
-                std::int64_t uncachedTokens);
+                std::int64_t uncachedTokens, MonoTime now);
     /// The endpoint has read the prompt: its first event or whole answer has come.
     void onPromptRead(const std::string &endpointId, std::int64_t uncachedTokens);
     void onEnded(const std::string &endpointId);
@@ -79,6 +95,10 @@
     /// The endpoint is about to change its weights: nothing it keeps will be found.
     void onWeightsChange(const std::string &endpointId, MonoTime until);
 
+    /// The engine has loaded a version of a model and takes work again.
+    void onWeightsLoaded(const std::string &endpointId, const std::string &model,
+                         std::int64_t version);
+
     const RosterEntry *entryOf(const std::string &endpointId) const;
     std::size_t inFlight(const std::string &endpointId) const;
 
@@ -92,15 +112,23 @@
         PromptMemory memory{0};
     };
 
-    double costOf(const Load &load, const ChoiceQuery &query, const std::string &home,
-                  std::int64_t &cached) const;
+    struct Service
+    {
+        std::int64_t cacheTokens = 0;
+        CacheMoveCost move;
+    };
+
+    double costOf(const Load &load, const ChoiceQuery &query) const;
+    void addPromptCost(const Load &load, const ChoiceQuery &query, const Load *home, MonoTime now,
+                       Choice &choice) const;
     bool isCandidate(const Load &load, const ChoiceQuery &query) const;
-    double hopMillis(const std::string &zone) const;
+    bool isInRegionOf(const std::string &zone, const std::string &other) const;
+    const Service &serviceOf(const std::string &name) const;
 
     OwnPlace place;
     ChoiceSettings settings;
     std::map<std::string, Load> loads;
-    std::map<std::string, std::int64_t> cacheTokens; ///< by service
+    std::map<std::string, Service> services;
 };
 
 /// Returns which of \a ids is the home of \a key: the same on all instances, and moving for few
--- a/src/forward/promptmemory.cpp
+++ b/src/forward/promptmemory.cpp
@@ -6,6 +6,14 @@
 
 namespace lavenderhall {
 
+namespace {
+
+// Other instances send their requests to the same engine, which forgets faster than one of them
+// can tell from its own.
+constexpr Millis TrustedTime{8000};
+
+} // namespace
+
 std::int64_t PromptChain::totalTokens() const
 {
     return std::accumulate(this->links.begin(), this->links.end(), std::int64_t{0},
@@ -28,11 +36,12 @@
     return chain;
 }
 
-std::int64_t PromptMemory::knownTokens(const PromptChain &chain) const
+std::int64_t PromptMemory::knownTokens(const PromptChain &chain, MonoTime now) const
 {
     std::int64_t tokens = 0;
     for (const PromptChain::Link &link : chain.links) {
-        if (!this->byHash.contains(link.hash))
+        const auto found = this->byHash.find(link.hash);
+        if (found == this->byHash.end() || now - found->second->sentAt > TrustedTime)
             break;
         tokens += link.tokens;
     }
@@ -40,15 +49,16 @@
 }
 
 // The first parts count as the most recent ones: a part is of no use without those before it.
-void PromptMemory::onSent(const PromptChain &chain)
+void PromptMemory::onSent(const PromptChain &chain, MonoTime now)
 {
     for (auto link = chain.links.rbegin(); link != chain.links.rend(); ++link) {
         const auto found = this->byHash.find(link->hash);
         if (found != this->byHash.end()) {
             this->recent.splice(this->recent.begin(), this->recent, found->second);
+            found->second->sentAt = now;
             continue;
         }
-        this->recent.push_front(*link);
+        this->recent.push_front({*link, now});
         this->byHash.emplace(link->hash, this->recent.begin());
         this->used += link->tokens;
     }
@@ -58,8 +68,8 @@
 void PromptMemory::trim()
 {
     while (this->used > this->capacity && !this->recent.empty()) {
-        this->used -= this->recent.back().tokens;
-        this->byHash.erase(this->recent.back().hash);
+        this->used -= this->recent.back().link.tokens;
+        this->byHash.erase(this->recent.back().link.hash);
         this->recent.pop_back();
     }
 }
--- a/src/forward/promptmemory.h
+++ b/src/forward/promptmemory.h
@@ -42,9 +42,9 @@
 
     void setCapacity(std::int64_t tokens) { this->capacity = tokens; }
     /// Tokens at the start of \a chain that the endpoint is thought to keep.
-    std::int64_t knownTokens(const PromptChain &chain) const;
+    std::int64_t knownTokens(const PromptChain &chain, MonoTime now) const;
     /// A request with this prompt was sent to the endpoint.
-    void onSent(const PromptChain &chain);
+    void onSent(const PromptChain &chain, MonoTime now);
     void clear();
 
 private:
@@ -52,8 +52,14 @@
 
     std::int64_t capacity;
     std::int64_t used = 0;
-    std::list<PromptChain::Link> recent; ///< most recent first
-    std::unordered_map<std::uint64_t, std::list<PromptChain::Link>::iterator> byHash;
+    struct Part
+    {
+        PromptChain::Link link;
+        MonoTime sentAt{};
+    };
+
+    std::list<Part> recent; ///< most recent first
+    std::unordered_map<std::uint64_t, std::list<Part>::iterator> byHash;
 };
 
 } // namespace lavenderhall
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -101,23 +101,38 @@
 
 void Rollout::askReport(const RosterEntry &engine)
 {
-    const auto onAnswer
-        = [this, held = this->alive, id = engine.id](const http::Response *response, bool) {
-              if (!*held)
-                  return;
-              const MonoTime now = monoNow();
-              if (!response)
-                  return this->planner.onReportFailed(id, now);
-              const auto report = attempt([&] { return this->adapter.readReport(*response); });
-              if (const auto *good = std::get_if<EngineReport>(&report))
-                  return this->planner.onReport(id, *good, now);
-              logEvent(LogLevel::Warning, "report_malformed",
-                       {{"endpoint", id}, {"detail", std::get<Error>(report).detail}});
-              this->planner.onReportFailed(id, now);
-          };
+    const auto onAnswer = [this, held = this->alive, engine](const http::Response *response, bool) {
+        if (!*held)
+            return;
+        if (!response)
+            return this->planner.onReportFailed(engine.id, monoNow());
+        const auto report = attempt([&] { return this->adapter.readReport(*response); });
+        if (const auto *good = std::get_if<EngineReport>(&report))
+            return this->onReport(engine, *good);
+        logEvent(LogLevel::Warning, "report_malformed",
+                 {{"endpoint", engine.id}, {"detail", std::get<Error>(report).detail}});
+        this->planner.onReportFailed(engine.id, monoNow());
+    };
     callWhole(this->client, this->adapter.writeReportCall(engine), engine.address, onAnswer);
 }
 
+void Rollout::onReport(const RosterEntry &engine, const EngineReport &report)
+{
+    this->planner.onReport(engine.id, report, monoNow());
+    const RosterEntry *known = this->loads.entryOf(engine.id);
+    if (!known || report.isBusy)
+        return;
+    const auto before = known->weights;
+    for (const auto &[model, version] : report.weights) {
+        const auto listed = before.find(model);
+        if (listed != before.end() && listed->second >= version)
+            continue;
+        this->loads.onWeightsLoaded(engine.id, model, version);
+        if (this->loaded)
+            this->loaded(engine, model, version);
+    }
+}
+
 // The lease is looked at once more right before the order leaves.
 void Rollout::giveOrder(const RosterEntry &engine, WeightsOrder order)
 {
--- a/src/forward/rollout.h
+++ b/src/forward/rollout.h
@@ -17,6 +17,9 @@
 public:
     /// Tells the other instances that an engine takes no new work for a while.
     using Announce = std::function<void(const RosterEntry &engine, Millis howLong)>;
+    /// Tells the other instances that an engine has loaded what was ordered.
+    using Loaded = std::function<void(const RosterEntry &engine, const std::string &model,
+                                      std::int64_t version)>;
 
     Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store, LoadBook &loads,
             Lease lease);
@@ -27,6 +30,7 @@
         this->planner.setWanted(versions);
     }
     void setAnnounce(Announce how) { this->announce = std::move(how); }
+    void setLoaded(Loaded how) { this->loaded = std::move(how); }
     /// How long this instance leaves the duty to those before it, once there is work.
     void setPatience(Millis patience) { this->patience = patience; }
     void onTick(const Roster &roster, MonoTime now);
@@ -37,6 +41,7 @@
     void callStore(const LeaseAction &action);
     void carryOut(const RolloutAction &action);
     void askReport(const RosterEntry &engine);
+    void onReport(const RosterEntry &engine, const EngineReport &report);
     void giveOrder(const RosterEntry &engine, WeightsOrder order);
 
     http::Loop &loop;
@@ -47,6 +52,7 @@
     Lease lease;
     RolloutPlanner planner;
     Announce announce;
+    Loaded loaded;
     Millis patience{0};
     MonoTime workSince{};
     std::size_t outdatedCount = 0;
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -248,9 +248,8 @@
         SocketHandlers handlers;
         handlers.onData = [this, index](std::string_view) {
             this->sockets[index]->write(this->bytes);
-            // Unread bytes turn the close into a reset.
             if (this->resets)
-                this->sockets[index]->setReading(false);
+                this->sockets[index]->reset();
             else
                 this->sockets[index]->closeGracefully();
         };
@@ -338,6 +337,16 @@
     cr_assert(whole.response.body == "all of it");
 }
 
+Test(http, an_answer_without_a_length_that_is_reset_is_not_whole)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort, "HTTP/1.1 200 OK\r\n\r\nhalf of");
+    server.resets = true;
+    const SyncResult broken = callRaw(fixture);
+    cr_assert(not(broken.ok));
+    cr_assert(broken.failure.wasReset);
+}
+
 Test(http, bytes_after_an_answer_are_not_taken_for_the_next_one)
 {
     Fixture fixture;
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -1,5 +1,6 @@
 #include "http/loop.h"
 
+#include <csignal>
 #include <uv.h>
 
 namespace lavenderhall::http {
@@ -56,6 +57,8 @@
     : uvLoop(std::make_unique<uv_loop_t>())
     , wakeUp(std::make_unique<uv_async_t>())
 {
+    // A write to a connection that the peer has closed is an error to handle, not a signal.
+    std::signal(SIGPIPE, SIG_IGN);
     uv_loop_init(this->uvLoop.get());
     uv_async_init(this->uvLoop.get(), this->wakeUp.get(),
                   [](uv_async_t *handle) { static_cast<Loop *>(handle->data)->drainPosted(); });
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -133,6 +133,17 @@
             lost->closed();
     }
 
+    /// Ends the stream towards a caller that has no request under way.
+    void closeIfIdle()
+    {
+        if (this->exchange || this->parser.isInsideMessage() || !this->ahead.empty())
+            return;
+        const auto self = this->shared_from_this();
+        this->timer.cancel();
+        this->socket->closeGracefully();
+        this->server.forget(self);
+    }
+
     /// The server goes: nobody is told.
     void abandon()
     {
@@ -395,6 +406,13 @@
     this->loop.post([connection] {});
 }
 
+void Server::closeIdle()
+{
+    const auto all = this->connections;
+    for (const auto &connection : all)
+        connection->closeIfIdle();
+}
+
 void Server::cutAll()
 {
     const auto all = this->connections;
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -34,6 +34,16 @@
 
     uv_stream_t *stream() { return reinterpret_cast<uv_stream_t *>(&this->tcp); }
 
+    // The library reports a reset that comes right behind data as the end of the stream.
+    bool isReset()
+    {
+        uv_os_fd_t fd = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&this->tcp), &fd) != 0)
+            return true;
+        char next = 0;
+        return recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN;
+    }
+
     // After an orderly close the buffered bytes must still reach the peer, so only the time
     // that they may stay unacknowledged is bounded.
     void tune()
@@ -114,6 +124,8 @@
         const Ptr self = static_cast<Handle *>(stream->data)->owner;
         if (!self || self->closing || size == 0)
             return;
+        if (size == UV_EOF && self->tcp->isReset())
+            return self->end(SocketEnd::Failed, "reset by the peer");
         if (size == UV_EOF)
             return self->end(SocketEnd::Eof, "closed by the peer");
         if (size < 0)
@@ -197,6 +209,17 @@
              [](uv_handle_t *handle) { delete static_cast<Handle *>(handle->data); });
 }
 
+void Socket::reset()
+{
+    if (this->closing)
+        return;
+    uv_os_fd_t fd = -1;
+    const linger atOnce{1, 0};
+    if (uv_fileno(reinterpret_cast<uv_handle_t *>(&this->tcp->tcp), &fd) == 0)
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    this->close();
+}
+
 void Socket::closeGracefully()
 {
     if (this->closing || this->isDraining)
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -42,6 +42,8 @@
     void setReading(bool on);
     /// Closes at once. No handler is called any more.
     void close();
+    /// Closes at once so that the peer sees a reset, not an end.
+    void reset();
     /// Sends what is queued, then the end of the stream; closes when the peer has closed too.
     void closeGracefully();
     bool isClosed() const { return this->closing; }
--- /dev/null
+++ b/src/limits/allowance.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+/// Tokens that an instance may grant on its own, beyond what an organisation's account gives.
+/// Answers the failure of a seat's holder: requests within the rate go on for the seconds until
+/// another takes over, whose accounts start empty.
+namespace lavenderhall {
+
+struct AllowanceSettings
+{
+    double overage = 0; ///< part of a rate and burst that may be granted beyond them
+    double slack = 0; ///< tokens in a window that may be granted beyond that
+    Millis window{8000};
+    std::size_t instances = 1; ///< that may grant at the same time
+
+    bool operator==(const AllowanceSettings &) const = default;
+};
+
+/// What may be granted beyond the rate, divided evenly, so that the grants of all instances stay
+/// within it in any window. It starts empty: an instance that restarts has none twice.
+class Allowance
+{
+public:
+    explicit Allowance(MonoTime startedAt, AllowanceSettings settings = {})
+        : startedAt(startedAt)
+        , settings(settings)
+    { }
+
+    void setSettings(AllowanceSettings changed) { this->settings = changed; }
+    /// Whether \a tokens may be granted to an organisation with this rate and burst.
+    bool take(const std::string &organisation, double tokensPerSecond, double burst, double tokens,
+              MonoTime now);
+
+private:
+    struct Bucket
+    {
+        double level = 0;
+        MonoTime filledAt{};
+    };
+
+    MonoTime startedAt;
+    AllowanceSettings settings;
+    std::map<std::string, Bucket> buckets;
+};
+
+} // namespace lavenderhall
--- a/src/limits/lender.cpp
+++ b/src/limits/lender.cpp
@@ -18,12 +18,12 @@
 
 } // namespace
 
-RegionalLimits limitsIn(const Document &document, const Organisation &organisation,
+RegionalLimits limitsIn(const std::vector<Region> &regions, const Organisation &organisation,
                         const std::string &region)
 {
     std::int64_t total = 0;
     std::int64_t own = 0;
-    for (const Region &entry : document.regions) {
+    for (const Region &entry : regions) {
         total += entry.share;
         if (entry.name == region)
             own = entry.share;
@@ -37,11 +37,12 @@
             part * static_cast<double>(organisation.burstTokens)};
 }
 
-void Lender::configure(const Document &document, MonoTime now)
+void Lender::configure(const std::vector<Region> &regions,
+                       const std::vector<Organisation> &organisations, MonoTime now)
 {
     this->limits.clear();
-    for (const Organisation &organisation : document.organisations)
-        this->limits.emplace(organisation.name, limitsIn(document, organisation, this->region));
+    for (const Organisation &organisation : organisations)
+        this->limits.emplace(organisation.name, limitsIn(regions, organisation, this->region));
     for (auto &[index, book] : this->books) {
         std::erase_if(book.accounts,
                       [this](const auto &entry) { return !this->limits.contains(entry.first); });
--- a/src/limits/lender.h
+++ b/src/limits/lender.h
@@ -22,7 +22,7 @@
 
 /// Returns the part of \a organisation's limits that belongs to \a region. The parts of all
 /// regions add up to the whole.
-RegionalLimits limitsIn(const Document &document, const Organisation &organisation,
+RegionalLimits limitsIn(const std::vector<Region> &regions, const Organisation &organisation,
                         const std::string &region);
 
 class Lender
@@ -33,7 +33,8 @@
         , timings(timings)
     { }
 
-    void configure(const Document &document, MonoTime now);
+    void configure(const std::vector<Region> &regions,
+                   const std::vector<Organisation> &organisations, MonoTime now);
     /// Takes in that a seat was gained or lost.
     void onSeatChange(const SeatChange &change, MonoTime now);
 
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -161,6 +161,7 @@
     proto::Ping &ping = *action.message.mutable_ping();
     ping.set_number(number);
     ping.set_config_version(this->configVersion);
+    ping.mutable_revisions()->Add(this->revisions.begin(), this->revisions.end());
     ping.set_wants_all(!this->hasJoined);
     this->fillRumours(*ping.mutable_rumours(), false);
     return action;
@@ -313,6 +314,23 @@
     this->news = {version, from};
 }
 
+template <typename Message>
+void Members::hearRevisions(const proto::ProcessId &from, const Message &message)
+{
+    const std::size_t kinds
+        = std::min(this->revisions.size(), static_cast<std::size_t>(message.revisions_size()));
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        const std::int64_t revision = message.revisions(static_cast<int>(kind));
+        if (revision > this->revisions[kind])
+            this->revisionNews.push_back({kind, revision, from});
+    }
+}
+
+std::vector<Members::RevisionNews> Members::takeRevisionNews()
+{
+    return std::exchange(this->revisionNews, {});
+}
+
 std::optional<Members::ConfigNews> Members::takeConfigNews()
 {
     if (this->news.version <= this->configVersion)
@@ -329,6 +347,7 @@
             this->learn(rumour, now);
         this->learnSender(message.from(), now);
         this->hearConfig(message.from(), ping.config_version());
+        this->hearRevisions(message.from(), ping);
         const auto address = this->addressOf(message.from());
         if (!address)
             return actions;
@@ -338,6 +357,7 @@
         proto::Ack &ack = *action.message.mutable_ack();
         ack.set_number(ping.number());
         ack.set_config_version(this->configVersion);
+        ack.mutable_revisions()->Add(this->revisions.begin(), this->revisions.end());
         this->fillRumours(*ack.mutable_rumours(), ping.wants_all());
         actions.push_back(std::move(action));
     } else if (message.has_ack()) {
@@ -356,6 +376,7 @@
         this->learn(rumour, now);
     this->hasJoined = true;
     this->hearConfig(message.from(), ack.config_version());
+    this->hearRevisions(message.from(), ack);
     const auto found
         = std::find_if(this->probes.begin(), this->probes.end(),
                        [&ack](const Probe &probe) { return probe.number == ack.number(); });
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -64,6 +64,19 @@
         proto::ProcessId from;
     };
     std::optional<ConfigNews> takeConfigNews();
+    /// Newest revision known here of each shared kind of object, told along with pings.
+    void setRevisions(std::vector<std::int64_t> revisions)
+    {
+        this->revisions = std::move(revisions);
+    }
+    /// A member knows of newer objects than this process.
+    struct RevisionNews
+    {
+        std::size_t kind = 0; ///< index into the revisions
+        std::int64_t revision = 0;
+        proto::ProcessId from;
+    };
+    std::vector<RevisionNews> takeRevisionNews();
 
     /// Members taken for alive or only suspected, without this process.
     std::vector<proto::Member> alive() const;
@@ -107,6 +120,8 @@
     void onPingRequest(const proto::Envelope &message, MonoTime now,
                        std::vector<MemberAction> &actions);
     void hearConfig(const proto::ProcessId &from, std::int64_t version);
+    template <typename Message>
+    void hearRevisions(const proto::ProcessId &from, const Message &message);
     int rumourBudget() const;
     std::vector<std::string> usableNames() const;
 
@@ -125,6 +140,8 @@
     int ownRumoursLeft = 0;
     std::int64_t configVersion = 0;
     ConfigNews news;
+    std::vector<std::int64_t> revisions;
+    std::vector<RevisionNews> revisionNews;
     std::vector<MemberChange> changes;
 };
 
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -49,9 +49,11 @@
         this->commandsOut.connect(CommandEndpoint);
         this->inbox.set(zmq::sockopt::linger, 0);
         this->inbox.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
-        this->inbox.set(zmq::sockopt::curve_server, true);
-        this->inbox.set(zmq::sockopt::curve_secretkey, this->keys.secretKey);
-        this->inbox.set(zmq::sockopt::zap_domain, "fleet");
+        if (!this->keys.isEmpty()) {
+            this->inbox.set(zmq::sockopt::curve_server, true);
+            this->inbox.set(zmq::sockopt::curve_secretkey, this->keys.secretKey);
+            this->inbox.set(zmq::sockopt::zap_domain, "fleet");
+        }
         this->inbox.set(zmq::sockopt::heartbeat_ivl, HeartbeatMillis);
         this->inbox.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMillis);
         try {
@@ -197,9 +199,11 @@
             Outgoing fresh{zmq::socket_t(this->context, zmq::socket_type::dealer), {}};
             fresh.socket.set(zmq::sockopt::linger, 0);
             fresh.socket.set(zmq::sockopt::sndhwm, SendQueueMessages);
-            fresh.socket.set(zmq::sockopt::curve_serverkey, this->keys.publicKey);
-            fresh.socket.set(zmq::sockopt::curve_publickey, this->keys.publicKey);
-            fresh.socket.set(zmq::sockopt::curve_secretkey, this->keys.secretKey);
+            if (!this->keys.isEmpty()) {
+                fresh.socket.set(zmq::sockopt::curve_serverkey, this->keys.publicKey);
+                fresh.socket.set(zmq::sockopt::curve_publickey, this->keys.publicKey);
+                fresh.socket.set(zmq::sockopt::curve_secretkey, this->keys.secretKey);
+            }
             fresh.socket.set(zmq::sockopt::connect_timeout, ConnectTimeoutMillis);
             fresh.socket.set(zmq::sockopt::reconnect_ivl, ReconnectMillis);
             fresh.socket.set(zmq::sockopt::reconnect_ivl_max, MaxReconnectMillis);
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -15,11 +15,14 @@
 /// or late, which all users of them allow for.
 namespace lavenderhall {
 
-/// Key pair of the fleet, in Z85 text. A peer that does not hold it is refused.
+/// Key pair of the fleet, in Z85 text. A peer that does not hold it is refused. Without keys
+/// the network between the instances is trusted.
 struct LinkKeys
 {
     std::string publicKey;
     std::string secretKey;
+
+    bool isEmpty() const { return this->secretKey.empty(); }
 };
 
 struct LinkCounts
--- a/src/router/configfeed.cpp
+++ b/src/router/configfeed.cpp
@@ -103,6 +103,39 @@
     this->fetchMissing();
 }
 
+ConfigSharing ConfigFeed::sharing()
+{
+    ConfigSharing sharing;
+    sharing.version = [this] { return this->configs.activeVersion(); };
+    sharing.storeSilence = [this] { return this->storeSilence(); };
+    sharing.request = [this] {
+        proto::ConfigRequest request;
+        request.set_known_version(this->configs.activeVersion());
+        for (const auto &[digest, text] : this->configs.chunks())
+            request.add_known_chunks(digest);
+        return request;
+    };
+    sharing.answer
+        = [this](const proto::ConfigRequest &request) -> std::optional<proto::ConfigOffer> {
+        if (this->configs.activeVersion() <= request.known_version())
+            return std::nullopt;
+        const auto &known = request.known_chunks();
+        proto::ConfigOffer offer;
+        offer.set_root(toText(this->configs.active()->root));
+        for (const std::string &digest : this->configs.active()->root.chunks) {
+            if (std::find(known.begin(), known.end(), digest) == known.end())
+                offer.add_chunks(this->configs.chunks().at(digest));
+        }
+        return offer;
+    };
+    sharing.take = [this](const proto::ConfigOffer &offer) {
+        const auto root = attempt([&] { return parseRoot(offer.root()); });
+        if (const auto *good = std::get_if<ConfigRoot>(&root))
+            this->offer(*good, {offer.chunks().begin(), offer.chunks().end()});
+    };
+    return sharing;
+}
+
 void ConfigFeed::advance()
 {
     if (this->configs.advance())
--- a/src/router/configfeed.h
+++ b/src/router/configfeed.h
@@ -2,6 +2,7 @@
 
 #include "config/tracker.h"
 #include "http/loop.h"
+#include "router/fleet.h"
 #include "store/store.h"
 
 #include <functional>
@@ -24,6 +25,8 @@
     /// Takes in a root heard from elsewhere, with the chunks that came along.
     void offer(const ConfigRoot &root, const std::vector<std::string> &chunkTexts);
     const ConfigTracker &tracker() const { return this->configs; }
+    /// How instances share configurations through this feed, which must outlive them.
+    struct ConfigSharing sharing();
     /// How long the store has not answered, 0 if the last call was answered.
     Millis storeSilence() const;
 
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -51,7 +51,15 @@
               this->timeline.add(EventKind::ConfigRefused, "", "", {{"reason", reason}});
           },
           randomSeed())
-    , fleet(this->loop, this->settings, this->store, this->feed, this->timeline, this->metrics)
+    , fleet(this->loop, this->settings,
+            {[this](const std::string &object, const StoreHandler &handler) {
+                 this->store.read(object, handler);
+             },
+             [this](const std::string &object, std::string text, std::int64_t expected,
+                    const StoreHandler &handler) {
+                 this->store.write(object, std::move(text), expected, handler);
+             }},
+            this->feed.sharing(), this->timeline, this->metrics)
     , context{this->loop,
               this->endpoints,
               this->settings,
@@ -155,7 +163,8 @@
               {"change", config->root.change},
               {"author", config->root.author}});
     this->gateway.onConfig(config);
-    this->fleet.onConfig(config);
+    this->fleet.onConfig(config->root.version, config->document.regions,
+                         config->document.organisations);
 }
 
 void Daemon::watchInstances()
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -9,6 +9,7 @@
 constexpr Millis TickInterval{50};
 constexpr Millis SeatQuestionInterval{300};
 constexpr Millis ConfigQuestionInterval{200};
+constexpr Millis ObjectsQuestionInterval{200};
 constexpr std::size_t ConfigFanOut = 4;
 constexpr const char *BootIdFile = "/proc/sys/kernel/random/boot_id";
 
@@ -23,14 +24,15 @@
 
 } // namespace
 
-Fleet::Fleet(http::Loop &loop, const Settings &settings, StoreClient &store, ConfigFeed &feed,
-             TimelineRing &timeline, Metrics &metrics)
+Fleet::Fleet(http::Loop &loop, const Settings &settings, SeatStore store, ConfigSharing configs,
+             TimelineRing &timeline, Metrics &metrics, SeatTimings timings)
     : loop(loop)
     , settings(settings)
-    , store(store)
-    , feed(feed)
+    , store(std::move(store))
+    , configs(std::move(configs))
     , timeline(timeline)
     , metrics(metrics)
+    , timings(timings)
     , self(processId(settings.instance, newIncarnation(wallMillis(), randomSeed())))
     , random(randomSeed())
 {
@@ -75,34 +77,40 @@
     this->tick();
 }
 
-void Fleet::onConfig(const ActiveConfigPtr &config)
+void Fleet::onConfig(std::int64_t version, const std::vector<Region> &regions,
+                     const std::vector<Organisation> &organisations)
 {
     const MonoTime now = monoNow();
-    this->lender->configure(config->document, now);
-    std::vector<std::string> regions{this->settings.region};
-    for (const Region &region : config->document.regions) {
+    this->lender->configure(regions, organisations, now);
+    std::vector<std::string> ownFirst{this->settings.region};
+    for (const Region &region : regions) {
         if (region.name != this->settings.region)
-            regions.push_back(region.name);
+            ownFirst.push_back(region.name);
     }
-    this->borrower->setRegions(std::move(regions));
-    this->members->setConfigVersion(config->root.version);
+    this->borrower->setRegions(std::move(ownFirst));
+    this->members->setConfigVersion(version);
     this->carryOut(this->members->pingSome(ConfigFanOut, now));
 }
 
 void Fleet::tick()
 {
     const MonoTime now = monoNow();
+    std::vector<std::int64_t> revisions;
+    for (std::size_t kind = 0; kind < this->objects.kinds.size(); ++kind)
+        revisions.push_back(this->objects.revision(kind));
+    this->members->setRevisions(std::move(revisions));
     this->carryOut(this->members->onTick(now));
     this->takeMemberChanges();
     std::vector<SeatMember> alive;
     for (const proto::Member &member : this->members->alive())
         alive.push_back({member.id(), member.region(), member.zone()});
-    if (!alive.empty() || this->feed.storeSilence() == Millis(0))
+    if (!alive.empty() || this->configs.storeSilence() == Millis(0))
         this->lastCompany = now;
     this->seats->setMembers(std::move(alive), now);
     this->carryOut(this->seats->onTick(now));
     this->carryOut(this->borrower->onTick(now));
     this->askForConfig();
+    this->askForObjects();
     this->timer = this->loop.after(TickInterval, [this] { this->tick(); });
 }
 
@@ -270,7 +278,15 @@
     case proto::Envelope::kConfigRequest:
         return this->receiveConfigRequest(message);
     case proto::Envelope::kConfigOffer:
-        return this->receiveConfigOffer(message.config_offer());
+        return this->configs.take(message.config_offer());
+    case proto::Envelope::kObjectsRequest:
+        return this->receiveObjectsRequest(message);
+    case proto::Envelope::kObjectsOffer:
+        return this->receiveObjectsOffer(message.objects_offer());
+    case proto::Envelope::kWeightsNotice:
+        if (this->objects.onNotice)
+            this->objects.onNotice(message.weights_notice());
+        return;
     case proto::Envelope::kSeatHints:
         if (message.seat_hints().wants_all()) {
             proto::Envelope answer;
@@ -325,38 +341,77 @@
     if (now < this->nextConfigQuestion)
         return;
     const auto news = this->members->takeConfigNews();
-    if (!news || news->version <= this->feed.tracker().activeVersion())
+    if (!news || news->version <= this->configs.version())
         return;
     this->nextConfigQuestion = now + ConfigQuestionInterval;
     proto::Envelope question;
-    proto::ConfigRequest &request = *question.mutable_config_request();
-    request.set_known_version(this->feed.tracker().activeVersion());
-    for (const auto &[digest, text] : this->feed.tracker().chunks())
-        request.add_known_chunks(digest);
+    *question.mutable_config_request() = this->configs.request();
     this->send(news->from, std::move(question));
 }
 
 void Fleet::receiveConfigRequest(const proto::Envelope &message)
 {
-    const ConfigTracker &tracker = this->feed.tracker();
-    if (tracker.activeVersion() <= message.config_request().known_version())
+    const auto offer = this->configs.answer(message.config_request());
+    if (!offer)
         return;
-    const auto &known = message.config_request().known_chunks();
     proto::Envelope answer;
-    proto::ConfigOffer &offer = *answer.mutable_config_offer();
-    offer.set_root(toText(tracker.active()->root));
-    for (const std::string &digest : tracker.active()->root.chunks) {
-        if (std::find(known.begin(), known.end(), digest) == known.end())
-            offer.add_chunks(tracker.chunks().at(digest));
+    *answer.mutable_config_offer() = *offer;
+    this->send(message.from(), std::move(answer));
+}
+
+std::optional<std::size_t> Fleet::kindOf(const std::string &name) const
+{
+    const auto found = std::find(this->objects.kinds.begin(), this->objects.kinds.end(), name);
+    if (found == this->objects.kinds.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - this->objects.kinds.begin());
+}
+
+// The own watch is usually a little ahead or behind; only what it has not brought by the next
+// look is asked for.
+void Fleet::askForObjects()
+{
+    const MonoTime now = monoNow();
+    if (now < this->nextObjectsQuestion)
+        return;
+    this->nextObjectsQuestion = now + ObjectsQuestionInterval;
+    std::vector<bool> isAsked(this->objects.kinds.size(), false);
+    for (const Members::RevisionNews &news : this->members->takeRevisionNews()) {
+        const std::int64_t known = this->objects.revision(news.kind);
+        if (news.revision <= known || isAsked[news.kind])
+            continue;
+        isAsked[news.kind] = true;
+        proto::Envelope question;
+        question.mutable_objects_request()->set_kind(this->objects.kinds[news.kind]);
+        question.mutable_objects_request()->set_after(known);
+        this->send(news.from, std::move(question));
     }
+}
+
+void Fleet::receiveObjectsRequest(const proto::Envelope &message)
+{
+    const auto kind = this->kindOf(message.objects_request().kind());
+    if (!kind)
+        return;
+    proto::Envelope answer;
+    *answer.mutable_objects_offer()
+        = this->objects.answer(*kind, message.objects_request().after());
     this->send(message.from(), std::move(answer));
 }
 
-void Fleet::receiveConfigOffer(const proto::ConfigOffer &offer)
+void Fleet::receiveObjectsOffer(const proto::ObjectsOffer &offer)
 {
-    const auto root = attempt([&] { return parseRoot(offer.root()); });
-    if (const auto *good = std::get_if<ConfigRoot>(&root))
-        this->feed.offer(*good, {offer.chunks().begin(), offer.chunks().end()});
+    if (const auto kind = this->kindOf(offer.kind()))
+        this->objects.take(*kind, offer);
+}
+
+void Fleet::announce(const proto::WeightsNotice &notice)
+{
+    for (const proto::Member &member : this->members->alive()) {
+        proto::Envelope message;
+        *message.mutable_weights_notice() = notice;
+        this->send(member.id(), std::move(message));
+    }
 }
 
 void Fleet::leave()
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "config/document.h"
+#include "config/tracker.h"
 #include "limits/borrower.h"
 #include "limits/lender.h"
 #include "limits/seats.h"
 #include "membership/members.h"
 #include "membership/peerlink.h"
-#include "router/configfeed.h"
 #include "router/metrics.h"
 #include "router/settings.h"
 #include "timeline/ring.h"
@@ -19,19 +20,54 @@
 /// out over the peer link and the platform's store.
 namespace lavenderhall {
 
+/// Where configurations spread between instances come from and go to.
+struct ConfigSharing
+{
+    std::function<std::int64_t()> version; ///< in force here
+    std::function<proto::ConfigRequest()> request; ///< what to ask a newer peer for
+    std::function<std::optional<proto::ConfigOffer>(const proto::ConfigRequest &request)> answer;
+    std::function<void(const proto::ConfigOffer &offer)> take;
+    std::function<Millis()> storeSilence; ///< how long the store has not answered
+};
+
+/// Objects of the store that instances tell each other of, so that one whose watch has fallen
+/// silent, or that the store refuses, is not left behind.
+struct ObjectSharing
+{
+    std::vector<std::string> kinds;
+    std::function<std::int64_t(std::size_t kind)> revision; ///< newest known here
+    std::function<proto::ObjectsOffer(std::size_t kind, std::int64_t after)> answer;
+    std::function<void(std::size_t kind, const proto::ObjectsOffer &offer)> take;
+    std::function<void(const proto::WeightsNotice &notice)> onNotice;
+};
+
+/// Where the records of seats lie.
+struct SeatStore
+{
+    std::function<void(const std::string &object, const StoreHandler &handler)> read;
+    std::function<void(const std::string &object, std::string text, std::int64_t expected,
+                       const StoreHandler &handler)>
+        write;
+};
+
 /// Answer to a request for tokens.
 using TokensHandler = std::function<void(const BorrowResult &result)>;
 
 class Fleet
 {
 public:
-    Fleet(http::Loop &loop, const Settings &settings, StoreClient &store, ConfigFeed &feed,
-          TimelineRing &timeline, Metrics &metrics);
+    Fleet(http::Loop &loop, const Settings &settings, SeatStore store, ConfigSharing configs,
+          TimelineRing &timeline, Metrics &metrics, SeatTimings timings = {});
     ~Fleet();
 
     /// Binds the peer address and begins; throws std::runtime_error if it is taken.
     void start();
-    void onConfig(const ActiveConfigPtr &config);
+    /// Takes in what a configuration says of regions and organisations.
+    void onConfig(std::int64_t version, const std::vector<Region> &regions,
+                  const std::vector<Organisation> &organisations);
+    void shareObjects(ObjectSharing how) { this->objects = std::move(how); }
+    /// Tells all other instances.
+    void announce(const proto::WeightsNotice &notice);
     /// Takes in more addresses under which members may be found.
     void addSeeds(const std::vector<http::Address> &seeds) { this->members->addSeeds(seeds); }
 
@@ -51,6 +87,8 @@
     /// others, reaches none of them, and does not reach the store either. A withdrawal that the
     /// others know of would not arrive.
     bool isCutOff() const;
+    /// Instances that may be running, this one included.
+    std::size_t knownInstances() const { return this->members->knownCount() + 1; }
     std::size_t peerCount() const { return this->members ? this->members->alive().size() : 0; }
     Json status() const;
     void updateMetrics();
@@ -60,7 +98,6 @@
     void receive(const proto::Envelope &message);
     void receiveBorrow(const proto::Envelope &message);
     void receiveConfigRequest(const proto::Envelope &message);
-    void receiveConfigOffer(const proto::ConfigOffer &offer);
     void carryOut(const std::vector<MemberAction> &actions);
     void carryOut(const std::vector<SeatAction> &actions);
     void carryOut(const BorrowStep &step);
@@ -72,11 +109,16 @@
     void takeSeatChanges();
     void askForSeats();
     void askForConfig();
+    void askForObjects();
+    void receiveObjectsRequest(const proto::Envelope &message);
+    void receiveObjectsOffer(const proto::ObjectsOffer &offer);
+    std::optional<std::size_t> kindOf(const std::string &name) const;
 
     http::Loop &loop;
     const Settings &settings;
-    StoreClient &store;
-    ConfigFeed &feed;
+    SeatStore store;
+    ConfigSharing configs;
+    ObjectSharing objects;
     TimelineRing &timeline;
     Metrics &metrics;
     SeatTimings timings;
@@ -90,6 +132,7 @@
     pcg32 random;
     MonoTime nextSeatQuestion{};
     MonoTime nextConfigQuestion{};
+    MonoTime nextObjectsQuestion{};
     MonoTime lastCompany{}; ///< when a peer or the store was last in reach
     bool isLeaving = false;
     http::Timer timer;
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -61,6 +61,8 @@
 {
     std::int64_t slots = 0; ///< requests that one engine runs at once
     std::int64_t cacheTokens = 0; ///< memory of one engine, in tokens
+    double tokenBytes = 0; ///< of cached memory
+    double linkMbps = 0; ///< of the links that move it; 0 if it cannot be moved
     std::vector<std::string> models;
 
     auto operator<=>(const EngineSpec &) const = default;
