Each write of the lease has its own number; tests of the forward dialect's decisions

Ruled out: clocks and freezes (the schedule without late writes holds). Change: each write of a holder has a number of its own, and only that write extends the lease.

--- /dev/null
+++ b/src/forward/forward_test.cpp
@@ -0,0 +1,305 @@
+#include "forward/loadbook.h"
+#include "forward/retrybudget.h"
+#include "forward/run.h"
+
+#include <array>
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <pcg_random.hpp>
+
+using namespace lavenderhall;
+
+namespace {
+
+constexpr MonoTime Start{std::chrono::seconds(1000)};
+constexpr RetryChance Everything{true, true, true};
+constexpr std::array AllEnds{AttemptEnd::NeverSent, AttemptEnd::Refused, AttemptEnd::Broken,
+                             AttemptEnd::Failed, AttemptEnd::Succeeded};
+
+bool mayHaveRun(AttemptEnd end)
+{
+    return end != AttemptEnd::NeverSent && end != AttemptEnd::Refused;
+}
+
+RosterEntry engine(const std::string &id, const std::string &zone, std::int64_t version = 1)
+{
+    RosterEntry entry;
+    entry.id = id;
+    entry.bornMillis = 1;
+    entry.service = "models";
+    entry.address = {"10.0.0.1", 80};
+    entry.zone = zone;
+    entry.slots = 4;
+    entry.weights = {{"loom", version}};
+    return entry;
+}
+
+/// Three engines in three zones of three regions, seen from zone "a".
+struct Engines
+{
+    LoadBook book{{"a", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}}, {}};
+
+    Engines()
+    {
+        EngineSpec spec;
+        spec.slots = 4;
+        spec.cacheTokens = 1'000'000;
+        spec.tokenBytes = 35'000;
+        spec.linkMbps = 740'000;
+        this->book.setEngines("models", spec);
+        for (const char *zone : {"a", "b", "c"})
+            this->book.onChange(
+                {RosterChange::Kind::Joined, engine(std::string("engine-") + zone, zone)});
+    }
+
+    static ChoiceQuery query(const std::string &sharedPart)
+    {
+        ChoiceQuery query;
+        query.service = "models";
+        query.model = "loom";
+        query.newestWeights = 1;
+        query.chain = chainOf("wall", {{sharedPart, 5000}, {sharedPart + "-own", 1000}});
+        return query;
+    }
+
+    Choice choose(const ChoiceQuery &query, MonoTime now = Start) const
+    {
+        const auto choice = this->book.choose(query, now);
+        cr_assert(choice.has_value());
+        return *choice;
+    }
+};
+
+} // namespace
+
+// Every order of up to four attempts' ends, with every kind of route: a request that may not
+// repeat runs at most once, and "refused" is only said when nothing can have run.
+Test(run, never_repeats_or_denies_a_run_in_any_order_of_events)
+{
+    constexpr int Orders = 5 * 5 * 5 * 5;
+    for (const bool mayRepeat : {false, true}) {
+        for (int maxAttempts = 1; maxAttempts <= 3; ++maxAttempts) {
+            for (int order = 0; order < Orders; ++order) {
+                RunRecord run(mayRepeat, maxAttempts);
+                int runs = 0;
+                RunStep step = RunStep::Retry;
+                for (int rest = order; step == RunStep::Retry; rest /= 5) {
+                    const AttemptEnd end = AllEnds.at(static_cast<std::size_t>(rest % 5));
+                    runs += mayHaveRun(end) ? 1 : 0;
+                    step = run.onAttemptEnd(end, Everything);
+                    cr_assert(run.attempts() <= 4);
+                }
+                cr_assert(runs <= (mayRepeat ? maxAttempts : 1), "order %d", order);
+                if (step == RunStep::Refuse)
+                    cr_assert(runs == 0, "order %d", order);
+                if (step == RunStep::Fail)
+                    cr_assert(runs > 0, "order %d", order);
+            }
+        }
+    }
+}
+
+Test(run, time_that_is_up_promises_nothing_once_something_was_sent)
+{
+    const RunRecord fresh(false, 1);
+    cr_assert(fresh.onTimeUp(false) == RunStep::Refuse);
+    cr_assert(fresh.onTimeUp(true) == RunStep::Fail);
+    RunRecord broken(true, 2);
+    broken.onAttemptEnd(AttemptEnd::Broken, Everything);
+    cr_assert(broken.onTimeUp(false) == RunStep::Fail);
+}
+
+Test(run, without_budget_candidate_or_time_there_is_no_retry)
+{
+    for (const RetryChance chance : {RetryChance{false, true, true}, RetryChance{true, false, true},
+                                     RetryChance{true, true, false}}) {
+        RunRecord run(true, 3);
+        cr_assert(run.onAttemptEnd(AttemptEnd::Refused, chance) == RunStep::Refuse);
+        cr_assert(run.onAttemptEnd(AttemptEnd::Broken, chance) == RunStep::Fail);
+    }
+}
+
+Test(run, a_stream_resumes_only_within_its_attempts)
+{
+    RunRecord resumable(true, 2);
+    cr_assert(resumable.mayResume(Everything));
+    cr_assert(not(resumable.mayResume(Everything)));
+    RunRecord once(false, 2);
+    cr_assert(not(once.mayResume(Everything)));
+}
+
+// Eight instances under a storm of failures, each with its own uneven part of the traffic: over
+// any sliding window the repeats of all stay within the fleet's budget.
+Test(retrybudget, the_sum_over_instances_stays_within_the_fleets_budget)
+{
+    RetryBudgetSettings settings;
+    settings.ratio = 0.2;
+    settings.slack = 56;
+    settings.instances = 8;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        pcg32 random(seed);
+        std::vector<RetryBudget> instances(8, RetryBudget(settings));
+        std::vector<MonoTime> requests;
+        std::vector<MonoTime> repeats;
+        for (int step = 0; step < 4000; ++step) {
+            const MonoTime now = Start + Millis(10) * step;
+            // The load swings between a trickle and a burst.
+            if (random(10) >= ((step / 700) % 2 == 0 ? 8U : 1U))
+                continue;
+            RetryBudget &instance = instances.at(random(random(8) + 1));
+            instance.onRequest("desk", now);
+            requests.push_back(now);
+            while (instance.hasLeft("desk", now)) {
+                instance.onRepeat("desk", now);
+                repeats.push_back(now);
+            }
+        }
+        const auto within = [](const std::vector<MonoTime> &times, MonoTime from, MonoTime to) {
+            return std::count_if(times.begin(), times.end(),
+                                 [&](MonoTime at) { return at >= from && at < to; });
+        };
+        for (MonoTime from = Start; from < Start + Millis(30'000); from += Millis(250)) {
+            const MonoTime to = from + settings.window;
+            const auto most
+                = std::max({within(requests, from, to),
+                            within(requests, from - settings.window / 2, to - settings.window / 2),
+                            within(requests, from - settings.window, from)});
+            const double allowed = 0.2 * static_cast<double>(most) + 56;
+            cr_assert(static_cast<double>(within(repeats, from, to)) <= allowed, "seed %u", seed);
+        }
+    }
+}
+
+Test(promptmemory, knows_a_prompt_up_to_the_first_part_it_has_not_seen)
+{
+    PromptMemory memory(10'000);
+    const PromptChain chain = chainOf("w", {{"system", 500}, {"document", 3000}, {"own", 200}});
+    memory.onSent(chain, Start);
+    cr_assert(memory.knownTokens(chain, Start) == 3700);
+    const PromptChain other = chainOf("w", {{"system", 500}, {"another", 3000}, {"own", 200}});
+    cr_assert(memory.knownTokens(other, Start) == 500);
+    cr_assert(memory.knownTokens(chainOf("v", {{"system", 500}}), Start) == 0);
+    cr_assert(memory.knownTokens(chain, Start + Millis(60'000)) == 0);
+}
+
+Test(promptmemory, forgets_the_least_recently_used_parts_first)
+{
+    PromptMemory memory(5000);
+    const PromptChain first = chainOf("w", {{"one", 3000}});
+    const PromptChain second = chainOf("w", {{"two", 3000}});
+    memory.onSent(first, Start);
+    memory.onSent(second, Start);
+    cr_assert(memory.knownTokens(first, Start) == 0);
+    cr_assert(memory.knownTokens(second, Start) == 3000);
+}
+
+Test(loadbook, all_instances_send_a_shared_prompt_to_the_same_home_first)
+{
+    const Engines one;
+    Engines two;
+    two.book = LoadBook({"c", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}}, {});
+    Engines fresh;
+    std::map<std::string, int> homes;
+    for (int part = 0; part < 60; ++part) {
+        const ChoiceQuery query = Engines::query("part-" + std::to_string(part));
+        const Choice choice = one.choose(query);
+        cr_assert(fresh.choose(query).endpointId == choice.endpointId);
+        cr_assert(not(choice.source.has_value()));
+        ++homes[choice.endpointId];
+    }
+    cr_assert(homes.size() == 3U);
+}
+
+Test(loadbook, once_the_home_has_read_a_prompt_a_near_engine_fetches_it)
+{
+    Engines engines;
+    for (int part = 0; part < 60; ++part) {
+        const ChoiceQuery query = Engines::query("part-" + std::to_string(part));
+        const Choice first = engines.choose(query);
+        if (first.endpointId == "engine-a")
+            continue;
+        engines.book.onSent(first.endpointId, query.chain, 6000, Start);
+        const Choice second = engines.choose(query);
+        cr_assert(second.endpointId == "engine-a");
+        cr_assert(second.source.has_value());
+        return;
+    }
+    cr_assert(false, "no part has its home elsewhere");
+}
+
+Test(loadbook, parts_are_never_fetched_from_an_engine_with_other_weights)
+{
+    Engines engines;
+    engines.book.onChange({RosterChange::Kind::Updated, engine("engine-b", "b", 2)});
+    engines.book.onChange({RosterChange::Kind::Updated, engine("engine-c", "c", 3)});
+    for (int part = 0; part < 60; ++part) {
+        const ChoiceQuery query = Engines::query("part-" + std::to_string(part));
+        for (const char *id : {"engine-a", "engine-b", "engine-c"})
+            engines.book.onSent(id, query.chain, 0, Start);
+        cr_assert(not(engines.choose(query).source.has_value()));
+    }
+}
+
+Test(loadbook, an_engine_that_refuses_or_loads_comes_last_but_is_not_ruled_out)
+{
+    Engines engines;
+    const ChoiceQuery query = Engines::query("p");
+    const std::string home = engines.choose(query).endpointId;
+    engines.book.avoid(home, Start + Millis(500));
+    cr_assert(engines.choose(query).endpointId != home);
+    cr_assert(engines.choose(query, Start + Millis(600)).endpointId == home);
+    for (const char *id : {"engine-a", "engine-b", "engine-c"})
+        engines.book.avoid(id, Start + Millis(500));
+    cr_assert(engines.book.choose(query, Start).has_value());
+}
+
+Test(loadbook, leaving_and_tried_engines_are_ruled_out)
+{
+    Engines engines;
+    ChoiceQuery query = Engines::query("p");
+    RosterEntry leaving = engine("engine-a", "a");
+    leaving.isLeaving = true;
+    engines.book.onChange({RosterChange::Kind::Leaving, leaving});
+    query.tried = {"engine-b"};
+    cr_assert(engines.choose(query).endpointId == "engine-c");
+    query.tried.emplace_back("engine-c");
+    cr_assert(not(engines.book.choose(query, Start).has_value()));
+}
+
+Test(loadbook, a_stream_goes_on_only_on_its_own_weights)
+{
+    Engines engines;
+    engines.book.onWeightsLoaded("engine-b", "loom", 2);
+    ChoiceQuery query = Engines::query("p");
+    query.onlyWeights = 2;
+    cr_assert(engines.choose(query).endpointId == "engine-b");
+    query.onlyWeights = 7;
+    cr_assert(not(engines.book.choose(query, Start).has_value()));
+}
+
+Test(loadbook, a_lagging_registry_does_not_take_loaded_weights_back)
+{
+    Engines engines;
+    engines.book.onWeightsLoaded("engine-b", "loom", 2);
+    engines.book.onChange({RosterChange::Kind::Updated, engine("engine-b", "b", 1)});
+    cr_assert(engines.book.entryOf("engine-b")->weights.at("loom") == 2);
+    engines.book.onChange({RosterChange::Kind::Restarted, engine("engine-b", "b", 1)});
+    cr_assert(engines.book.entryOf("engine-b")->weights.at("loom") == 1);
+}
+
+// The load pattern of a hot prompt: its home does not take more than it can while others idle.
+Test(loadbook, a_hot_prompt_spreads_when_its_home_is_busy)
+{
+    Engines engines;
+    const ChoiceQuery query = Engines::query("hot");
+    std::map<std::string, int> sent;
+    for (int request = 0; request < 60; ++request) {
+        const Choice choice = engines.choose(query);
+        ++sent[choice.endpointId];
+        engines.book.onSent(choice.endpointId, query.chain,
+                            query.chain.totalTokens() - choice.cachedTokens, Start);
+    }
+    cr_assert(sent.size() == 3U);
+    for (const auto &[id, count] : sent)
+        cr_assert(count <= 40, "%s got %d", id.c_str(), count);
+}
--- a/src/limits/limits_test.cpp
+++ b/src/limits/limits_test.cpp
@@ -132,7 +132,8 @@
     double rate = 0;
     double burst = 0;
     for (const Region &region : document.regions) {
-        const RegionalLimits part = limitsIn(document.regions, document.organisations.front(), region.name);
+        const RegionalLimits part
+            = limitsIn(document.regions, document.organisations.front(), region.name);
         rate += part.tokensPerSecond;
         burst += part.burst;
     }
--- a/src/rollout/lease.cpp
+++ b/src/rollout/lease.cpp
@@ -9,7 +9,7 @@
 constexpr const char *HolderField = "holder";
 constexpr const char *IncarnationField = "incarnation";
 constexpr const char *FenceField = "number";
-constexpr const char *RenewalsField = "renewals";
+constexpr const char *WriteField = "write";
 
 } // namespace
 
@@ -18,7 +18,7 @@
     return {{HolderField, record.holder},
             {IncarnationField, std::to_string(record.incarnation)},
             {FenceField, record.fence},
-            {RenewalsField, record.renewals}};
+            {WriteField, record.write}};
 }
 
 std::optional<LeaseRecord> parseLease(const Json &content)
@@ -27,7 +27,7 @@
     record.holder = textIn(content, HolderField);
     record.incarnation = std::strtoull(textIn(content, IncarnationField).c_str(), nullptr, 10);
     record.fence = integerIn(content, FenceField);
-    record.renewals = integerIn(content, RenewalsField);
+    record.write = integerIn(content, WriteField);
     if (record.holder.empty() || record.fence <= 0)
         return std::nullopt;
     return record;
@@ -62,7 +62,7 @@
     if (this->isHeld(now)) {
         if (now - this->lastWrite < this->timings.renewInterval)
             return std::nullopt;
-        return this->renew(now);
+        return this->write(this->known->fence, now);
     }
     const bool isFresh
         = this->hasRead && !this->unanswered && now - this->lastRead < this->timings.readInterval;
@@ -76,27 +76,16 @@
         || now - this->unchangedSince > this->timings.lease + this->timings.margin;
     if (!isFree)
         return std::nullopt;
-    return this->take(now);
+    return this->write(this->fence() + 1, now);
 }
 
-LeaseAction Lease::take(MonoTime now)
+// Each write has a number of its own, so that one which is carried out late is never taken for a
+// later one.
+LeaseAction Lease::write(std::int64_t number, MonoTime now)
 {
     LeaseAction action;
     action.kind = this->revision > 0 ? LeaseAction::Kind::Replace : LeaseAction::Kind::Create;
-    action.record = {this->holder, this->incarnation, this->fence() + 1, 0};
-    action.revision = this->revision;
-    action.askedAt = now;
-    this->isBusy = true;
-    this->lastWrite = now;
-    return action;
-}
-
-LeaseAction Lease::renew(MonoTime now)
-{
-    LeaseAction action;
-    action.kind = LeaseAction::Kind::Replace;
-    action.record = *this->known;
-    ++action.record.renewals;
+    action.record = {this->holder, this->incarnation, number, ++this->writes};
     action.revision = this->revision;
     action.askedAt = now;
     this->isBusy = true;
--- a/src/rollout/lease.h
+++ b/src/rollout/lease.h
@@ -17,7 +17,7 @@
     std::string holder;
     std::uint64_t incarnation = 0; ///< of the holder's process
     std::int64_t fence = 0;
-    std::int64_t renewals = 0;
+    std::int64_t write = 0; ///< number of the holder's write, never used twice
 
     bool operator==(const LeaseRecord &) const = default;
 };
@@ -74,8 +74,7 @@
     bool wasLastHolder() const;
 
 private:
-    LeaseAction take(MonoTime now);
-    LeaseAction renew(MonoTime now);
+    LeaseAction write(std::int64_t fence, MonoTime now);
     void learn(const ObjectReply &reply, MonoTime now);
     bool isOwn(const LeaseRecord &record) const;
 
@@ -90,6 +89,7 @@
     MonoTime lastWrite{};
     MonoTime heldUntil{};
     std::optional<LeaseAction> unanswered; ///< a write whose outcome is not known
+    std::int64_t writes = 0; ///< made or tried by this process
     bool hasRead = false;
     bool isBusy = false;
     bool wanted = false;
--- /dev/null
+++ b/src/routing/routing_test.cpp
@@ -0,0 +1,136 @@
+#include "routing/roster.h"
+#include "routing/table.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace lavenderhall;
+
+namespace {
+
+constexpr MonoTime Start{std::chrono::seconds(1000)};
+
+ForwardRoute route(std::string name, std::string host, std::string prefix)
+{
+    ForwardRoute made;
+    made.name = std::move(name);
+    made.host = std::move(host);
+    made.pathPrefix = std::move(prefix);
+    made.shares = {{"one", 90}, {"two", 10}};
+    return made;
+}
+
+RosterEntry entry(std::string id, std::int64_t born = 1)
+{
+    RosterEntry made;
+    made.id = std::move(id);
+    made.bornMillis = born;
+    made.service = "desk";
+    made.address = {"10.0.0.1", 80};
+    return made;
+}
+
+std::vector<RosterChange::Kind> kindsOf(Roster &roster)
+{
+    std::vector<RosterChange::Kind> kinds;
+    for (const RosterChange &change : roster.takeChanges())
+        kinds.push_back(change.kind);
+    return kinds;
+}
+
+using Kinds = std::vector<RosterChange::Kind>;
+
+} // namespace
+
+Test(table, the_longest_prefix_of_the_host_wins)
+{
+    TableContent content;
+    content.routes
+        = {route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")};
+    const RoutingTable table(content);
+    cr_assert(table.findRoute("h", "/a/x")->name == "short");
+    cr_assert(table.findRoute("h", "/a/b/c/d")->name == "long");
+    cr_assert(table.findRoute("h:8080", "/a/b/")->name == "long");
+    cr_assert(table.findRoute("h", "/a/bc")->name == "short");
+    cr_assert(table.findRoute("h", "/b/") == nullptr);
+    cr_assert(table.findRoute("unknown", "/a/") == nullptr);
+}
+
+Test(table, keys_lead_to_their_organisation)
+{
+    TableContent content;
+    OrganisationSpec mill;
+    mill.name = "mill";
+    mill.keys = {"k1", "k2"};
+    content.organisations = {mill};
+    const RoutingTable table(content);
+    cr_assert(table.findByKey("k2")->name == "mill");
+    cr_assert(table.findByKey("k3") == nullptr);
+    cr_assert(table.findByKey("") == nullptr);
+}
+
+Test(table, a_split_follows_its_weights)
+{
+    const ForwardRoute split = route("r", "h", "/");
+    int first = 0;
+    for (std::uint64_t point = 0; point < 1000; ++point)
+        first += chooseShare(split, point) == "one" ? 1 : 0;
+    cr_assert(first == 900);
+    ForwardRoute nothing = split;
+    nothing.shares = {{"one", 0}, {"two", 5}};
+    for (std::uint64_t point = 0; point < 10; ++point)
+        cr_assert(chooseShare(nothing, point) == "two");
+}
+
+Test(roster, changes_are_told_and_old_news_is_left_out)
+{
+    Roster roster;
+    roster.put(entry("a"), 5);
+    cr_assert(kindsOf(roster) == Kinds{RosterChange::Kind::Joined});
+    RosterEntry leaving = entry("a");
+    leaving.isLeaving = true;
+    roster.put(leaving, 7);
+    cr_assert(kindsOf(roster) == Kinds{RosterChange::Kind::Leaving});
+    roster.put(entry("a"), 6);
+    cr_assert(kindsOf(roster).empty());
+    cr_assert(roster.find("a")->isLeaving);
+    roster.put(entry("a", 2), 8);
+    cr_assert(kindsOf(roster) == Kinds{RosterChange::Kind::Restarted});
+    roster.remove("a", 9);
+    cr_assert(kindsOf(roster) == Kinds{RosterChange::Kind::Gone});
+    roster.put(entry("a"), 8);
+    cr_assert(roster.find("a") == nullptr);
+}
+
+Test(roster, after_an_outage_a_missing_entry_has_time_to_come_back)
+{
+    Roster roster;
+    roster.put(entry("stays"), 1);
+    roster.put(entry("lapsed"), 2);
+    roster.put(entry("gone"), 3);
+    roster.takeChanges();
+    roster.onListed({"stays"}, 10, true, Start);
+    cr_assert(kindsOf(roster).empty());
+    roster.put(entry("lapsed"), 11);
+    roster.onTick(Start + Millis(1900));
+    cr_assert(roster.find("gone") != nullptr);
+    roster.onTick(Start + Millis(2100));
+    cr_assert(roster.find("gone") == nullptr);
+    cr_assert(roster.find("lapsed") != nullptr);
+}
+
+Test(roster, without_an_outage_a_missing_entry_is_gone)
+{
+    Roster roster;
+    roster.put(entry("a"), 1);
+    roster.onListed({}, 5, false, Start);
+    cr_assert(roster.find("a") == nullptr);
+}
+
+Test(roster, an_older_list_removes_nothing)
+{
+    Roster roster;
+    roster.put(entry("a"), 8);
+    roster.onListed({}, 5, false, Start);
+    cr_assert(roster.find("a") != nullptr);
+}
--- a/src/streams/streams_test.cpp
+++ b/src/streams/streams_test.cpp
@@ -1,3 +1,4 @@
+#include "streams/eventcutter.h"
 #include "streams/relay.h"
 #include "streams/sse.h"
 
@@ -190,3 +191,24 @@
     // The schedules are of use only if many end each way.
     cr_assert(complete > Schedules / 10 && complete < Schedules * 99 / 100);
 }
+
+Test(eventcutter, cuts_whole_events_and_keeps_their_bytes_whatever_the_pieces)
+{
+    const std::string input
+        = "weights: 2\nid: 6\ndata: a\n\nid:12\r\ndata: b\r\n\r\n: note\n\nid: 18\nda";
+    for (std::size_t piece = 1; piece <= input.size(); ++piece) {
+        EventCutter cutter;
+        std::vector<RawEvent> events;
+        for (std::size_t at = 0; at < input.size(); at += piece) {
+            for (RawEvent &event : cutter.feed(std::string_view(input).substr(at, piece)))
+                events.push_back(std::move(event));
+        }
+        cr_assert(events.size() == 3U);
+        cr_assert(events[0] == RawEvent({"weights: 2\nid: 6\ndata: a\n\n", "6"}));
+        cr_assert(events[1].id == "12");
+        cr_assert(events[2].id.empty());
+        cr_assert(cutter.rest() == "id: 18\nda");
+    }
+    cr_assert(eventNumber("12") == 12);
+    cr_assert(not(eventNumber("12x").has_value()));
+}
