Homes by version of the weights, accounts with the tolerated slack, loads ahead

(3) shared parts were read again when a home came back from a load. Ruled out: the lease, unanswered orders. Change: loads of a sixth of the engines with the next one running empty meanwhile; no request begins on old weights near the bound if a newer engine is there; most of the tolerated slack goes to the account; a home for each version, fetching from whoever kept the prompt or from the home before; watches wait 3 s.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -25,6 +25,12 @@
 constexpr std::size_t LeastInstances = 8;
 constexpr Millis StopMargin{500}; ///< before the process is killed
 
+TokenLimits limitsOf(const OrganisationSpec &organisation)
+{
+    return {static_cast<double>(organisation.tokensPerSecond),
+            static_cast<double>(organisation.burstTokens)};
+}
+
 // A holder's silence leaves its organisations without a decision for about one lease.
 SeatTimings seatTimings()
 {
@@ -63,6 +69,7 @@
               {},
               nullptr,
               {},
+              Millis(0),
               pcg32(randomSeed())}
     , forwarder(this->context)
     , rollout(loop, adapter, this->store, this->loads,
@@ -124,12 +131,12 @@
     budgetSettings.window = bounds.retryWindow;
     budgetSettings.instances = LeastInstances;
     this->budget.setSettings(budgetSettings);
-    AllowanceSettings allowed;
-    allowed.overage = bounds.rateOverage;
-    allowed.slack = static_cast<double>(bounds.rateSlack);
-    allowed.window = bounds.rateWindow;
-    allowed.instances = LeastInstances;
-    this->allowance.setSettings(allowed);
+    this->context.oldWeightsTime = bounds.weights;
+    this->tolerance.overage = bounds.rateOverage;
+    this->tolerance.slack = static_cast<double>(bounds.rateSlack);
+    this->tolerance.window = bounds.rateWindow;
+    this->tolerance.instances = LeastInstances;
+    this->allowance.setSettings(this->tolerance);
 }
 
 void ForwardDaemon::start()
@@ -319,13 +326,11 @@
     TokensGate gate;
     gate.ask = [this](const OrganisationSpec &organisation, double tokens,
                       const TokensGate::Handler &handler) {
-        const auto onResult = [this, name = organisation.name,
-                               rate = static_cast<double>(organisation.tokensPerSecond),
-                               burst = static_cast<double>(organisation.burstTokens), tokens,
-                               handler](const BorrowResult &result) {
+        const auto onResult = [this, name = organisation.name, limits = limitsOf(organisation),
+                               tokens, handler](const BorrowResult &result) {
             if (result.granted)
                 return handler({true, true, {}});
-            const bool isAllowed = this->allowance.take(name, rate, burst, tokens, monoNow());
+            const bool isAllowed = this->allowance.take(name, limits, tokens, monoNow());
             handler({isAllowed, result.isAnswered,
                      result.isAnswered ? result.retryAfter : UnknownRateRetryAfter});
         };
@@ -349,8 +354,13 @@
     for (const std::string &name : names)
         regions.push_back({name, 1});
     std::vector<Organisation> organisations;
-    for (const OrganisationSpec &spec : content.organisations)
-        organisations.push_back({spec.name, spec.tokensPerSecond, spec.burstTokens, {}});
+    for (const OrganisationSpec &spec : content.organisations) {
+        const TokenLimits limits = accountLimits(limitsOf(spec), this->tolerance);
+        organisations.push_back({spec.name,
+                                 static_cast<std::int64_t>(limits.perSecond),
+                                 static_cast<std::int64_t>(limits.burst),
+                                 {}});
+    }
     this->fleet.onConfig(content.version, regions, organisations);
 }
 
@@ -427,14 +437,20 @@
                  {{"name", object.name}, {"detail", std::get<Error>(read).detail}});
         return;
     }
-    std::int64_t &known = this->context.namedWeights[weights->model];
-    if (weights->version <= known)
+    ForwardContext::Named &known = this->context.namedWeights[weights->model];
+    if (weights->version <= known.version)
         return;
-    known = weights->version;
+    // What this instance finds at its start may have been named a while ago.
+    const bool isFirst = known.version == 0;
+    known.version = weights->version;
+    known.since = monoNow() - (isFirst ? this->settings.bounds.weights / 2 : Millis(0));
     logEvent(
         LogLevel::Info, "weights_named",
         {{"model", weights->model}, {"version", weights->version}, {"revision", object.revision}});
-    this->rollout.setWanted(this->context.namedWeights);
+    std::map<std::string, std::int64_t> wanted;
+    for (const auto &[model, named] : this->context.namedWeights)
+        wanted.emplace(model, named.version);
+    this->rollout.setWanted(wanted);
 }
 
 void ForwardDaemon::tick()
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -72,6 +72,7 @@
     Forwarder forwarder;
     Rollout rollout;
     Fleet fleet;
+    AllowanceSettings tolerance;
     Allowance allowance{monoNow()};
     std::array<ObjectMirror, FollowedCount> mirrors;
     std::vector<std::unique_ptr<KindFeed>> feeds; ///< one for each followed kind
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t MaxBufferedBytes = 8U << 20U;
 constexpr int PatienceParts = 3; ///< a caller comes back within this part of the time it has left
 constexpr Millis LongestRetryAfter{1000};
+// A request may wait so long at an engine before it begins.
+constexpr Millis QueueMargin{1500};
 constexpr Millis StoppingRetryAfter{20};
 
 bool isSuccess(int status)
@@ -125,8 +127,11 @@
     query.chain = this->chain;
     query.tried = this->tried;
     const auto named = this->context.namedWeights.find(this->request.model);
-    if (named != this->context.namedWeights.end())
-        query.newestWeights = named->second;
+    if (named != this->context.namedWeights.end()) {
+        query.newestWeights = named->second.version;
+        query.needsNewest
+            = monoNow() - named->second.since > this->context.oldWeightsTime - QueueMargin;
+    }
     if (this->isStreaming)
         query.onlyWeights = this->streamWeights;
     return query;
@@ -224,7 +229,7 @@
     std::int64_t version = this->head.weightsVersion.value_or(0);
     const auto named = this->context.namedWeights.find(this->request.model);
     if (this->head.status == OtherWeights && named != this->context.namedWeights.end())
-        version = std::max(version, named->second);
+        version = std::max(version, named->second.version);
     this->context.loads.onWeightsLoaded(this->choice.endpointId, this->request.model, version);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -50,7 +50,13 @@
     http::Client client;
     TokensGate tokens;
     RoutingTablePtr table; ///< nullptr until a configuration is known
-    std::map<std::string, std::int64_t> namedWeights; ///< by model
+    struct Named
+    {
+        std::int64_t version = 0;
+        MonoTime since{}; ///< known here
+    };
+    std::map<std::string, Named> namedWeights; ///< by model
+    Millis oldWeightsTime{10'000}; ///< after which no request may begin on weights replaced
     pcg32 random;
 };
 
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderhall {
 
@@ -13,18 +14,9 @@
 
 } // namespace
 
-const std::string *homeOf(std::uint64_t key, const std::vector<const std::string *> &ids)
+std::uint64_t homeWeight(std::uint64_t key, const std::string &id)
 {
-    const std::string *best = nullptr;
-    std::uint64_t bestWeight = 0;
-    for (const std::string *id : ids) {
-        const std::uint64_t weight = hash64(*id, key);
-        if (best && weight <= bestWeight)
-            continue;
-        best = id;
-        bestWeight = weight;
-    }
-    return best;
+    return hash64(id, key);
 }
 
 namespace {
@@ -114,32 +106,74 @@
     return cost;
 }
 
+double LoadBook::fetchFactor(const Load &from, const Load &to) const
+{
+    if (from.entry.zone == to.entry.zone)
+        return 1;
+    return this->isInRegionOf(from.entry.zone, to.entry.zone) ? this->settings.fetchZoneFactor
+                                                              : this->settings.fetchRegionFactor;
+}
+
+// An engine that is about to change its weights, or fails, is nobody's home and keeps nothing.
+LoadBook::PromptGroups LoadBook::groupsOf(const ChoiceQuery &query, MonoTime now) const
+{
+    PromptGroups groups;
+    const PromptChain::Link *shared = query.chain.shared();
+    if (!shared)
+        return groups;
+    struct Weights
+    {
+        std::uint64_t home = 0;
+        std::uint64_t formerHome = 0;
+    };
+    std::map<std::int64_t, Weights> best;
+    for (const auto &[id, load] : this->loads) {
+        if (!this->isCandidate(load, query) || load.avoidedUntil > now)
+            continue;
+        const std::int64_t version = versionIn(load.entry, query.model);
+        PromptGroup &group = groups[version];
+        Weights &weights = best[version];
+        const std::uint64_t weight = homeWeight(shared->hash, id);
+        if (!group.home || weight > weights.home) {
+            group.formerHome = std::exchange(group.home, &load);
+            weights.formerHome = std::exchange(weights.home, weight);
+        } else if (!group.formerHome || weight > weights.formerHome) {
+            group.formerHome = &load;
+            weights.formerHome = weight;
+        }
+        const std::int64_t kept = load.memory.knownTokens(query.chain, now);
+        if (kept <= group.keptTokens)
+            continue;
+        group.keeper = &load;
+        group.keptTokens = kept;
+    }
+    return groups;
+}
+
 // All instances send prompts with the same parts to the same home first. Once a prompt has been
-// sent there, other engines may fetch its parts from the home, if both run the same weights.
-void LoadBook::addPromptCost(const Load &load, const ChoiceQuery &query, const Load *home,
+// sent to an engine, others that run the same weights may fetch its parts from there. A home that
+// has just joined may find them at the home before.
+void LoadBook::addPromptCost(const Load &load, const ChoiceQuery &query, const PromptGroup &group,
                              MonoTime now, Choice &choice) const
 {
     const std::int64_t total = query.chain.totalTokens();
     const std::int64_t shared = total - query.chain.links.back().tokens;
-    std::int64_t cached = load.memory.knownTokens(query.chain, now);
-    const std::int64_t atHome = home ? home->memory.knownTokens(query.chain, now) : 0;
     const double moveMillis = this->serviceOf(load.entry.service).move.millisPerToken;
-    const bool canFetch = home && home != &load && moveMillis > 0
-        && atHome - cached >= this->settings.leastFetchTokens
-        && versionIn(home->entry, query.model) == choice.weightsVersion;
-    if (canFetch) {
-        double factor = 1;
-        if (home->entry.zone != load.entry.zone)
-            factor = this->isInRegionOf(home->entry.zone, load.entry.zone)
-                ? this->settings.fetchZoneFactor
-                : this->settings.fetchRegionFactor;
-        choice.source = home->entry.address;
+    const bool canMove = moveMillis > 0;
+    std::int64_t cached = load.memory.knownTokens(query.chain, now);
+    const std::int64_t fetched = group.keptTokens - cached;
+    const bool isHome = group.home == &load;
+    if (canMove && group.keeper && group.keeper != &load
+        && fetched >= this->settings.leastFetchTokens) {
+        choice.source = group.keeper->entry.address;
         choice.costMillis += static_cast<double>(this->settings.fetchSetup.count())
-            + static_cast<double>(atHome - cached) * moveMillis * factor;
-        cached = atHome;
+            + static_cast<double>(fetched) * moveMillis * this->fetchFactor(*group.keeper, load);
+        cached = group.keptTokens;
+    } else if (canMove && isHome && group.formerHome && cached < shared) {
+        choice.source = group.formerHome->entry.address;
     }
     const std::int64_t reread
-        = home && home != &load ? std::max<std::int64_t>(0, shared - cached) : 0;
+        = group.home && !isHome ? std::max<std::int64_t>(0, shared - cached) : 0;
     choice.cachedTokens = cached;
     choice.costMillis += static_cast<double>(load.unreadTokens + total - cached)
             / this->settings.promptTokensPerMilli
@@ -148,36 +182,34 @@
 
 std::optional<Choice> LoadBook::choose(const ChoiceQuery &query, MonoTime now) const
 {
-    std::vector<const Load *> candidates;
-    std::vector<const std::string *> steady; // not about to change, leave or fail
+    static const PromptGroup Nobody;
+    const PromptGroups groups = this->groupsOf(query, now);
+    std::optional<Choice> best;
+    int bestRank = 0; // 0: fit, higher: the less so
+    std::size_t candidates = 0;
     for (const auto &[id, load] : this->loads) {
         if (!this->isCandidate(load, query))
             continue;
-        candidates.push_back(&load);
-        if (load.avoidedUntil <= now)
-            steady.push_back(&id);
-    }
-    const PromptChain::Link *shared = query.chain.shared();
-    const std::string *homeId = shared ? homeOf(shared->hash, steady) : nullptr;
-    const Load *home = homeId ? &this->loads.at(*homeId) : nullptr;
-    std::optional<Choice> best;
-    bool isBestAvoided = false;
-    for (const Load *load : candidates) {
+        ++candidates;
         Choice choice;
-        choice.endpointId = load->entry.id;
-        choice.candidates = candidates.size();
-        choice.weightsVersion = versionIn(load->entry, query.model);
-        choice.costMillis = this->costOf(*load, query);
+        choice.endpointId = id;
+        choice.weightsVersion = versionIn(load.entry, query.model);
+        choice.costMillis = this->costOf(load, query);
+        const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
-            this->addPromptCost(*load, query, home, now, choice);
-        const bool isAvoided = load->avoidedUntil > now;
-        const bool isBetter = !best || (isBestAvoided && !isAvoided)
-            || (isBestAvoided == isAvoided && choice.costMillis < best->costMillis);
+            this->addPromptCost(load, query, group == groups.end() ? Nobody : group->second, now,
+                                choice);
+        const bool isTooOld = query.needsNewest && choice.weightsVersion < query.newestWeights;
+        const int rank = (load.avoidedUntil > now ? 1 : 0) + (isTooOld ? 2 : 0);
+        const bool isBetter = !best || rank < bestRank
+            || (rank == bestRank && choice.costMillis < best->costMillis);
         if (!isBetter)
             continue;
         best = choice;
-        isBestAvoided = isAvoided;
+        bestRank = rank;
     }
+    if (best)
+        best->candidates = candidates;
     return best;
 }
 
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -46,6 +46,7 @@
     std::string model; ///< "" for plain services
     PromptChain chain;
     std::int64_t newestWeights = 0; ///< version named for the model, 0 if not known
+    bool needsNewest = false; ///< older weights may not begin it any more
     std::optional<std::int64_t> onlyWeights; ///< for a stream that goes on
     std::vector<std::string> tried; ///< endpoints that have failed the request
 };
@@ -82,6 +83,8 @@
     /// Takes in what is configured of the engines of a service.
     void setEngines(const std::string &service, const EngineSpec &engine);
 
+    /// Chooses an endpoint; none if no endpoint takes the request at all. Endpoints that should
+    /// not get it, for their trouble or their old weights, do so only if there are no others.
     std::optional<Choice> choose(const ChoiceQuery &query, MonoTime now) const;
 
     /// A request goes to the endpoint; \a uncachedTokens are to be read there.
@@ -119,8 +122,20 @@
     };
 
     double costOf(const Load &load, const ChoiceQuery &query) const;
-    void addPromptCost(const Load &load, const ChoiceQuery &query, const Load *home, MonoTime now,
-                       Choice &choice) const;
+    /// Engines that run the same weights, seen from one prompt.
+    struct PromptGroup
+    {
+        const Load *home = nullptr; ///< where the prompt is to be read first
+        const Load *formerHome = nullptr; ///< the home before that one joined
+        const Load *keeper = nullptr; ///< was sent the most of it
+        std::int64_t keptTokens = 0; ///< by the keeper
+    };
+    using PromptGroups = std::map<std::int64_t, PromptGroup>; ///< by version of the weights
+
+    PromptGroups groupsOf(const ChoiceQuery &query, MonoTime now) const;
+    void addPromptCost(const Load &load, const ChoiceQuery &query, const PromptGroup &group,
+                       MonoTime now, Choice &choice) const;
+    double fetchFactor(const Load &from, const Load &to) const;
     bool isCandidate(const Load &load, const ChoiceQuery &query) const;
     bool isInRegionOf(const std::string &zone, const std::string &other) const;
     const Service &serviceOf(const std::string &name) const;
@@ -131,8 +146,8 @@
     std::map<std::string, Service> services;
 };
 
-/// Returns which of \a ids is the home of \a key: the same on all instances, and moving for few
-/// keys when one comes or goes (rendezvous hashing).
-const std::string *homeOf(std::uint64_t key, const std::vector<const std::string *> &ids);
+/// Weight with which \a id is the home of \a key; the highest of several ids wins. It is the same
+/// on all instances, and few homes move when an id comes or goes (rendezvous hashing).
+std::uint64_t homeWeight(std::uint64_t key, const std::string &id);
 
 } // namespace lavenderhall
--- a/src/limits/allowance.cpp
+++ b/src/limits/allowance.cpp
@@ -6,19 +6,40 @@
 
 namespace {
 
+// The account serves all instances alike, so it gets most of what is tolerated. A slack that
+// counts once a window may be taken at once or bit by bit, not both.
+constexpr double AccountOverage = 0.8;
+constexpr double AccountBurstSlack = 0.4;
+constexpr double AccountRateSlack = 0.2;
+constexpr double LeftOverage = 1 - AccountOverage;
+constexpr double LeftSlack = 1 - AccountBurstSlack - AccountRateSlack;
 // A window sees at most a full bucket and one refill of it.
 constexpr double BucketPart = 0.5;
 
+double secondsOf(const AllowanceSettings &settings)
+{
+    return std::chrono::duration<double>(settings.window).count();
+}
+
 } // namespace
 
-bool Allowance::take(const std::string &organisation, double tokensPerSecond, double burst,
-                     double tokens, MonoTime now)
+TokenLimits accountLimits(TokenLimits limits, const AllowanceSettings &settings)
+{
+    const double widened = 1 + settings.overage * AccountOverage;
+    return {limits.perSecond * widened + settings.slack * AccountRateSlack / secondsOf(settings),
+            limits.burst * widened + settings.slack * AccountBurstSlack};
+}
+
+bool Allowance::take(const std::string &organisation, TokenLimits limits, double tokens,
+                     MonoTime now)
 {
-    const double seconds = std::chrono::duration<double>(this->settings.window).count();
-    const double beyond
-        = (tokensPerSecond * seconds + burst) * this->settings.overage + this->settings.slack;
-    const double capacity = BucketPart * beyond
-        / static_cast<double>(std::max<std::size_t>(1, this->settings.instances));
+    const double seconds = secondsOf(this->settings);
+    const double left
+        = (limits.perSecond * seconds + limits.burst) * this->settings.overage * LeftOverage
+        + this->settings.slack * LeftSlack;
+    const double instances
+        = static_cast<double>(std::max<std::size_t>(1, this->settings.instances));
+    const double capacity = BucketPart * left / instances;
     const auto [entry, isNew] = this->buckets.try_emplace(organisation, Bucket{0, this->startedAt});
     Bucket &bucket = entry->second;
     const double elapsed = std::chrono::duration<double>(now - bucket.filledAt).count();
--- a/src/limits/allowance.h
+++ b/src/limits/allowance.h
@@ -21,7 +21,20 @@
     bool operator==(const AllowanceSettings &) const = default;
 };
 
-/// What may be granted beyond the rate, divided evenly, so that the grants of all instances stay
+/// A rate and burst of an organisation, in tokens.
+struct TokenLimits
+{
+    double perSecond = 0;
+    double burst = 0;
+
+    auto operator<=>(const TokenLimits &) const = default;
+};
+
+/// Returns what the organisation's account may grant: its limits with most of what is tolerated
+/// beyond them. The rest is left to the instances' own allowances.
+TokenLimits accountLimits(TokenLimits limits, const AllowanceSettings &settings);
+
+/// What the account leaves of that, divided evenly, so that the grants of all instances stay
 /// within it in any window. It starts empty: an instance that restarts has none twice.
 class Allowance
 {
@@ -33,8 +46,7 @@
 
     void setSettings(AllowanceSettings changed) { this->settings = changed; }
     /// Whether \a tokens may be granted to an organisation with this rate and burst.
-    bool take(const std::string &organisation, double tokensPerSecond, double burst, double tokens,
-              MonoTime now);
+    bool take(const std::string &organisation, TokenLimits limits, double tokens, MonoTime now);
 
 private:
     struct Bucket
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -58,6 +58,7 @@
     this->begin(roster, now, actions);
     for (auto &[id, engine] : this->working)
         this->advance(*roster.find(id), engine, now, actions);
+    this->orderNext(roster, actions);
     return actions;
 }
 
@@ -71,12 +72,13 @@
         engines += entry.weights.empty() ? 0 : 1;
         loadingInZone[entry.zone] += this->working.contains(id) ? 1 : 0;
     }
-    const std::size_t most = std::max<std::size_t>(
+    this->mostLoading = std::max<std::size_t>(
         1, (engines + this->timings.enginesPerLoad - 1) / this->timings.enginesPerLoad);
     std::vector<const RosterEntry *> waiting = this->outdated(roster);
     std::erase_if(waiting,
                   [this](const RosterEntry *entry) { return this->working.contains(entry->id); });
-    while (this->working.size() < most && !waiting.empty()) {
+    while (this->working.size() < this->mostLoading + this->timings.engineAhead
+           && !waiting.empty()) {
         const auto next = std::min_element(
             waiting.begin(), waiting.end(), [&](const auto *one, const auto *other) {
                 const auto rank = [&](const RosterEntry *entry) {
@@ -110,16 +112,8 @@
         engine.isWaiting = true;
         actions.push_back({RolloutAction::Kind::AskReport, entry, {}});
         return;
-    case Step::Ordering: {
-        engine.version = versionIn(this->wanted, engine.model);
-        engine.isWaiting = true;
-        WeightsOrder order;
-        order.model = engine.model;
-        order.version = engine.version;
-        order.ifOrdersTaken = engine.ordersTaken;
-        actions.push_back({RolloutAction::Kind::GiveOrder, entry, order});
+    case Step::Ordering:
         return;
-    }
     case Step::Asking:
     case Step::Loading:
         if (now < engine.nextReport)
@@ -130,6 +124,33 @@
     }
 }
 
+// Among the engines that are ready for their order, the one that has run empty longest is next.
+void RolloutPlanner::orderNext(const Roster &roster, std::vector<RolloutAction> &actions)
+{
+    std::vector<std::pair<MonoTime, std::string>> ready;
+    std::size_t loading = 0;
+    for (const auto &[id, engine] : this->working) {
+        if (engine.step == Step::Loading || engine.isOrdered)
+            ++loading;
+        else if (engine.step == Step::Ordering && !engine.isWaiting)
+            ready.emplace_back(engine.since, id);
+    }
+    std::sort(ready.begin(), ready.end());
+    for (const auto &[since, id] : ready) {
+        if (loading++ >= this->mostLoading)
+            return;
+        Engine &engine = this->working.at(id);
+        engine.version = versionIn(this->wanted, engine.model);
+        engine.isWaiting = true;
+        engine.isOrdered = true;
+        WeightsOrder order;
+        order.model = engine.model;
+        order.version = engine.version;
+        order.ifOrdersTaken = engine.ordersTaken;
+        actions.push_back({RolloutAction::Kind::GiveOrder, *roster.find(id), order});
+    }
+}
+
 void RolloutPlanner::onReport(const std::string &engineId, const EngineReport &report, MonoTime now)
 {
     const auto found = this->working.find(engineId);
@@ -163,6 +184,7 @@
     if (found == this->working.end())
         return;
     found->second.isWaiting = false;
+    found->second.isOrdered = false;
     found->second.nextReport = now + this->timings.reportInterval;
 }
 
@@ -185,6 +207,7 @@
     // Whatever else it said, the engine's report tells what is true now.
     const bool mayBeTaken = answer == OrderAnswer::Accepted || answer == OrderAnswer::Unknown;
     engine.step = mayBeTaken ? Step::Loading : Step::Asking;
+    engine.isOrdered = false;
 }
 
 } // namespace lavenderhall
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -17,10 +17,11 @@
 struct RolloutTimings
 {
     Millis steer{80}; ///< others send no new work to an engine for so long before its order
-    Millis reportInterval{250}; ///< between looks at an engine that loads
+    Millis reportInterval{150}; ///< between looks at an engine that loads
     Millis loadTime{1500}; ///< that an engine takes at the most, as others are told
     Millis answerTimeout{1500}; ///< until an unanswered order is looked into
-    std::size_t enginesPerLoad = 4; ///< one in so many engines loads at the same time
+    std::size_t enginesPerLoad = 6; ///< one in so many engines loads at the same time
+    std::size_t engineAhead = 1; ///< engines that run empty meanwhile, to load next
 
     bool operator==(const RolloutTimings &) const = default;
 };
@@ -72,6 +73,7 @@
         std::int64_t ordersTaken = 0;
         bool isReportDue = false;
         bool isWaiting = false; ///< for an answer to a call
+        bool isOrdered = false; ///< an order is on its way
         bool isLoaded = false;
     };
 
@@ -81,7 +83,10 @@
     void advance(const RosterEntry &entry, Engine &engine, MonoTime now,
                  std::vector<RolloutAction> &actions);
 
+    void orderNext(const Roster &roster, std::vector<RolloutAction> &actions);
+
     RolloutTimings timings;
+    std::size_t mostLoading = 1;
     std::map<std::string, std::int64_t> wanted;
     std::map<std::string, Engine> working;
     std::map<std::string, EngineReport> reported; ///< newer than the roster
--- a/src/store/kindfeed.cpp
+++ b/src/store/kindfeed.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// A watch that has fallen silent is noticed after this time, so it bounds how old belief gets.
-constexpr Millis WatchWait{1500};
+// A watch that has fallen silent is noticed after this time at the latest; other instances tell
+// of what it misses sooner.
+constexpr Millis WatchWait{3000};
 constexpr Millis FirstRetry{80};
 constexpr int MaxRetryDoublings = 3;
 
