Seats: no duty for members that leave, a handed-over seat decides at once, predecessors by address

Rolling restarts passed seats to instances that were being stopped themselves; a seat that was handed over waited out the lease of a holder that had already ceased; the boot id is no identity on the platform, so a restarted holder waited for its witness, and with both gone a seat stayed unheld for 75 minutes. Ruled out: the store (calls answered), the borrower. Change: a leaving flag among members, the handover clears the wait, the address is the machine's identity in the forward dialect, abandoned seats after 20 s, only seats that organisations need are taken.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -37,6 +37,7 @@
     SeatTimings timings;
     timings.lease = Millis(1500);
     timings.renewInterval = Millis(300);
+    timings.abandoned = Millis(20'000);
     return timings;
 }
 
--- a/src/limits/lender.cpp
+++ b/src/limits/lender.cpp
@@ -41,6 +41,9 @@
                        const std::vector<Organisation> &organisations, MonoTime now)
 {
     this->limits.clear();
+    this->neededSeats.clear();
+    for (const Organisation &organisation : organisations)
+        this->neededSeats.insert(seatOf(organisation.name));
     for (const Organisation &organisation : organisations)
         this->limits.emplace(organisation.name, limitsIn(regions, organisation, this->region));
     for (auto &[index, book] : this->books) {
--- a/src/limits/lender.h
+++ b/src/limits/lender.h
@@ -5,6 +5,7 @@
 #include "limits/seats.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,8 @@
     /// Levels of the seat's accounts that are not full.
     std::vector<proto::AccountLevel> levels(std::uint32_t index, MonoTime now);
     std::size_t accountCount() const;
+    /// Whether any organisation's account belongs to the seat.
+    bool isNeeded(std::uint32_t index) const { return this->neededSeats.contains(index); }
 
 private:
     struct Book
@@ -64,6 +67,7 @@
     std::string region;
     SeatTimings timings;
     std::map<std::string, RegionalLimits> limits;
+    std::set<std::uint32_t> neededSeats;
     std::map<std::uint32_t, Book> books;
 };
 
--- a/src/limits/seats.cpp
+++ b/src/limits/seats.cpp
@@ -303,7 +303,8 @@
         return this->write(index, seat, SeatAction::Purpose::Fence, std::move(record), now,
                            actions);
     }
-    if (this->leaving)
+    const bool isUnused = this->needed && !this->needed(index);
+    if (this->leaving || isUnused)
         return;
     if (this->mayTake(seat, now)) {
         if (!this->mayCallStore(index, seat, now, actions))
@@ -532,6 +533,8 @@
             && !seat.announced) {
             seat.handedLevels.assign(handover.levels().begin(), handover.levels().end());
             seat.wasHandedOver = handover.with_levels();
+            // The holder before has ceased to decide before it named this one.
+            seat.notBefore = {};
         }
     } else if (message.has_seat_hints()) {
         for (const proto::SeatRecord &record : message.seat_hints().records())
--- a/src/limits/seats.h
+++ b/src/limits/seats.h
@@ -97,6 +97,10 @@
     std::vector<SeatAction> onWritten(const SeatAction &asked, const StoreReply &reply,
                                       MonoTime now);
 
+    /// Takes no seat that \a isNeeded does not tell to hold accounts; all are needed without it.
+    using Needed = std::function<bool(std::uint32_t index)>;
+    void setNeeded(Needed isNeeded) { this->needed = std::move(isNeeded); }
+
     /// Source of the accounts' levels that go along when a seat is passed on.
     using LevelsOf = std::function<std::vector<proto::AccountLevel>(std::uint32_t index)>;
     void setLevelsSource(LevelsOf source) { this->levelsOf = std::move(source); }
@@ -177,6 +181,7 @@
     MonoTime membersSince{};
     MonoTime nextRebalance{};
     LevelsOf levelsOf;
+    Needed needed;
     std::map<std::uint32_t, Seat> seats; ///< of the own region
     std::map<std::string, std::map<std::uint32_t, proto::SeatRecord>> elsewhere;
     std::vector<SeatChange> changes;
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -420,10 +420,23 @@
     this->probes.push_back(std::move(probe));
 }
 
+std::vector<MemberAction> Members::beginLeaving()
+{
+    this->own.set_leaving(true);
+    this->own.set_sequence(this->own.sequence() + 1);
+    this->ownRumoursLeft = this->rumourBudget();
+    return this->tellSome();
+}
+
 std::vector<MemberAction> Members::leave()
 {
     this->own.set_state(proto::LEFT);
     this->own.set_sequence(this->own.sequence() + 1);
+    return this->tellSome();
+}
+
+std::vector<MemberAction> Members::tellSome()
+{
     std::vector<MemberAction> actions;
     std::vector<std::string> names = this->usableNames();
     std::shuffle(names.begin(), names.end(), this->random);
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -49,6 +49,8 @@
 
     std::vector<MemberAction> onTick(MonoTime now);
     std::vector<MemberAction> onMessage(const proto::Envelope &message, MonoTime now);
+    /// Tells the others that this process takes on no duty any more, since it will leave.
+    std::vector<MemberAction> beginLeaving();
     /// Tells the others that this process leaves.
     std::vector<MemberAction> leave();
     /// Pings \a count random members at once, to spread a new configuration version.
@@ -122,6 +124,7 @@
     void hearConfig(const proto::ProcessId &from, std::int64_t version);
     template <typename Message>
     void hearRevisions(const proto::ProcessId &from, const Message &message);
+    std::vector<MemberAction> tellSome();
     int rumourBudget() const;
     std::vector<std::string> usableNames() const;
 
--- a/src/membership/members_test.cpp
+++ b/src/membership/members_test.cpp
@@ -250,3 +250,18 @@
     cr_assert(listener.link.counts().strangersRefused > 0U);
     cr_assert(listener.senders.size() == 2U);
 }
+
+Test(members, one_that_begins_to_leave_stays_alive_and_is_known_to_take_no_duty)
+{
+    Group group(3, 6);
+    group.run(Millis(10'000));
+    group.nodes.at(2)->beginLeaving();
+    group.run(Millis(3000));
+    for (const int index : {0, 1}) {
+        const auto alive = group.nodes.at(index)->alive();
+        const auto leaving = std::count_if(alive.begin(), alive.end(),
+                                           [](const auto &member) { return member.leaving(); });
+        cr_assert(alive.size() == 2U);
+        cr_assert(leaving == 1);
+    }
+}
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -22,6 +22,13 @@
     return randomHex(8);
 }
 
+/// What tells that a process with the same name and address succeeds another: the boot of its
+/// machine, or the address itself where the platform gives it to one machine only.
+std::string machineId(const Settings &settings)
+{
+    return settings.dialect == Dialect::Forward ? settings.peer.host : readBootId();
+}
+
 } // namespace
 
 Fleet::Fleet(http::Loop &loop, const Settings &settings, SeatStore store, ConfigSharing configs,
@@ -45,9 +52,10 @@
     this->members
         = std::make_unique<Members>(member, settings.seeds, MemberTimings{}, randomSeed());
     const SeatSelf seatSelf{this->self, settings.region, settings.peer.host, settings.peer.port,
-                            readBootId()};
+                            machineId(settings)};
     this->seats = std::make_unique<SeatKeeper>(seatSelf, this->timings);
     this->lender = std::make_unique<Lender>(settings.region, this->timings);
+    this->seats->setNeeded([this](std::uint32_t index) { return this->lender->isNeeded(index); });
     this->seats->setLevelsSource(
         [this](std::uint32_t index) { return this->lender->levels(index, monoNow()); });
     BorrowerTimings borrowerTimings;
@@ -102,9 +110,12 @@
     this->carryOut(this->members->onTick(now));
     this->takeMemberChanges();
     std::vector<SeatMember> alive;
-    for (const proto::Member &member : this->members->alive())
-        alive.push_back({member.id(), member.region(), member.zone()});
-    if (!alive.empty() || this->configs.storeSilence() == Millis(0))
+    const auto members = this->members->alive();
+    for (const proto::Member &member : members) {
+        if (!member.leaving())
+            alive.push_back({member.id(), member.region(), member.zone()});
+    }
+    if (!members.empty() || this->configs.storeSilence() == Millis(0))
         this->lastCompany = now;
     this->seats->setMembers(std::move(alive), now);
     this->carryOut(this->seats->onTick(now));
@@ -136,6 +147,11 @@
     const MonoTime now = monoNow();
     for (const SeatChange &change : this->seats->takeChanges()) {
         this->lender->onSeatChange(change, now);
+        logEvent(LogLevel::Info, change.gained ? "seat_gained" : "seat_lost",
+                 {{"region", this->settings.region},
+                  {"seat", change.index},
+                  {"term", change.term},
+                  {"handed_over", change.wasHandedOver ? 1 : 0}});
         this->timeline.add(
             change.gained ? EventKind::RightsGained : EventKind::RightsLost, "", "",
             {{"region", this->settings.region}, {"seat", change.index}, {"term", change.term}});
@@ -417,6 +433,7 @@
 void Fleet::leave()
 {
     this->isLeaving = true;
+    this->carryOut(this->members->beginLeaving());
     this->seats->leave();
     this->carryOut(this->seats->onTick(monoNow()));
 }
