Logs to standard output, bounded and never blocking

Change: an appender that writes only what standard output takes at once, under a steady rate, and tells how many lines were left out. Test of the budget.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,9 +1,14 @@
 #include "base/log.h"
 
-#include <log4cxx/consoleappender.h>
+#include "base/clock.h"
+#include "base/logbudget.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace lavenderhall {
 
@@ -47,6 +52,66 @@
     return name;
 }
 
+constexpr double LinesPerSecond = 400;
+constexpr double BurstLines = 1000;
+// A pipe that reports room takes at least so many bytes without blocking.
+constexpr std::size_t MaxLineBytes = 4096;
+
+/// Writes lines to standard output as long as it takes them at once. What it does not take, or
+/// what is over the rate, is counted and told with the next line that gets through.
+class BoundedAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit BoundedAppender(const log4cxx::LayoutPtr &layout)
+        : AppenderSkeleton(layout)
+    { }
+    ~BoundedAppender() override = default;
+
+    void close() override { }
+    bool requiresLayout() const override { return true; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        if (!this->budget.take(monoNow()))
+            return;
+        log4cxx::LogString line;
+        this->getLayout()->format(line, event, pool);
+        if (line.size() > MaxLineBytes) {
+            line.resize(MaxLineBytes);
+            line.back() = '\n';
+        }
+        if (!hasRoom())
+            return this->budget.countLost();
+        this->tellLost();
+        writeLine(line);
+    }
+
+private:
+    static bool hasRoom()
+    {
+        pollfd room{STDOUT_FILENO, POLLOUT, 0};
+        return poll(&room, 1, 0) == 1 && (room.revents & POLLOUT) != 0;
+    }
+
+    static void writeLine(const std::string &line)
+    {
+        // Nothing can be done about a log that takes no bytes.
+        [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, line.data(), line.size());
+    }
+
+    void tellLost()
+    {
+        const std::uint64_t lost = this->budget.takeLost();
+        if (lost == 0)
+            return;
+        writeLine("level=WARN instance=" + quotedText(instanceName())
+                  + " event=log_lines_lost lines=" + std::to_string(lost) + "\n");
+    }
+
+    LogBudget budget{LinesPerSecond, BurstLines};
+};
+
 } // namespace
 
 void openLog(LogLevel level, std::string_view instance)
@@ -55,7 +120,7 @@
     instanceName() = std::string(instance);
     const LayoutPtr layout(new PatternLayout(
         LOG4CXX_STR("time=%d{yyyy-MM-dd}{GMT}T%d{HH:mm:ss.SSS}{GMT}Z level=%p %m%n")));
-    const AppenderPtr appender(new ConsoleAppender(layout, ConsoleAppender::getSystemErr()));
+    const AppenderPtr appender(new BoundedAppender(layout));
     const LoggerPtr root = Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,7 +36,8 @@
     { }
 };
 
-/// Sends the log to standard error; lines below \a level are left out.
+/// Sends the log to standard output; lines below \a level are left out, and so are lines over a
+/// steady rate or that standard output does not take at once. How many is told by a line.
 void openLog(LogLevel level, std::string_view instance);
 
 /// Writes one line: time, level, instance, event=\a event and \a fields.
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -23,7 +23,7 @@
 constexpr Millis UnknownRateRetryAfter{300};
 // Shares of what the whole fleet may do are cut for at least so many instances.
 constexpr std::size_t LeastInstances = 8;
-constexpr Millis StopMargin{500}; ///< before the process is killed
+constexpr Millis StopMargin{250}; ///< before the process is killed
 
 TokenLimits limitsOf(const OrganisationSpec &organisation)
 {
