--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -63,7 +63,7 @@
 {
 public:
     explicit BoundedAppender(const log4cxx::LayoutPtr &layout)
-        : AppenderSkeleton(layout)
+        : layout(layout)
     { }
     ~BoundedAppender() override = default;
 
@@ -76,7 +76,7 @@
         if (!this->budget.take(monoNow()))
             return;
         log4cxx::LogString line;
-        this->getLayout()->format(line, event, pool);
+        this->layout->format(line, event, pool);
         if (line.size() > MaxLineBytes) {
             line.resize(MaxLineBytes);
             line.back() = '\n';
@@ -109,6 +109,7 @@
                   + " event=log_lines_lost lines=" + std::to_string(lost) + "\n");
     }
 
+    log4cxx::LayoutPtr layout;
     LogBudget budget{LinesPerSecond, BurstLines};
 };
 
