Loads at once follow from when each engine is due; unknown weights are asked for, not guessed

Change: as many loads at once as the due times need, between a sixth and 0.4 of the engines; an engine that refuses counts as unknown, and the next request there asks without a version and keeps its parts to itself.

--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -293,6 +293,21 @@
     cr_assert(not(engines.book.choose(query, Start).has_value()));
 }
 
+// The load pattern of orders that are carried out late: what an engine runs is not what was
+// thought, and it refuses until that is known.
+Test(loadbook, weights_that_an_engine_refuses_for_are_not_asked_for_again)
+{
+    Engines engines;
+    const ChoiceQuery query = Engines::query("p");
+    for (const char *id : {"engine-a", "engine-b", "engine-c"})
+        engines.book.onWeightsUnknown(id, "loom");
+    const Choice choice = engines.choose(query);
+    cr_assert(choice.weightsVersion == 0);
+    cr_assert(not(choice.source.has_value()));
+    engines.book.onWeightsLoaded(choice.endpointId, "loom", 1);
+    cr_assert(engines.choose(query).weightsVersion == 1);
+}
+
 Test(loadbook, a_lagging_registry_does_not_take_loaded_weights_back)
 {
     Engines engines;
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -50,6 +50,13 @@
     return timings;
 }
 
+RolloutTimings rolloutTimingsOf(const Settings &settings)
+{
+    RolloutTimings timings;
+    timings.bound = settings.bounds.weights;
+    return timings;
+}
+
 } // namespace
 
 ForwardDaemon::ForwardDaemon(http::Loop &loop, Settings given, std::string settingsFile,
@@ -75,7 +82,8 @@
     , forwarder(this->context)
     , rollout(loop, adapter, this->store, this->loads,
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
-                    leaseTimingsOf(this->settings)))
+                    leaseTimingsOf(this->settings)),
+              rolloutTimingsOf(this->settings))
     , fleet(loop, this->settings, this->seatStore(), this->configSharing(), this->timeline,
             this->metrics, seatTimings())
 {
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -19,6 +19,8 @@
 constexpr Millis BrokenPause{1000}; ///< the same for one that broke off
 constexpr std::size_t PauseBacklogBytes = 64U << 10U;
 constexpr std::size_t MaxBufferedBytes = 8U << 20U;
+// An address that belongs to another endpoint now, or weights that are not the ones asked for.
+constexpr int OtherEndpointOrWeights = 421;
 constexpr int PatienceParts = 3; ///< a caller comes back within this part of the time it has left
 constexpr Millis LongestRetryAfter{1000};
 // A request may wait so long at an engine before it begins.
@@ -166,10 +168,16 @@
         ? *this->organisation->priority
         : this->route->priority;
     // Parts are kept under the version that they are made with, and only an engine that runs it
-    // may make them: so no request finds any that were made with other weights.
-    marks.weightsVersion
+    // may make them: so no request finds any that were made with other weights. Where the version
+    // is not known, the request keeps its parts to itself.
+    const std::int64_t version
         = this->isStreaming ? this->streamWeights.value_or(0) : chosen.weightsVersion;
-    marks.cacheSalt = this->cacheWall + "/" + std::to_string(*marks.weightsVersion);
+    if (version == 0) {
+        marks.cacheSalt = this->cacheWall + "/request/" + this->request.id;
+        return marks;
+    }
+    marks.weightsVersion = version;
+    marks.cacheSalt = this->cacheWall + "/" + std::to_string(version);
     marks.cacheSource = chosen.source;
     return marks;
 }
@@ -219,18 +227,17 @@
     this->learnWeights();
 }
 
-// Answers tell which weights ran. An engine that refuses for its weights has loaded newer ones
-// than is known here; orders lead straight to the newest.
+// Answers tell which weights ran. An engine that refuses for its weights runs others than was
+// thought, and which ones is not known until it tells.
 void ForwardCall::learnWeights()
 {
     if (this->request.model.empty() || this->isForeign)
         return;
-    constexpr int OtherWeights = 421;
-    std::int64_t version = this->head.weightsVersion.value_or(0);
-    const auto named = this->context.namedWeights.find(this->request.model);
-    if (this->head.status == OtherWeights && named != this->context.namedWeights.end())
-        version = std::max(version, named->second.version);
-    this->context.loads.onWeightsLoaded(this->choice.endpointId, this->request.model, version);
+    const std::string &id = this->choice.endpointId;
+    if (this->head.status == OtherEndpointOrWeights)
+        return this->context.loads.onWeightsUnknown(id, this->request.model);
+    if (this->head.weightsVersion)
+        this->context.loads.onWeightsLoaded(id, this->request.model, *this->head.weightsVersion);
 }
 
 void ForwardCall::onData(std::string_view data)
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -159,7 +159,7 @@
     const std::int64_t total = query.chain.totalTokens();
     const std::int64_t shared = total - query.chain.links.back().tokens;
     const double moveMillis = this->serviceOf(load.entry.service).move.millisPerToken;
-    const bool canMove = moveMillis > 0;
+    const bool canMove = moveMillis > 0 && choice.weightsVersion > 0;
     std::int64_t cached = load.memory.knownTokens(query.chain, now);
     const std::int64_t fetched = group.keptTokens - cached;
     const bool isHome = group.home == &load;
@@ -260,6 +260,7 @@
                                std::int64_t version)
 {
     const auto found = this->loads.find(endpointId);
+    // Within one incarnation the version only grows.
     if (found == this->loads.end() || versionIn(found->second.entry, model) >= version)
         return;
     found->second.entry.weights[model] = version;
@@ -267,6 +268,15 @@
     found->second.avoidedUntil = {};
 }
 
+void LoadBook::onWeightsUnknown(const std::string &endpointId, const std::string &model)
+{
+    const auto found = this->loads.find(endpointId);
+    if (found == this->loads.end())
+        return;
+    found->second.entry.weights[model] = 0;
+    found->second.memory.clear();
+}
+
 const RosterEntry *LoadBook::entryOf(const std::string &endpointId) const
 {
     const auto found = this->loads.find(endpointId);
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -58,7 +58,7 @@
     double costMillis = 0;
     std::int64_t cachedTokens = 0; ///< thought to be there, or to be fetched
     std::optional<http::Address> source; ///< to fetch them from
-    std::int64_t weightsVersion = 0; ///< thought to be loaded there
+    std::int64_t weightsVersion = 0; ///< thought to be loaded there, 0 if not known
     std::size_t candidates = 0;
 };
 
@@ -101,6 +101,8 @@
     /// The engine has loaded a version of a model and takes work again.
     void onWeightsLoaded(const std::string &endpointId, const std::string &model,
                          std::int64_t version);
+    /// The engine runs other weights than was thought.
+    void onWeightsUnknown(const std::string &endpointId, const std::string &model);
 
     const RosterEntry *entryOf(const std::string &endpointId) const;
     std::size_t inFlight(const std::string &endpointId) const;
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -14,13 +14,14 @@
 } // namespace
 
 Rollout::Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store,
-                 LoadBook &loads, Lease lease)
+                 LoadBook &loads, Lease lease, RolloutTimings timings)
     : loop(loop)
     , adapter(adapter)
     , store(store)
     , loads(loads)
     , client(loop)
     , lease(std::move(lease))
+    , planner(timings)
 { }
 
 void Rollout::onTick(const Roster &roster, MonoTime now)
--- a/src/forward/rollout.h
+++ b/src/forward/rollout.h
@@ -22,7 +22,7 @@
                                       std::int64_t version)>;
 
     Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store, LoadBook &loads,
-            Lease lease);
+            Lease lease, RolloutTimings timings);
     ~Rollout() { *this->alive = false; }
 
     void setWanted(const std::map<std::string, std::int64_t> &versions)
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -1,11 +1,14 @@
 #include "rollout/planner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavenderhall {
 
 namespace {
 
+constexpr std::size_t MaxNamings = 50;
+
 std::int64_t versionIn(const std::map<std::string, std::int64_t> &weights, const std::string &model)
 {
     const auto found = weights.find(model);
@@ -51,6 +54,13 @@
         return !entry || entry->isLeaving || entry->bornMillis != work.second.bornMillis
             || work.second.isLoaded;
     });
+    for (const auto &[model, version] : this->wanted) {
+        std::vector<Naming> &history = this->namings[model];
+        if (history.empty() || history.back().version < version)
+            history.push_back({version, now});
+        if (history.size() > MaxNamings)
+            history.erase(history.begin());
+    }
     if (!mayOrder) {
         this->working.clear();
         return actions;
@@ -62,18 +72,55 @@
     return actions;
 }
 
+// When an engine must have got beyond the version that it has.
+MonoTime RolloutPlanner::dueTime(const RosterEntry &entry) const
+{
+    const std::string model = this->outdatedModel(entry);
+    const std::int64_t version = this->versionOf(entry, model);
+    const auto history = this->namings.find(model);
+    const auto planned = std::chrono::duration_cast<MonoTime::duration>(
+        this->timings.bound * this->timings.plannedPart);
+    if (history == this->namings.end())
+        return MonoTime::max();
+    for (const Naming &naming : history->second) {
+        if (naming.version > version)
+            return naming.at + planned;
+    }
+    return MonoTime::max();
+}
+
+// As few as possible load at once, since those do not serve: so many that each engine is done
+// when it is due, in the order in which they are due.
+std::size_t RolloutPlanner::loadsAtOnce(const Roster &roster, MonoTime now) const
+{
+    std::size_t engines = 0;
+    for (const auto &[id, entry] : roster.entries())
+        engines += entry.weights.empty() ? 0 : 1;
+    std::vector<MonoTime> due;
+    for (const RosterEntry *entry : this->outdated(roster))
+        due.push_back(this->dueTime(*entry));
+    std::sort(due.begin(), due.end());
+    const auto roundUp = [](double value) { return static_cast<std::size_t>(std::ceil(value)); };
+    const auto count = static_cast<double>(engines);
+    std::size_t needed = roundUp(count / static_cast<double>(this->timings.enginesPerLoad));
+    const std::size_t most = roundUp(count * this->timings.mostPart);
+    const double turn = std::chrono::duration<double>(this->timings.turnTime).count();
+    for (std::size_t index = 0; index < due.size(); ++index) {
+        const double left = std::chrono::duration<double>(due[index] - now).count();
+        const double turns = std::max(1.0, left / turn);
+        needed = std::max(needed, roundUp(static_cast<double>(index + 1) / turns));
+    }
+    return std::clamp<std::size_t>(needed, 1, std::max<std::size_t>(1, most));
+}
+
 // The oldest weights go first, so that no engine is left behind when versions are named faster
 // than all engines can load them; then zones where the fewest load, so that each keeps serving.
 void RolloutPlanner::begin(const Roster &roster, MonoTime now, std::vector<RolloutAction> &actions)
 {
-    std::size_t engines = 0;
     std::map<std::string, std::size_t> loadingInZone;
-    for (const auto &[id, entry] : roster.entries()) {
-        engines += entry.weights.empty() ? 0 : 1;
+    for (const auto &[id, entry] : roster.entries())
         loadingInZone[entry.zone] += this->working.contains(id) ? 1 : 0;
-    }
-    this->mostLoading = std::max<std::size_t>(
-        1, (engines + this->timings.enginesPerLoad - 1) / this->timings.enginesPerLoad);
+    this->mostLoading = this->loadsAtOnce(roster, now);
     std::vector<const RosterEntry *> waiting = this->outdated(roster);
     std::erase_if(waiting,
                   [this](const RosterEntry *entry) { return this->working.contains(entry->id); });
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -20,7 +20,11 @@
     Millis reportInterval{150}; ///< between looks at an engine that loads
     Millis loadTime{1500}; ///< that an engine takes at the most, as others are told
     Millis answerTimeout{1500}; ///< until an unanswered order is looked into
-    std::size_t enginesPerLoad = 6; ///< one in so many engines loads at the same time
+    Millis bound{10'000}; ///< from the naming of a version until no engine is to be without it
+    double plannedPart = 0.7; ///< of that bound, to leave room for trouble
+    Millis turnTime{1600}; ///< for an engine to run empty and to load
+    std::size_t enginesPerLoad = 6; ///< one in so many loads at the same time if there is no hurry
+    double mostPart = 0.4; ///< of the engines, that load at the same time in a hurry
     std::size_t engineAhead = 1; ///< engines that run empty meanwhile, to load next
 
     bool operator==(const RolloutTimings &) const = default;
@@ -83,11 +87,20 @@
     void advance(const RosterEntry &entry, Engine &engine, MonoTime now,
                  std::vector<RolloutAction> &actions);
 
+    std::size_t loadsAtOnce(const Roster &roster, MonoTime now) const;
+    MonoTime dueTime(const RosterEntry &entry) const;
     void orderNext(const Roster &roster, std::vector<RolloutAction> &actions);
 
     RolloutTimings timings;
     std::size_t mostLoading = 1;
+    struct Naming
+    {
+        std::int64_t version = 0;
+        MonoTime at{};
+    };
+
     std::map<std::string, std::int64_t> wanted;
+    std::map<std::string, std::vector<Naming>> namings; ///< by model, oldest first
     std::map<std::string, Engine> working;
     std::map<std::string, EngineReport> reported; ///< newer than the roster
     std::map<std::string, std::int64_t> reportedBorn;
