An attempt that never arrived costs no budget; no engine runs empty ahead

Ruled out: the fleet's budget itself (never over it). Change: only a request that has arrived somewhere pays for its next attempt; an engine that refuses is avoided for 0.6 s, since it loads.

--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -115,10 +115,20 @@
                                      RetryChance{true, true, false}}) {
         RunRecord run(true, 3);
         cr_assert(run.onAttemptEnd(AttemptEnd::Refused, chance) == RunStep::Refuse);
+        cr_assert(run.hasArrived());
         cr_assert(run.onAttemptEnd(AttemptEnd::Broken, chance) == RunStep::Fail);
     }
 }
 
+// The load pattern of crashed endpoints that refuse connections: trying the next one is no repeat.
+Test(run, an_attempt_that_never_arrived_costs_no_budget)
+{
+    RunRecord run(false, 1);
+    cr_assert(run.onAttemptEnd(AttemptEnd::NeverSent, {false, true, true}) == RunStep::Retry);
+    cr_assert(not(run.hasArrived()));
+    cr_assert(run.onAttemptEnd(AttemptEnd::Refused, {false, true, true}) == RunStep::Refuse);
+}
+
 Test(run, a_stream_resumes_only_within_its_attempts)
 {
     RunRecord resumable(true, 2);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -16,6 +16,7 @@
 // What is left to try another endpoint must be worth the try.
 constexpr Millis LeastRetryTime{60};
 constexpr Millis RefusedPause{250}; ///< an endpoint that refused comes last for so long
+constexpr Millis EngineRefusedPause{600}; ///< the same for an engine, which may load weights
 constexpr Millis BrokenPause{1000}; ///< the same for one that broke off
 constexpr std::size_t PauseBacklogBytes = 64U << 10U;
 constexpr std::size_t MaxBufferedBytes = 8U << 20U;
@@ -323,8 +324,10 @@
 void ForwardCall::avoidEndpoint(AttemptEnd end)
 {
     const MonoTime now = monoNow();
+    const bool isEngine = !this->request.model.empty();
     if (end == AttemptEnd::Refused)
-        this->context.loads.avoid(this->choice.endpointId, now + RefusedPause);
+        this->context.loads.avoid(this->choice.endpointId,
+                                  now + (isEngine ? EngineRefusedPause : RefusedPause));
     else if (end == AttemptEnd::Broken || end == AttemptEnd::NeverSent)
         this->context.loads.avoid(this->choice.endpointId, now + BrokenPause);
 }
@@ -357,7 +360,8 @@
         return this->breakStream(reason);
     switch (this->run.onAttemptEnd(end, this->chance())) {
     case RunStep::Retry:
-        this->context.budget.onRepeat(this->service, monoNow());
+        if (this->run.hasArrived())
+            this->context.budget.onRepeat(this->service, monoNow());
         return this->startAttempt();
     case RunStep::PassOn:
         return this->passAnswerOn();
--- a/src/forward/run.cpp
+++ b/src/forward/run.cpp
@@ -28,13 +28,16 @@
 
 bool RunRecord::mayRetry(RetryChance chance) const
 {
-    return this->total < MaxTries && this->runs < this->maxAttempts && chance.hasBudget
-        && chance.hasCandidate && chance.hasTime;
+    const bool isPaid = chance.hasBudget || !this->hasArrived();
+    return this->total < MaxTries && this->runs < this->maxAttempts && isPaid && chance.hasCandidate
+        && chance.hasTime;
 }
 
 RunStep RunRecord::onAttemptEnd(AttemptEnd end, RetryChance chance)
 {
     ++this->total;
+    if (end != AttemptEnd::NeverSent)
+        ++this->arrivals;
     switch (end) {
     case AttemptEnd::Succeeded:
         ++this->runs;
@@ -62,6 +65,7 @@
 bool RunRecord::mayResume(RetryChance chance)
 {
     ++this->total;
+    ++this->arrivals;
     ++this->runs;
     return this->mayRepeat && this->mayRetry(chance);
 }
--- a/src/forward/run.h
+++ b/src/forward/run.h
@@ -50,6 +50,8 @@
 
     bool mayHaveRun() const { return this->runs > 0; }
     int attempts() const { return this->total; }
+    /// Whether an endpoint has got the request: the next attempt would be a repeat there.
+    bool hasArrived() const { return this->arrivals > 0; }
 
 private:
     bool mayRetry(RetryChance chance) const;
@@ -58,6 +60,7 @@
     int maxAttempts;
     int runs = 0; ///< attempts that may have run
     int total = 0;
+    int arrivals = 0; ///< attempts that reached an endpoint
 };
 
 } // namespace lavenderhall
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -124,8 +124,7 @@
     std::vector<const RosterEntry *> waiting = this->outdated(roster);
     std::erase_if(waiting,
                   [this](const RosterEntry *entry) { return this->working.contains(entry->id); });
-    while (this->working.size() < this->mostLoading + this->timings.engineAhead
-           && !waiting.empty()) {
+    while (this->working.size() < this->mostLoading && !waiting.empty()) {
         const auto next = std::min_element(
             waiting.begin(), waiting.end(), [&](const auto *one, const auto *other) {
                 const auto rank = [&](const RosterEntry *entry) {
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -22,10 +22,9 @@
     Millis answerTimeout{1500}; ///< until an unanswered order is looked into
     Millis bound{10'000}; ///< from the naming of a version until no engine is to be without it
     double plannedPart = 0.7; ///< of that bound, to leave room for trouble
-    Millis turnTime{1600}; ///< for an engine to run empty and to load
+    Millis turnTime{1700}; ///< for an engine to run empty and to load
     std::size_t enginesPerLoad = 6; ///< one in so many loads at the same time if there is no hurry
     double mostPart = 0.4; ///< of the engines, that load at the same time in a hurry
-    std::size_t engineAhead = 1; ///< engines that run empty meanwhile, to load next
 
     bool operator==(const RolloutTimings &) const = default;
 };
