--- a/src/client/program.cpp
+++ b/src/client/program.cpp
@@ -21,7 +21,8 @@
 
 std::string printed(const Model &model)
 {
-    std::string line = "config.model(" + quotedText(model.name) + ", version=" + quotedText(model.version);
+    std::string line
+        = "config.model(" + quotedText(model.name) + ", version=" + quotedText(model.version);
     if (!model.adapters.empty()) {
         Json adapters = Json::object();
         for (const Adapter &adapter : model.adapters)
@@ -70,8 +71,8 @@
         + std::to_string(root.version) + ".\"\"\"\n\nfrom lavenderhall import Configuration\n\n"
         + "config = Configuration()\n";
     for (const Region &region : document.regions)
-        text += "config.region(" + quotedText(region.name) + ", share=" + std::to_string(region.share)
-            + ")\n";
+        text += "config.region(" + quotedText(region.name)
+            + ", share=" + std::to_string(region.share) + ")\n";
     for (const Organisation &organisation : document.organisations) {
         for (const KeyRecord &key : organisation.keys)
             text += "# key " + key.id + "\n";
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -55,7 +55,11 @@
                             machineId(settings)};
     this->seats = std::make_unique<SeatKeeper>(seatSelf, this->timings);
     this->lender = std::make_unique<Lender>(settings.region, this->timings);
-    this->seats->setNeeded([this](std::uint32_t index) { return this->lender->isNeeded(index); });
+    // Where calls to the store are paid for, seats without accounts are left alone; elsewhere all
+    // are taken before the first configuration comes, so that it can be served at once.
+    if (settings.dialect == Dialect::Forward)
+        this->seats->setNeeded(
+            [this](std::uint32_t index) { return this->lender->isNeeded(index); });
     this->seats->setLevelsSource(
         [this](std::uint32_t index) { return this->lender->levels(index, monoNow()); });
     BorrowerTimings borrowerTimings;
