--- a/fakes/service.cpp
+++ b/fakes/service.cpp
@@ -8,9 +8,9 @@
 
 } // namespace
 
-Service::Service(http::Loop &loop, http::Address listen)
+Service::Service(http::Loop &loop, const http::Address &listen)
     : loop(loop)
-    , server(loop, std::move(listen), http::limitsOf(MaxBodyBytes),
+    , server(loop, listen, http::limitsOf(MaxBodyBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 { }
 
--- a/fakes/store.cpp
+++ b/fakes/store.cpp
@@ -37,9 +37,9 @@
     return true;
 }
 
-Store::Store(http::Loop &loop, http::Address listen, int writesPerSecond, int readsPerSecond)
+Store::Store(http::Loop &loop, const http::Address &listen, int writesPerSecond, int readsPerSecond)
     : loop(loop)
-    , server(loop, std::move(listen), http::limitsOf(MaxObjectBytes),
+    , server(loop, listen, http::limitsOf(MaxObjectBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 {
     this->readBucket.perSecond = readsPerSecond;
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -15,8 +15,7 @@
 
 Rollout::Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store,
                  LoadBook &loads, Lease lease, RolloutTimings timings)
-    : loop(loop)
-    , adapter(adapter)
+    : adapter(adapter)
     , store(store)
     , loads(loads)
     , client(loop)
@@ -80,7 +79,7 @@
 
 /// Makes a call whose whole answer is small; \a onAnswer gets nullptr if there is none.
 void callWhole(http::Client &client, http::CallRequest request, const http::Address &to,
-               std::function<void(const http::Response *response, bool maybeSent)> onAnswer)
+               const std::function<void(const http::Response *response, bool maybeSent)> &onAnswer)
 {
     request.to = to;
     request.headTimeout = CallTimeout;
--- a/src/forward/rollout.h
+++ b/src/forward/rollout.h
@@ -44,7 +44,6 @@
     void onReport(const RosterEntry &engine, const EngineReport &report);
     void giveOrder(const RosterEntry &engine, WeightsOrder order);
 
-    http::Loop &loop;
     const PlatformAdapter &adapter;
     ObjectClient &store;
     LoadBook &loads;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -282,7 +282,7 @@
     const auto found = this->idle.find(to);
     if (reuse == Reuse::Never || found == this->idle.end() || found->second.empty())
         return nullptr;
-    const ConnectionPtr best = found->second.back();
+    ConnectionPtr best = found->second.back();
     if (reuse == Reuse::Recent && !best->isRecent(monoNow()))
         return nullptr;
     found->second.pop_back();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -290,16 +290,16 @@
     this->connection->send(head + "\r\n");
 }
 
-void Exchange::respond(Response response)
+void Exchange::respond(const Response &response)
 {
     if (this->begun || !this->connection)
         return;
-    this->beginSized(response.status, std::move(response.headers), response.body.size());
+    this->beginSized(response.status, response.headers, response.body.size());
     this->write(response.body);
     this->end();
 }
 
-void Exchange::begin(int status, Headers headers)
+void Exchange::begin(int status, const Headers &headers)
 {
     if (this->begun || !this->connection)
         return;
@@ -307,7 +307,7 @@
     this->start(status, headers);
 }
 
-void Exchange::beginSized(int status, Headers headers, std::uint64_t length)
+void Exchange::beginSized(int status, const Headers &headers, std::uint64_t length)
 {
     if (this->begun || !this->connection)
         return;
@@ -351,7 +351,7 @@
     this->connection->drop();
 }
 
-Server::Server(Loop &loop, Address listen, ServerLimits limits, Handler handler)
+Server::Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler)
     : loop(loop)
     , limits(limits)
     , handler(std::move(handler))
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -24,11 +24,11 @@
     const Request &request() const { return this->received; }
 
     /// Sends a whole answer. Ignored once an answer has begun or the caller has gone.
-    void respond(Response response);
+    void respond(const Response &response);
     /// Starts an answer of unknown length, sent in chunks.
-    void begin(int status, Headers headers);
+    void begin(int status, const Headers &headers);
     /// Starts an answer whose body is \a length bytes long.
-    void beginSized(int status, Headers headers, std::uint64_t length);
+    void beginSized(int status, const Headers &headers, std::uint64_t length);
     /// Appends to a started answer.
     void write(std::string_view data);
     /// Ends a started answer cleanly.
@@ -92,7 +92,7 @@
     using Refusal = std::function<Response(int status, std::string_view reason)>;
 
     /// Throws std::runtime_error when the address cannot be bound.
-    Server(Loop &loop, Address listen, ServerLimits limits, Handler handler);
+    Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -74,7 +74,7 @@
 
 Socket::Ptr Socket::connect(Loop &loop, const Address &to, SocketHandlers handlers)
 {
-    const Ptr socket(new Socket(loop));
+    Ptr socket(new Socket(loop));
     socket->handlers = std::move(handlers);
     socket->tcp->owner = socket;
     sockaddr_in address{};
@@ -103,7 +103,7 @@
 
 Socket::Ptr Socket::accept(Loop &loop, uv_stream_s *listener, SocketHandlers handlers)
 {
-    const Ptr socket(new Socket(loop));
+    Ptr socket(new Socket(loop));
     socket->handlers = std::move(handlers);
     socket->tcp->owner = socket;
     if (uv_accept(listener, socket->tcp->stream()) < 0) {
@@ -185,7 +185,7 @@
     });
 }
 
-void Socket::end(SocketEnd how, std::string reason)
+void Socket::end(SocketEnd how, const std::string &reason)
 {
     if (this->closing)
         return;
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -54,7 +54,7 @@
 
     explicit Socket(Loop &loop);
     void startReading();
-    void end(SocketEnd how, std::string reason);
+    void end(SocketEnd how, const std::string &reason);
 
     Loop &loop;
     SocketHandlers handlers;
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -142,7 +142,7 @@
     const int status = record.status;
     // The outcome is recorded already; the record goes with the claim.
     this->claim.reset();
-    this->caller.exchange->respond(std::move(response));
+    this->caller.exchange->respond(response);
     this->finish(status, RunOutcome::Ran);
 }
 
--- a/src/store/objects.cpp
+++ b/src/store/objects.cpp
@@ -16,7 +16,7 @@
     , client(loop)
 { }
 
-void ObjectClient::start(http::CallRequest request, Millis timeout, WholeHandler handler)
+void ObjectClient::start(http::CallRequest request, Millis timeout, const WholeHandler &handler)
 {
     ++this->calls;
     request.to = this->address;
@@ -35,13 +35,12 @@
 }
 
 template <typename Reply>
-void ObjectClient::startTyped(http::CallRequest request, Millis timeout,
+void ObjectClient::startTyped(const http::CallRequest &request, Millis timeout,
                               Reply (*read)(const http::Response &response),
-                              std::function<void(const Reply &reply)> handler)
+                              const std::function<void(const Reply &reply)> &handler)
 {
-    this->start(std::move(request), timeout,
-                [read, handler = std::move(handler)](const http::Response *response,
-                                                     const http::CallFailure &failure) {
+    this->start(request, timeout,
+                [read, handler](const http::Response *response, const http::CallFailure &failure) {
                     if (response)
                         return handler(read(*response));
                     Reply reply;
@@ -50,41 +49,42 @@
                 });
 }
 
-void ObjectClient::list(const std::string &kind, const std::string &after, PageHandler handler)
+void ObjectClient::list(const std::string &kind, const std::string &after,
+                        const PageHandler &handler)
 {
     this->startTyped<ObjectPage>(this->form.list(kind, after), CallTimeout, this->form.readPage,
-                                 std::move(handler));
+                                 handler);
 }
 
 void ObjectClient::watch(const std::string &kind, std::int64_t revision, Millis wait,
-                         ChangesHandler handler)
+                         const ChangesHandler &handler)
 {
     this->startTyped<ObjectChanges>(this->form.watch(kind, revision, wait), wait + WatchSlack,
-                                    this->form.readChanges, std::move(handler));
+                                    this->form.readChanges, handler);
 }
 
-void ObjectClient::read(const std::string &kind, const std::string &name, ReplyHandler handler)
+void ObjectClient::read(const std::string &kind, const std::string &name,
+                        const ReplyHandler &handler)
 {
     this->startTyped<ObjectReply>(this->form.read(kind, name), CallTimeout, this->form.readReply,
-                                  std::move(handler));
+                                  handler);
 }
 
 // Writes use a new connection: on a kept one that has died unseen, the outcome is unknown.
-void ObjectClient::create(const std::string &kind, const StoredObject &object, ReplyHandler handler)
+void ObjectClient::create(const std::string &kind, const StoredObject &object,
+                          const ReplyHandler &handler)
 {
     http::CallRequest call = this->form.create(kind, object);
     call.reuse = http::Reuse::Recent;
-    this->startTyped<ObjectReply>(std::move(call), CallTimeout, this->form.readReply,
-                                  std::move(handler));
+    this->startTyped<ObjectReply>(call, CallTimeout, this->form.readReply, handler);
 }
 
 void ObjectClient::replace(const std::string &kind, const StoredObject &object,
-                           ReplyHandler handler)
+                           const ReplyHandler &handler)
 {
     http::CallRequest call = this->form.replace(kind, object);
     call.reuse = http::Reuse::Recent;
-    this->startTyped<ObjectReply>(std::move(call), CallTimeout, this->form.readReply,
-                                  std::move(handler));
+    this->startTyped<ObjectReply>(call, CallTimeout, this->form.readReply, handler);
 }
 
 } // namespace lavenderhall
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -77,22 +77,23 @@
     using ChangesHandler = std::function<void(const ObjectChanges &changes)>;
     using ReplyHandler = std::function<void(const ObjectReply &reply)>;
 
-    void list(const std::string &kind, const std::string &after, PageHandler handler);
-    void watch(const std::string &kind, std::int64_t revision, Millis wait, ChangesHandler handler);
-    void read(const std::string &kind, const std::string &name, ReplyHandler handler);
-    void create(const std::string &kind, const StoredObject &object, ReplyHandler handler);
-    void replace(const std::string &kind, const StoredObject &object, ReplyHandler handler);
+    void list(const std::string &kind, const std::string &after, const PageHandler &handler);
+    void watch(const std::string &kind, std::int64_t revision, Millis wait,
+               const ChangesHandler &handler);
+    void read(const std::string &kind, const std::string &name, const ReplyHandler &handler);
+    void create(const std::string &kind, const StoredObject &object, const ReplyHandler &handler);
+    void replace(const std::string &kind, const StoredObject &object, const ReplyHandler &handler);
 
     std::uint64_t callCount() const { return this->calls; }
 
 private:
     using WholeHandler
         = std::function<void(const http::Response *response, const http::CallFailure &failure)>;
-    void start(http::CallRequest request, Millis timeout, WholeHandler handler);
+    void start(http::CallRequest request, Millis timeout, const WholeHandler &handler);
     template <typename Reply>
-    void startTyped(http::CallRequest request, Millis timeout,
+    void startTyped(const http::CallRequest &request, Millis timeout,
                     Reply (*read)(const http::Response &response),
-                    std::function<void(const Reply &reply)> handler);
+                    const std::function<void(const Reply &reply)> &handler);
 
     http::Address address;
     const ObjectForm &form;
