Accounts whose levels were lost begin with a part of what is tolerated, once a window

Ruled out: the seats (gained at once), the store, the borrower. Weighed: a full account (excess over the rate), levels kept by the witness (dies with the holder here). Change: a part of the tolerated overage and slack is set aside for a lost level; the seat's record says that it was granted, until its holder has held it for a window, so that processes killed again and again are not granted it twice.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -32,12 +32,13 @@
 }
 
 // A holder's silence leaves its organisations without a decision for about one lease.
-SeatTimings seatTimings()
+SeatTimings seatTimings(const Settings &settings)
 {
     SeatTimings timings;
     timings.lease = Millis(1500);
     timings.renewInterval = Millis(300);
     timings.abandoned = Millis(20'000);
+    timings.freshTime = settings.bounds.rateWindow;
     return timings;
 }
 
@@ -85,7 +86,7 @@
                     leaseTimingsOf(this->settings)),
               rolloutTimingsOf(this->settings))
     , fleet(loop, this->settings, this->seatStore(), this->configSharing(), this->timeline,
-            this->metrics, seatTimings())
+            this->metrics, seatTimings(this->settings))
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -363,14 +364,16 @@
     for (const std::string &name : names)
         regions.push_back({name, 1});
     std::vector<Organisation> organisations;
+    RestartTokens restart;
     for (const OrganisationSpec &spec : content.organisations) {
+        restart.emplace(spec.name, restartTokens(limitsOf(spec), this->tolerance));
         const TokenLimits limits = accountLimits(limitsOf(spec), this->tolerance);
         organisations.push_back({spec.name,
                                  static_cast<std::int64_t>(limits.perSecond),
                                  static_cast<std::int64_t>(limits.burst),
                                  {}});
     }
-    this->fleet.onConfig(content.version, regions, organisations);
+    this->fleet.onConfig(content.version, regions, organisations, restart);
 }
 
 // What was accepted once stays in force until a newer one: an older or malformed one is left out.
--- a/src/limits/allowance.cpp
+++ b/src/limits/allowance.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-// The account serves all instances alike, so it gets most of what is tolerated. A slack that
-// counts once a window may be taken at once or bit by bit, not both.
-constexpr double AccountOverage = 0.8;
-constexpr double AccountBurstSlack = 0.4;
-constexpr double AccountRateSlack = 0.2;
-constexpr double LeftOverage = 1 - AccountOverage;
-constexpr double LeftSlack = 1 - AccountBurstSlack - AccountRateSlack;
+// The account serves all instances alike, so it gets most of what is tolerated, in part for the
+// moments after its level was lost.
+constexpr double AccountOverage = 0.4;
+constexpr double AccountBurstSlack = 0.35;
+constexpr double RestartOverage = 0.45;
+constexpr double RestartSlack = 0.35;
+constexpr double LeftOverage = 1 - AccountOverage - RestartOverage;
+constexpr double LeftSlack = 1 - AccountBurstSlack - RestartSlack;
 // A window sees at most a full bucket and one refill of it.
 constexpr double BucketPart = 0.5;
 
@@ -26,10 +27,17 @@
 TokenLimits accountLimits(TokenLimits limits, const AllowanceSettings &settings)
 {
     const double widened = 1 + settings.overage * AccountOverage;
-    return {limits.perSecond * widened + settings.slack * AccountRateSlack / secondsOf(settings),
+    return {limits.perSecond * widened,
             limits.burst * widened + settings.slack * AccountBurstSlack};
 }
 
+double restartTokens(TokenLimits limits, const AllowanceSettings &settings)
+{
+    return (limits.perSecond * secondsOf(settings) + limits.burst) * settings.overage
+        * RestartOverage
+        + settings.slack * RestartSlack;
+}
+
 bool Allowance::take(const std::string &organisation, TokenLimits limits, double tokens,
                      MonoTime now)
 {
--- a/src/limits/allowance.h
+++ b/src/limits/allowance.h
@@ -34,6 +34,10 @@
 /// beyond them. The rest is left to the instances' own allowances.
 TokenLimits accountLimits(TokenLimits limits, const AllowanceSettings &settings);
 
+/// Returns what the account may begin with, beyond its limits, when its level was lost: once in
+/// a window at most.
+double restartTokens(TokenLimits limits, const AllowanceSettings &settings);
+
 /// What the account leaves of that, divided evenly, so that the grants of all instances stay
 /// within it in any window. It starts empty: an instance that restarts has none twice.
 class Allowance
--- a/src/limits/lender.cpp
+++ b/src/limits/lender.cpp
@@ -38,14 +38,21 @@
 }
 
 void Lender::configure(const std::vector<Region> &regions,
-                       const std::vector<Organisation> &organisations, MonoTime now)
+                       const std::vector<Organisation> &organisations, MonoTime now,
+                       const RestartTokens &restart)
 {
     this->limits.clear();
     this->neededSeats.clear();
     for (const Organisation &organisation : organisations)
         this->neededSeats.insert(seatOf(organisation.name));
-    for (const Organisation &organisation : organisations)
-        this->limits.emplace(organisation.name, limitsIn(regions, organisation, this->region));
+    for (const Organisation &organisation : organisations) {
+        RegionalLimits part = limitsIn(regions, organisation, this->region);
+        const auto granted = restart.find(organisation.name);
+        if (granted != restart.end() && organisation.burstTokens > 0)
+            part.atRestart
+                = granted->second * part.burst / static_cast<double>(organisation.burstTokens);
+        this->limits.emplace(organisation.name, part);
+    }
     for (auto &[index, book] : this->books) {
         std::erase_if(book.accounts,
                       [this](const auto &entry) { return !this->limits.contains(entry.first); });
@@ -67,6 +74,7 @@
     book = {};
     book.term = change.term;
     book.startsFull = change.isFirst || change.wasHandedOver;
+    book.startsWithGrant = change.mayGrantAtStart;
     for (const proto::AccountLevel &level : change.levels)
         book.handedLevels[level.organisation()] = level.level();
     // What the holder before has lent may be spent until then, so nothing is added meanwhile.
@@ -86,9 +94,11 @@
     if (found != book.accounts.end())
         return &found->second;
     const auto handed = book.handedLevels.find(organisation);
+    const double unknown
+        = book.startsWithGrant ? std::min(limit->second.atRestart, limit->second.burst) : 0;
     const double level = handed != book.handedLevels.end() ? handed->second
         : book.startsFull                                  ? limit->second.burst
-                                                           : 0;
+                                                           : unknown;
     const auto added = book.accounts.emplace(
         organisation,
         Account(limit->second.tokensPerSecond, limit->second.burst, level, book.refillFrom));
--- a/src/limits/lender.h
+++ b/src/limits/lender.h
@@ -17,6 +17,7 @@
 {
     double tokensPerSecond = 0;
     double burst = 0;
+    double atRestart = 0; ///< an account begins with, when the levels before were lost
 
     auto operator<=>(const RegionalLimits &) const = default;
 };
@@ -26,6 +27,10 @@
 RegionalLimits limitsIn(const std::vector<Region> &regions, const Organisation &organisation,
                         const std::string &region);
 
+/// Tokens that an organisation's accounts of all regions may begin with when their levels were
+/// lost, beyond its limits; none for those that are not named.
+using RestartTokens = std::map<std::string, double>;
+
 class Lender
 {
 public:
@@ -35,7 +40,8 @@
     { }
 
     void configure(const std::vector<Region> &regions,
-                   const std::vector<Organisation> &organisations, MonoTime now);
+                   const std::vector<Organisation> &organisations, MonoTime now,
+                   const RestartTokens &restart = {});
     /// Takes in that a seat was gained or lost.
     void onSeatChange(const SeatChange &change, MonoTime now);
 
@@ -56,7 +62,7 @@
     {
         std::int64_t term = 0;
         bool startsFull = false;
-        double startsWith = 0;
+        bool startsWithGrant = false; ///< with RegionalLimits::atRestart
         MonoTime refillFrom{};
         std::map<std::string, double> handedLevels;
         std::map<std::string, Account> accounts; ///< only those that were ever asked for
--- a/src/limits/limits_test.cpp
+++ b/src/limits/limits_test.cpp
@@ -286,3 +286,104 @@
     cr_assert(granted > LeastOfEach && refused > LeastOfEach, "%ld granted, %ld refused",
               granted.load(), refused.load());
 }
+
+namespace {
+
+constexpr MonoTime TestStart{std::chrono::seconds(1000)};
+
+SeatSelf restartedSelf(std::uint64_t incarnation)
+{
+    return {processId("node", incarnation), "erie", "10.0.0.1", 7600, "machine"};
+}
+
+/// Lets \a keeper take seat 0 from the record that the store holds; returns the gain.
+std::optional<SeatChange> takeSeat(SeatKeeper &keeper, proto::SeatRecord &stored, MonoTime now)
+{
+    std::vector<SeatAction> actions = keeper.onTick(now);
+    for (int round = 0; round < 4; ++round) {
+        std::vector<SeatAction> next;
+        for (const SeatAction &action : actions) {
+            if (action.index != 0 || action.kind == SeatAction::Kind::Send)
+                continue;
+            std::vector<SeatAction> more;
+            if (action.kind == SeatAction::Kind::Read) {
+                more = keeper.onRead(action, {StoreStatus::Ok, 5, toText(stored)}, now);
+            } else {
+                stored = action.record;
+                more = keeper.onWritten(action, {StoreStatus::Ok, 6, ""}, now);
+            }
+            next.insert(next.end(), more.begin(), more.end());
+        }
+        actions = next.empty() ? keeper.onTick(now) : next;
+    }
+    for (const SeatChange &change : keeper.takeChanges()) {
+        if (change.index == 0 && change.gained)
+            return change;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// The load pattern of processes that are killed again and again: the tokens set aside for a lost
+// level are granted once, and again only after a whole window.
+Test(limits, tokens_for_a_lost_level_are_not_granted_twice_in_a_window)
+{
+    proto::SeatRecord stored;
+    stored.set_region("erie");
+    stored.set_index(0);
+    stored.set_term(3);
+    *stored.mutable_holder() = processId("node", 1);
+    stored.set_holder_host("10.0.0.1");
+    stored.set_holder_port(7600);
+    stored.set_holder_boot("machine");
+    SeatTimings timings;
+    timings.freshTime = Millis(8000);
+
+    SeatKeeper second(restartedSelf(2), timings);
+    const auto gained = takeSeat(second, stored, TestStart);
+    cr_assert(gained.has_value());
+    cr_assert(gained->mayGrantAtStart);
+    cr_assert(stored.fresh());
+
+    SeatKeeper third(restartedSelf(3), timings);
+    const auto again = takeSeat(third, stored, TestStart + Millis(1000));
+    cr_assert(again.has_value());
+    cr_assert(not(again->mayGrantAtStart));
+    cr_assert(stored.fresh());
+
+    // Once it has held the seat for a window, it says so in the record.
+    takeSeat(third, stored, TestStart + Millis(9100));
+    cr_assert(not(stored.fresh()));
+    SeatKeeper fourth(restartedSelf(4), timings);
+    const auto later = takeSeat(fourth, stored, TestStart + Millis(10'000));
+    cr_assert(later.has_value());
+    cr_assert(later->mayGrantAtStart);
+}
+
+Test(limits, an_account_begins_with_what_is_set_aside_only_when_told_so)
+{
+    Lender lender("erie", SeatTimings{});
+    const std::vector<Region> regions{{"erie", 1}, {"huron", 1}};
+    Organisation mill;
+    mill.name = "mill";
+    mill.tokensPerSecond = 1000;
+    mill.burstTokens = 2000;
+    lender.configure(regions, {mill}, TestStart, {{"mill", 600}});
+    const std::uint32_t seat = seatOf("mill");
+    const auto granted = [&](bool mayGrant, std::int64_t term) {
+        SeatChange change;
+        change.index = seat;
+        change.gained = true;
+        change.term = term;
+        change.mayGrantAtStart = mayGrant;
+        lender.onSeatChange(change, TestStart);
+        proto::Borrow borrow;
+        borrow.set_loan(static_cast<std::uint64_t>(term));
+        borrow.set_organisation("mill");
+        borrow.set_tokens(5000);
+        return lender.lend(processId("node", 1), borrow, true, TestStart).tokens();
+    };
+    cr_assert(granted(true, 1) == 300);
+    cr_assert(granted(false, 2) == 0);
+}
--- a/src/limits/limits_world.h
+++ b/src/limits/limits_world.h
@@ -218,7 +218,8 @@
         SeatSelf self{node.id, node.region, "host-" + std::to_string(index), 1, node.boot};
         node.seats = std::make_unique<SeatKeeper>(self, testTimings());
         node.lender = std::make_unique<Lender>(node.region, testTimings());
-        node.lender->configure(this->document.regions, this->document.organisations, this->clockOf(node));
+        node.lender->configure(this->document.regions, this->document.organisations,
+                               this->clockOf(node));
         node.seats->setLevelsSource([&node, this](std::uint32_t seat) {
             return node.lender->levels(seat, this->clockOf(node));
         });
--- a/src/limits/seatrecord.cpp
+++ b/src/limits/seatrecord.cpp
@@ -42,7 +42,8 @@
                     {"host", record.holder_host()},
                     {"port", record.holder_port()},
                     {"boot", record.holder_boot()},
-                    {"renewals", record.renewals()}};
+                    {"renewals", record.renewals()},
+                    {"fresh", record.fresh()}};
     return json.dump();
 }
 
@@ -62,6 +63,7 @@
     record.set_holder_port(static_cast<std::uint32_t>(reader.integer("port", {0, 65535}, 0)));
     record.set_holder_boot(reader.text("boot", ""));
     record.set_renewals(reader.integer("renewals", {0}, 0));
+    record.set_fresh(reader.boolean("fresh", false));
     reader.finish();
     if (!reader.isGood())
         return fail(ErrorCode::BadInput, "read seat", reader.firstError());
--- a/src/limits/seats.cpp
+++ b/src/limits/seats.cpp
@@ -151,6 +151,7 @@
     change.term = seat.record.term();
     change.isFirst = std::exchange(seat.createdHere, false);
     change.wasHandedOver = std::exchange(seat.wasHandedOver, false);
+    change.mayGrantAtStart = std::exchange(seat.mayGrantAtStart, false) && !change.isFirst;
     change.levels = std::exchange(seat.handedLevels, {});
     this->changes.push_back(std::move(change));
 }
@@ -174,6 +175,8 @@
         seat.uncertainSince.reset();
         seat.isFrozen = false;
         seat.createdHere = false;
+        seat.mayGrantAtStart = false;
+        seat.tookAt = now;
         seat.wasHandedOver = false;
         seat.handedLevels.clear();
     }
@@ -278,8 +281,10 @@
     const bool isSilent
         = hasWitness && now - seat.lastHeard > this->timings.lease / 3 && isReplaceable;
     const bool wantsWitness = isSilent || (!hasWitness && !this->members.empty());
+    const bool isSettled = now - seat.tookAt > this->stretched(this->timings.freshTime);
     const bool wantsBump = now - seat.bumpedAt > this->timings.abandoned / BumpsPerAbandonment
-        || seat.uncertainSince || seat.record.holder_boot() != this->self.boot;
+        || (seat.record.fresh() && isSettled) || seat.uncertainSince
+        || seat.record.holder_boot() != this->self.boot;
     if ((!wantsWitness && !wantsBump) || !this->mayCallStore(index, seat, now, actions))
         return;
     // An open write is fenced first: it must not apply after what follows is relied on.
@@ -288,6 +293,7 @@
                                                hasWitness ? &silent : nullptr);
     if (!swaps)
         *record.mutable_witness() = seat.record.witness();
+    record.set_fresh(seat.record.fresh() && !isSettled);
     record.set_renewals(seat.record.renewals() + 1);
     this->write(index, seat, SeatAction::Purpose::Renew, std::move(record), now, actions);
 }
@@ -314,6 +320,7 @@
         proto::SeatRecord record
             = this->ownRecord(index, seat.record.term() + 1, isNew ? nullptr : &before);
         record.set_renewals(seat.record.renewals() + 1);
+        record.set_fresh(!isNew);
         return this->write(index, seat, SeatAction::Purpose::Take, std::move(record), now, actions);
     }
     if (now >= seat.nextRead && now >= seat.nextTry)
@@ -369,6 +376,7 @@
     record.set_index(index);
     record.set_term(seat.record.term() + 1);
     record.set_renewals(seat.record.renewals() + 1);
+    record.set_fresh(seat.record.fresh());
     *record.mutable_holder() = next.id;
     if (const SeatMember *witness = this->chooseMember(index, &next.id))
         *record.mutable_witness() = witness->id;
@@ -478,6 +486,7 @@
     }
 
     const std::int64_t oldTerm = seat.record.term();
+    const bool wasFresh = seat.record.fresh();
     const MonoTime oldLease = seat.leaseUntil;
     const bool wasFirst = asked.expected == CreateVersion;
     const bool withLevels = seat.wasHandedOver;
@@ -503,6 +512,10 @@
         return actions;
     }
     seat.createdHere = wasFirst;
+    if (asked.purpose == SeatAction::Purpose::Take) {
+        seat.mayGrantAtStart = !wasFirst && !wasFresh;
+        seat.tookAt = now;
+    }
     seat.bumpedAt = asked.startedAt;
     // The witness of this very record cannot have known it before it was written.
     const auto term = asked.record.witness().name().empty()
--- a/src/limits/seats.h
+++ b/src/limits/seats.h
@@ -28,6 +28,7 @@
     Millis readInterval
         = std::chrono::minutes(10); ///< between looks at the store for seats of others
     Millis rebalanceDelay{30'000}; ///< the members must not have changed for so long
+    Millis freshTime{8000}; ///< after a take without levels, the next one gets no grant for so long
     std::uint32_t seats = SeatsPerRegion;
     double clockDrift = 0.001; ///< bound on the difference of two clocks' rates
 };
@@ -81,6 +82,9 @@
     bool isFirst = false; ///< the seat had never been held before
     std::vector<proto::AccountLevel> levels; ///< handed over by the holder before
     bool wasHandedOver = false;
+    /// The levels are lost, and no other holder has lost them for a while: the accounts may begin
+    /// with what is set aside for that.
+    bool mayGrantAtStart = false;
 };
 
 class SeatKeeper
@@ -141,6 +145,8 @@
         bool isFrozen = false; ///< being passed on: decides no more
         bool announced = false; ///< its gain has been reported
         bool createdHere = false;
+        bool mayGrantAtStart = false;
+        MonoTime tookAt{}; ///< as holder without levels
         bool wasHandedOver = false; ///< handedLevels tell of all accounts
         std::vector<proto::AccountLevel> handedLevels; ///< not yet reported
     };
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -90,10 +90,10 @@
 }
 
 void Fleet::onConfig(std::int64_t version, const std::vector<Region> &regions,
-                     const std::vector<Organisation> &organisations)
+                     const std::vector<Organisation> &organisations, const RestartTokens &restart)
 {
     const MonoTime now = monoNow();
-    this->lender->configure(regions, organisations, now);
+    this->lender->configure(regions, organisations, now, restart);
     std::vector<std::string> ownFirst{this->settings.region};
     for (const Region &region : regions) {
         if (region.name != this->settings.region)
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -64,7 +64,8 @@
     void start();
     /// Takes in what a configuration says of regions and organisations.
     void onConfig(std::int64_t version, const std::vector<Region> &regions,
-                  const std::vector<Organisation> &organisations);
+                  const std::vector<Organisation> &organisations,
+                  const RestartTokens &restart = {});
     void shareObjects(ObjectSharing how) { this->objects = std::move(how); }
     /// Tells all other instances.
     void announce(const proto::WeightsNotice &notice);
