--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -398,15 +398,20 @@
     this->finish(this->head.status, "ran");
 }
 
-void ForwardCall::onTimeUp()
+void ForwardCall::dropAttempt()
 {
-    if (this->finished)
-        return;
-    const bool isSent = this->call != nullptr;
     if (this->call)
         this->call->cancel();
     this->call = nullptr;
     this->releaseAttempt();
+}
+
+void ForwardCall::onTimeUp()
+{
+    if (this->finished)
+        return;
+    const bool isSent = this->call != nullptr;
+    this->dropAttempt();
     if (this->isStreaming) {
         this->exchange->abort();
         return this->finish(0, "time_up");
@@ -422,10 +427,7 @@
 {
     if (this->finished)
         return;
-    if (this->call)
-        this->call->cancel();
-    this->call = nullptr;
-    this->releaseAttempt();
+    this->dropAttempt();
     this->finish(0, "caller_gone");
 }
 
@@ -434,10 +436,7 @@
     if (this->finished)
         return;
     const bool isSent = this->call != nullptr;
-    if (this->call)
-        this->call->cancel();
-    this->call = nullptr;
-    this->releaseAttempt();
+    this->dropAttempt();
     if (this->isStreaming)
         this->exchange->abort();
     else if (this->run.onTimeUp(isSent) == RunStep::Refuse)
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -60,7 +60,7 @@
     pcg32 random;
 };
 
-/// Identifies a loop of decisions on one request, from its arrival to its last byte.
+/// One request, from its arrival to the last byte of its answer.
 class ForwardCall : public std::enable_shared_from_this<ForwardCall>
 {
 public:
@@ -94,6 +94,8 @@
     void breakStream(const std::string &reason);
     void avoidEndpoint(AttemptEnd end);
     void releaseAttempt();
+    /// Gives up the attempt under way, if any.
+    void dropAttempt();
     void passAnswerOn();
     void beginStream();
     void onTimeUp();
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -77,31 +77,22 @@
 
 namespace {
 
-/// Makes a call whose whole answer is small; \a onAnswer gets nullptr if there is none.
-void callWhole(http::Client &client, http::CallRequest request, const http::Address &to,
-               const std::function<void(const http::Response *response, bool maybeSent)> &onAnswer)
+/// Sends \a request to an engine, within the time that orders and reports may take.
+void callEngine(http::Client &client, http::CallRequest request, const RosterEntry &engine,
+                const http::WholeHandler &onAnswer)
 {
-    request.to = to;
+    request.to = engine.address;
     request.headTimeout = CallTimeout;
     request.connectTimeout = ConnectTimeout;
-    const auto response = std::make_shared<http::Response>();
-    http::CallHandlers handlers;
-    handlers.onHead = [response](int status, const http::Headers &headers) {
-        response->status = status;
-        response->headers = headers;
-    };
-    handlers.onData = [response](std::string_view data) { response->body.append(data); };
-    handlers.onEnd = [response, onAnswer] { onAnswer(response.get(), true); };
-    handlers.onFailed
-        = [onAnswer](const http::CallFailure &failure) { onAnswer(nullptr, failure.maybeSent); };
-    client.start(std::move(request), std::move(handlers));
+    http::startWhole(client, std::move(request), onAnswer);
 }
 
 } // namespace
 
 void Rollout::askReport(const RosterEntry &engine)
 {
-    const auto onAnswer = [this, held = this->alive, engine](const http::Response *response, bool) {
+    const auto onAnswer = [this, held = this->alive, engine](const http::Response *response,
+                                                             const http::CallFailure &) {
         if (!*held)
             return;
         if (!response)
@@ -113,7 +104,7 @@
                  {{"endpoint", engine.id}, {"detail", std::get<Error>(report).detail}});
         this->planner.onReportFailed(engine.id, monoNow());
     };
-    callWhole(this->client, this->adapter.writeReportCall(engine), engine.address, onAnswer);
+    callEngine(this->client, this->adapter.writeReportCall(engine), engine, onAnswer);
 }
 
 void Rollout::onReport(const RosterEntry &engine, const EngineReport &report)
@@ -140,12 +131,12 @@
         return this->planner.onReportFailed(engine.id, monoNow());
     order.holder = this->lease.holderName();
     order.fence = this->lease.fence();
-    const auto onAnswer = [this, held = this->alive, engine, order](const http::Response *response,
-                                                                    bool maybeSent) {
+    const auto onAnswer = [this, held = this->alive, engine, order](
+                              const http::Response *response, const http::CallFailure &failure) {
         if (!*held)
             return;
         const MonoTime now = monoNow();
-        const OrderAnswer failed = maybeSent ? OrderAnswer::Unknown : OrderAnswer::Conflict;
+        const OrderAnswer failed = failure.maybeSent ? OrderAnswer::Unknown : OrderAnswer::Conflict;
         const OrderAnswer answer = response ? this->adapter.readOrderAnswer(*response) : failed;
         logEvent(LogLevel::Info, "order",
                  {{"endpoint", engine.id},
@@ -158,7 +149,7 @@
             this->lease.onFenced(now);
         this->planner.onOrderAnswer(engine.id, answer, now);
     };
-    callWhole(this->client, this->adapter.writeOrder(engine, order), engine.address, onAnswer);
+    callEngine(this->client, this->adapter.writeOrder(engine, order), engine, onAnswer);
 }
 
 } // namespace lavenderhall
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -355,26 +355,33 @@
         onFailed(failure);
 }
 
+CallPtr startWhole(Client &client, CallRequest request, const WholeHandler &handler)
+{
+    const auto response = std::make_shared<Response>();
+    CallHandlers handlers;
+    handlers.onHead = [response](int status, const Headers &headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    handlers.onData = [response](std::string_view data) { response->body.append(data); };
+    handlers.onEnd = [response, handler] { handler(response.get(), {}); };
+    handlers.onFailed = [handler](const CallFailure &failure) { handler(nullptr, failure); };
+    return client.start(std::move(request), std::move(handlers));
+}
+
 SyncResult callAndWait(CallRequest request)
 {
     SyncResult result;
     Loop loop;
     Client client(loop);
-    CallHandlers handlers;
-    handlers.onHead = [&result](int status, const Headers &found) {
-        result.response.status = status;
-        result.response.headers = found;
-    };
-    handlers.onData = [&result](std::string_view data) { result.response.body.append(data); };
-    handlers.onEnd = [&result, &loop] {
-        result.ok = true;
-        loop.stop();
-    };
-    handlers.onFailed = [&result, &loop](const CallFailure &failure) {
+    const auto onAnswer = [&](const Response *response, const CallFailure &failure) {
+        result.ok = response != nullptr;
+        if (response)
+            result.response = *response;
         result.failure = failure;
         loop.stop();
     };
-    const CallPtr call = client.start(std::move(request), std::move(handlers));
+    const CallPtr call = startWhole(client, std::move(request), onAnswer);
     loop.run();
     return result;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -123,6 +123,12 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
+/// Gets the whole answer, or nullptr if the call failed.
+using WholeHandler = std::function<void(const Response *response, const CallFailure &failure)>;
+
+/// Starts a call whose answer is small and wanted as a whole.
+CallPtr startWhole(Client &client, CallRequest request, const WholeHandler &handler);
+
 /// Runs \a request to its end on a loop of its own. For command-line use and tests.
 struct SyncResult
 {
--- a/src/store/objects.cpp
+++ b/src/store/objects.cpp
@@ -16,22 +16,14 @@
     , client(loop)
 { }
 
-void ObjectClient::start(http::CallRequest request, Millis timeout, const WholeHandler &handler)
+void ObjectClient::start(http::CallRequest request, Millis timeout,
+                         const http::WholeHandler &handler)
 {
     ++this->calls;
     request.to = this->address;
     request.headTimeout = timeout;
     request.connectTimeout = ConnectTimeout;
-    const auto response = std::make_shared<http::Response>();
-    http::CallHandlers handlers;
-    handlers.onHead = [response](int status, const http::Headers &headers) {
-        response->status = status;
-        response->headers = headers;
-    };
-    handlers.onData = [response](std::string_view data) { response->body.append(data); };
-    handlers.onEnd = [response, handler] { handler(response.get(), {}); };
-    handlers.onFailed = [handler](const http::CallFailure &failure) { handler(nullptr, failure); };
-    this->client.start(std::move(request), std::move(handlers));
+    http::startWhole(this->client, std::move(request), handler);
 }
 
 template <typename Reply>
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -87,9 +87,7 @@
     std::uint64_t callCount() const { return this->calls; }
 
 private:
-    using WholeHandler
-        = std::function<void(const http::Response *response, const http::CallFailure &failure)>;
-    void start(http::CallRequest request, Millis timeout, const WholeHandler &handler);
+    void start(http::CallRequest request, Millis timeout, const http::WholeHandler &handler);
     template <typename Reply>
     void startTyped(const http::CallRequest &request, Millis timeout,
                     Reply (*read)(const http::Response &response),
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -152,17 +152,11 @@
 void StoreClient::start(http::CallRequest request, const StoreHandler &handler)
 {
     ++this->calls;
-    const auto response = std::make_shared<http::Response>();
-    http::CallHandlers handlers;
-    handlers.onHead = [response](int status, const http::Headers &headers) {
-        response->status = status;
-        response->headers = headers;
-    };
-    handlers.onData = [response](std::string_view data) { response->body.append(data); };
-    handlers.onEnd = [response, handler] { handler(interpretReply(*response)); };
-    handlers.onFailed
-        = [handler](const http::CallFailure &failure) { handler(interpretFailure(failure)); };
-    this->client.start(std::move(request), std::move(handlers));
+    const auto onAnswer
+        = [handler](const http::Response *response, const http::CallFailure &failure) {
+              handler(response ? interpretReply(*response) : interpretFailure(failure));
+          };
+    http::startWhole(this->client, std::move(request), onAnswer);
 }
 
 StoreReply SyncStore::read(const std::string &name) const
