--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lavenderhall {
@@ -183,6 +184,27 @@
     return marks;
 }
 
+void ForwardCall::logChoice() const
+{
+    const auto named = this->context.namedWeights.find(this->request.model);
+    const bool hasNamed = named != this->context.namedWeights.end();
+    const auto waited = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
+    logEvent(LogLevel::Info, "endpoint_chosen",
+             {{"request", this->request.id},
+              {"endpoint", this->choice.endpointId},
+              {"attempt", this->run.attempts() + 1},
+              {"waited_ms", waited.count()},
+              {"cost_ms", std::llround(this->choice.costMillis)},
+              {"prompt_tokens", this->chain.totalTokens()},
+              {"cached_tokens", this->choice.cachedTokens},
+              {"fetched", this->choice.source ? 1 : 0},
+              {"in_flight", this->context.loads.inFlight(this->choice.endpointId)},
+              {"candidates", this->choice.candidates},
+              {"weights", this->choice.weightsVersion},
+              {"named_weights", hasNamed ? named->second.version : 0},
+              {"table", this->table->version()}});
+}
+
 void ForwardCall::startAttempt()
 {
     const MonoTime now = monoNow();
@@ -190,6 +212,7 @@
     if (!chosen)
         return this->refuse({503, "no_endpoint", Millis(400)});
     this->choice = *chosen;
+    this->logChoice();
     const RosterEntry *entry = this->context.loads.entryOf(chosen->endpointId);
     this->tried.push_back(chosen->endpointId);
     this->head = {};
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -82,6 +82,7 @@
     void giveTokensBack();
     void learnWeights();
     void startAttempt();
+    void logChoice() const;
     AttemptMarks marksFor(const Choice &choice) const;
     ChoiceQuery query() const;
     RetryChance chance();
