--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -2,10 +2,13 @@
 #include "http/parser.h"
 #include "http/server.h"
 
+#include <array>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <netinet/in.h>
 #include <pcg_random.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 using namespace lavenderhall;
@@ -364,3 +367,17 @@
     cr_assert(not(cut.ok));
     cr_assert(cut.failure.headSeen);
 }
+
+// A caller that goes while an answer is written to it must not end the process.
+Test(http, a_write_to_a_connection_that_is_gone_raises_no_signal)
+{
+    Fixture fixture;
+    std::array<int, 2> ends{};
+    cr_assert(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+    close(ends[1]);
+    const ssize_t written = write(ends[0], "x", 1);
+    const int code = errno;
+    cr_assert(written < 0);
+    cr_assert(code == EPIPE);
+    close(ends[0]);
+}
