The OpenAI gateway takes targets as sent: no second escaping, and escapes hide no key

Cause: since HTTP runs over http_parser a request's path and query come as the caller sent them, and the gateway still escaped them for the way out (%20 became %2520) and looked for the key in the raw text, so that a percent-encoded key passed. Ruled out: the forward dialect, which never touched the target. Change: the target goes on as it came; the key is looked for in the decoded one.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -381,3 +381,11 @@
     cr_assert(code == EPIPE);
     close(ends[0]);
 }
+
+Test(http, escapes_are_decoded_and_what_is_none_stays)
+{
+    cr_assert(percentDecoded("/a%20b%2Fc?x=%26") == "/a b/c?x=&");
+    cr_assert(percentDecoded("100%") == "100%");
+    cr_assert(percentDecoded("%4") == "%4");
+    cr_assert(percentDecoded("%zz%+1%41") == "%zz%+1A");
+}
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <charconv>
 
 namespace lavenderhall::http {
 
@@ -51,6 +52,24 @@
     return {};
 }
 
+std::string percentDecoded(std::string_view text)
+{
+    constexpr std::size_t EscapeLength = 3;
+    constexpr int HexBase = 16;
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned byte = 0;
+        const std::string_view digits = text.substr(at, EscapeLength).substr(1);
+        const auto read
+            = std::from_chars(digits.data(), digits.data() + digits.size(), byte, HexBase);
+        const bool isEscape = text[at] == '%' && digits.size() == EscapeLength - 1
+            && read.ec == std::errc{} && read.ptr == digits.data() + digits.size();
+        decoded += isEscape ? static_cast<char>(byte) : text[at];
+        at += isEscape ? EscapeLength - 1 : 0;
+    }
+    return decoded;
+}
+
 bool isIpAddress(const std::string &text)
 {
     std::array<unsigned char, sizeof(in6_addr)> parsed{};
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -40,6 +40,9 @@
 /// Returns the value of \a name in a query string "a=1&b=2", or "".
 std::string queryValue(std::string_view query, std::string_view name);
 
+/// Returns \a text with each valid "%XX" replaced by its byte; other bytes stay as they are.
+std::string percentDecoded(std::string_view text);
+
 /// A whole answer.
 struct Response
 {
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -2,8 +2,6 @@
 
 #include "base/digest.h"
 
-#include <cctype>
-
 namespace lavenderhall {
 
 namespace {
@@ -32,25 +30,6 @@
     return path == "/v1/chat/completions" || path == "/v1/completions";
 }
 
-/// Returns \a path with everything escaped that may not stand in a request line.
-std::string escapePath(std::string_view path)
-{
-    static constexpr std::string_view Safe = "-._~!$&'()*+,;=:@/";
-    static constexpr std::string_view Digits = "0123456789ABCDEF";
-    std::string escaped;
-    for (const char c : path) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) || Safe.find(c) != std::string_view::npos) {
-            escaped += c;
-            continue;
-        }
-        escaped += '%';
-        escaped += Digits[byte >> 4U];
-        escaped += Digits[byte & 15U];
-    }
-    return escaped;
-}
-
 Refusal wrongMethod(const std::string &allowed)
 {
     return {405,
@@ -263,9 +242,10 @@
     caller.route = *route;
     if (!this->authenticate(caller))
         return;
-    if (this->leaksKey(caller, request.path + "?" + request.query + "\n" + request.body))
+    // Decoded, so that escapes in the target cannot hide the key.
+    if (this->leaksKey(caller, http::percentDecoded(request.target) + "\n" + request.body))
         return;
-    std::string path = slash == std::string::npos ? "/" : escapePath(rest.substr(slash));
+    std::string path = slash == std::string::npos ? "/" : rest.substr(slash);
     if (!request.query.empty())
         path += "?" + request.query;
     const std::string id = caller.id;
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -362,6 +362,15 @@
         [&] { return fixture.first.activeStreams() + fixture.second.activeStreams() == 0; });
 }
 
+Test(router, a_service_gets_the_path_and_query_as_the_caller_sent_them)
+{
+    Fixture fixture;
+    const Answer answer = fixture.call(http::Method::Get, "/svc/stock/a%20b%2Fc?x=%26&y", "", "");
+    cr_assert(answer.status == 200);
+    cr_assert(Json::parse(answer.body).at("path") == "/a%20b%2Fc");
+    cr_assert(fixture.desk.seen().find("/a%20b%2Fc?x=%26&y\n") != std::string::npos);
+}
+
 Test(router, no_endpoint_log_metric_or_event_carries_a_key)
 {
     Fixture fixture;
@@ -375,6 +384,18 @@
     cr_assert(inQuery.code() == "key_in_request");
     const Answer inPath = fixture.call(http::Method::Post, "/svc/orders/" + secret, secret, "x");
     cr_assert(inPath.code() == "key_in_request");
+    std::string encoded;
+    for (const char c : secret) {
+        char text[8];
+        std::snprintf(text, sizeof text, "%%%02X", static_cast<unsigned>(c));
+        encoded += text;
+    }
+    const Answer encodedInPath
+        = fixture.call(http::Method::Post, "/svc/orders/" + encoded, secret, "x");
+    cr_assert(encodedInPath.code() == "key_in_request");
+    const Answer encodedInQuery
+        = fixture.call(http::Method::Post, "/svc/orders/book?key=" + encoded, secret, "x");
+    cr_assert(encodedInQuery.code() == "key_in_request");
     std::string escaped;
     for (const char c : secret) {
         char text[8];
