One type for bounds on callers, one way to tell of weights, and what the change made dead is gone

Found on re-reading the change. CallerLimits was a copy of http::ServerLimits; max_connections of the settings had lost its effect with the old transport, and bounds callers' connections again (test). In the forward dialect instances asked each other in vain for configurations, which spread there as objects: that sharing is optional now. Two callbacks for weights became one message; an engine's report and its birth are one value; unused members of the HTTP client and of the fleet went.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -85,8 +85,8 @@
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
                     leaseTimingsOf(this->settings)),
               rolloutTimingsOf(this->settings))
-    , fleet(loop, this->settings, this->seatStore(), this->configSharing(), this->timeline,
-            this->metrics, seatTimings(this->settings))
+    , fleet(loop, this->settings, this->seatStore(), std::nullopt, this->timeline, this->metrics,
+            seatTimings(this->settings))
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -113,22 +113,8 @@
                                                          this->feedHandlers(kind), randomSeed()));
     this->fleet.shareObjects(this->objectSharing());
     this->context.tokens = this->tokensGate();
-    this->rollout.setAnnounce([this](const RosterEntry &engine, Millis howLong) {
-        proto::WeightsNotice notice;
-        notice.set_endpoint(engine.id);
-        notice.set_born_ms(engine.bornMillis);
-        notice.set_avoid_ms(howLong.count());
-        this->fleet.announce(notice);
-    });
-    this->rollout.setLoaded(
-        [this](const RosterEntry &engine, const std::string &model, std::int64_t version) {
-            proto::WeightsNotice notice;
-            notice.set_endpoint(engine.id);
-            notice.set_born_ms(engine.bornMillis);
-            notice.set_model(model);
-            notice.set_version(version);
-            this->fleet.announce(notice);
-        });
+    this->rollout.setNotify(
+        [this](const proto::WeightsNotice &notice) { this->fleet.announce(notice); });
     this->applySettings();
 }
 
@@ -237,21 +223,6 @@
     this->offerTable(object.content, object.revision);
 }
 
-// Configurations spread with the other kinds of objects here, not as chunks of their own.
-ConfigSharing ForwardDaemon::configSharing()
-{
-    ConfigSharing sharing;
-    sharing.version = [this] { return this->context.table ? this->context.table->version() : 0; };
-    sharing.storeSilence = [this] {
-        return this->feeds.at(Configuration)->isAway() ? this->feeds.at(Configuration)->age()
-                                                       : Millis(0);
-    };
-    sharing.request = [] { return proto::ConfigRequest(); };
-    sharing.answer = [](const proto::ConfigRequest &) { return std::nullopt; };
-    sharing.take = [](const proto::ConfigOffer &) {};
-    return sharing;
-}
-
 ObjectSharing ForwardDaemon::objectSharing()
 {
     ObjectSharing sharing;
@@ -315,6 +286,10 @@
         return made;
     };
     SeatStore seats;
+    seats.silence = [this] {
+        const KindFeed &feed = *this->feeds.at(Configuration);
+        return feed.isAway() ? feed.age() : Millis(0);
+    };
     seats.read = [this, nameOf, toReply](const std::string &object, const StoreHandler &handler) {
         this->store.read(this->adapter.kinds.limits, nameOf(object),
                          [handler, toReply](const ObjectReply &reply) { handler(toReply(reply)); });
@@ -392,13 +367,7 @@
         return;
     this->tableRevision = revision;
     this->context.table = table;
-    const CallerLimits &bounds = table->content().limits;
-    http::ServerLimits limits;
-    limits.maxBodyBytes = bounds.maxBodyBytes;
-    limits.maxHeadBytes = bounds.maxHeadBytes;
-    limits.requestTimeout = bounds.headTimeout;
-    limits.idleTimeout = bounds.idleTimeout;
-    this->callers->setLimits(limits);
+    this->callers->setLimits(table->content().limits);
     for (const ServiceSpec &service : table->content().services) {
         if (service.engine)
             this->loads.setEngines(service.name, *service.engine);
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -41,7 +41,6 @@
                   bool wasAway);
     void onEvents(std::size_t kind, const std::vector<ObjectEvent> &events);
     void apply(std::size_t kind, const ObjectEvent &event);
-    ConfigSharing configSharing();
     ObjectSharing objectSharing();
     SeatStore seatStore();
     TokensGate tokensGate();
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -11,6 +11,14 @@
 constexpr Millis ConnectTimeout{400};
 constexpr Millis AnnounceTime{1800}; ///< an engine is avoided for so long from its order on
 
+proto::WeightsNotice noticeAbout(const RosterEntry &engine)
+{
+    proto::WeightsNotice notice;
+    notice.set_endpoint(engine.id);
+    notice.set_born_ms(engine.bornMillis);
+    return notice;
+}
+
 } // namespace
 
 Rollout::Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store,
@@ -65,8 +73,11 @@
     switch (action.kind) {
     case RolloutAction::Kind::Announce:
         this->loads.onWeightsChange(action.engine.id, monoNow() + AnnounceTime);
-        if (this->announce)
-            this->announce(action.engine, AnnounceTime);
+        if (this->notify) {
+            proto::WeightsNotice notice = noticeAbout(action.engine);
+            notice.set_avoid_ms(AnnounceTime.count());
+            this->notify(notice);
+        }
         return;
     case RolloutAction::Kind::AskReport:
         return this->askReport(action.engine);
@@ -119,8 +130,12 @@
         if (listed != before.end() && listed->second >= version)
             continue;
         this->loads.onWeightsLoaded(engine.id, model, version);
-        if (this->loaded)
-            this->loaded(engine, model, version);
+        if (!this->notify)
+            continue;
+        proto::WeightsNotice notice = noticeAbout(engine);
+        notice.set_model(model);
+        notice.set_version(version);
+        this->notify(notice);
     }
 }
 
--- a/src/forward/rollout.h
+++ b/src/forward/rollout.h
@@ -2,6 +2,7 @@
 
 #include "forward/adapter.h"
 #include "forward/loadbook.h"
+#include "proto/peer.pb.h"
 #include "rollout/lease.h"
 #include "rollout/planner.h"
 
@@ -15,11 +16,8 @@
 class Rollout
 {
 public:
-    /// Tells the other instances that an engine takes no new work for a while.
-    using Announce = std::function<void(const RosterEntry &engine, Millis howLong)>;
-    /// Tells the other instances that an engine has loaded what was ordered.
-    using Loaded = std::function<void(const RosterEntry &engine, const std::string &model,
-                                      std::int64_t version)>;
+    /// Tells the other instances that an engine is about to change its weights, or has.
+    using Notify = std::function<void(const proto::WeightsNotice &notice)>;
 
     Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store, LoadBook &loads,
             Lease lease, RolloutTimings timings);
@@ -29,8 +27,7 @@
     {
         this->planner.setWanted(versions);
     }
-    void setAnnounce(Announce how) { this->announce = std::move(how); }
-    void setLoaded(Loaded how) { this->loaded = std::move(how); }
+    void setNotify(Notify how) { this->notify = std::move(how); }
     /// How long this instance leaves the duty to those before it, once there is work.
     void setPatience(Millis patience) { this->patience = patience; }
     void onTick(const Roster &roster, MonoTime now);
@@ -50,8 +47,7 @@
     http::Client client;
     Lease lease;
     RolloutPlanner planner;
-    Announce announce;
-    Loaded loaded;
+    Notify notify;
     Millis patience{0};
     MonoTime workSince{};
     std::size_t outdatedCount = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -69,7 +69,6 @@
     void begin(const CallPtr &next)
     {
         this->call = next;
-        next->progress.onKeptConnection = this->answers > 0;
         if (this->isConnected)
             this->send();
     }
@@ -144,8 +143,6 @@
         const CallPtr held = this->call;
         held->progress.headSeen = true;
         held->timer.cancel();
-        if (head.hasLength && !head.isChunked)
-            held->announced = head.length;
         this->keepFor = keepTimeOf(head.headers);
         this->mayKeep = head.isKeepAlive;
         const bool isHead = held->request.method == Method::Head;
@@ -167,7 +164,6 @@
         const CallPtr done = std::move(this->call);
         this->call = nullptr;
         done->connection = nullptr;
-        ++this->answers;
         this->lastAnswerAt = monoNow();
         const auto self = this->shared_from_this();
         if (isClean && this->mayKeep && this->socket->backlog() == 0 && !this->socket->isClosed())
@@ -202,7 +198,6 @@
     Timer idleTimer;
     Millis keepFor = KeepTime;
     MonoTime lastAnswerAt{};
-    std::uint64_t answers = 0;
     bool isConnected = false;
     bool mayKeep = false;
 };
@@ -231,7 +226,6 @@
 
 Client::~Client()
 {
-    *this->alive = false;
     for (const CallPtr &call : this->calls) {
         call->finished = true;
         call->timer.cancel();
@@ -255,7 +249,6 @@
     if (isNew) {
         call->connection = std::make_shared<ClientConnection>(*this, call->request.to);
         this->open[call->request.to].insert(call->connection);
-        ++this->made;
         call->timer
             = this->loop.after(call->request.connectTimeout, [this, weak = std::weak_ptr(call)] {
                   const CallPtr late = weak.lock();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,7 +41,6 @@
     bool headSeen = false;
     bool timedOut = false;
     bool wasReset = false; ///< the connection broke, as against a clean or own end
-    bool onKeptConnection = false; ///< the connection had carried other calls before
     std::string reason;
 };
 
@@ -67,8 +65,6 @@
     /// Stops or goes on reading from the socket, for backpressure.
     void setReading(bool on);
     bool isFinished() const { return this->finished; }
-    /// Body length that the answer's head announced; empty without one.
-    std::optional<std::uint64_t> answerLength() const { return this->announced; }
 
 private:
     friend class Client;
@@ -78,7 +74,6 @@
     CallHandlers handlers;
     Client *client = nullptr;
     std::shared_ptr<ClientConnection> connection;
-    std::optional<std::uint64_t> announced;
     Timer timer;
     CallFailure progress;
     bool finished = false;
@@ -100,7 +95,6 @@
     std::size_t callsInFlight() const { return this->calls.size(); }
     /// Connections to \a to, in use or kept.
     std::size_t connectionsTo(const Address &to) const;
-    std::uint64_t connectionsMade() const { return this->made; }
     /// Closes the kept connections to \a to.
     void forgetIdle(const Address &to);
 
@@ -119,8 +113,6 @@
     std::map<Address, std::vector<ConnectionPtr>> idle; ///< most recently used last
     std::map<Address, std::set<ConnectionPtr>> open;
     std::set<CallPtr> calls;
-    std::uint64_t made = 0;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 /// Gets the whole answer, or nullptr if the call failed.
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -389,3 +389,16 @@
     cr_assert(percentDecoded("%4") == "%4");
     cr_assert(percentDecoded("%zz%+1%41") == "%zz%+1A");
 }
+
+Test(http, a_connection_over_the_bound_is_closed_and_the_others_go_on)
+{
+    Fixture fixture;
+    ServerLimits few = limitsOf(1000);
+    few.maxConnections = 1;
+    fixture.server.setLimits(few);
+    cr_assert(fixture.call(request(Method::Get, "/echo")).ok);
+    CallRequest second = request(Method::Get, "/echo");
+    second.reuse = Reuse::Never;
+    cr_assert(not(fixture.call(second).ok));
+    cr_assert(fixture.call(request(Method::Get, "/echo")).ok);
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -395,8 +395,11 @@
 void Server::onConnection()
 {
     const auto connection = std::make_shared<ServerConnection>(*this);
-    if (connection->open(this->loop, this->listener))
-        this->connections.insert(connection);
+    if (!connection->open(this->loop, this->listener))
+        return;
+    this->connections.insert(connection);
+    if (this->connections.size() > this->limits.maxConnections)
+        connection->drop();
 }
 
 // The connection may still be on the call stack.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -71,6 +71,7 @@
     std::size_t maxHeadBytes = 16U << 10U;
     Millis requestTimeout = std::chrono::seconds(15); ///< for head and body to arrive
     Millis idleTimeout = std::chrono::seconds(60); ///< of a connection between requests
+    std::size_t maxConnections = 65536; ///< one more is closed at once
 
     bool operator==(const ServerLimits &) const = default;
 };
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -22,7 +22,7 @@
 {
     const std::int64_t listed = versionIn(entry.weights, model);
     const auto seen = this->reported.find(entry.id);
-    if (seen == this->reported.end() || this->reportedBorn.at(entry.id) != entry.bornMillis)
+    if (seen == this->reported.end() || seen->second.bornMillis != entry.bornMillis)
         return listed;
     return std::max(listed, versionIn(seen->second.weights, model));
 }
@@ -205,8 +205,7 @@
     Engine &engine = found->second;
     engine.isWaiting = false;
     engine.nextReport = now + this->timings.reportInterval;
-    this->reported[engineId] = report;
-    this->reportedBorn[engineId] = engine.bornMillis;
+    this->reported[engineId] = {engine.bornMillis, report.weights};
     const std::int64_t wantedVersion = versionIn(this->wanted, engine.model);
     if (!report.isBusy && versionIn(report.weights, engine.model) >= wantedVersion) {
         engine.isLoaded = true;
@@ -245,9 +244,9 @@
     engine.nextReport = now + this->timings.reportInterval;
     if (answer == OrderAnswer::AlreadyDone) {
         engine.isLoaded = true;
-        EngineReport &report = this->reported[engineId];
-        report.weights[engine.model] = engine.version;
-        this->reportedBorn[engineId] = engine.bornMillis;
+        Reported &seen = this->reported[engineId];
+        seen.bornMillis = engine.bornMillis;
+        seen.weights[engine.model] = engine.version;
         return;
     }
     // Whatever else it said, the engine's report tells what is true now.
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -92,6 +92,12 @@
 
     RolloutTimings timings;
     std::size_t mostLoading = 1;
+    /// Weights that an engine has told of itself, newer than the roster.
+    struct Reported
+    {
+        std::int64_t bornMillis = 0;
+        std::map<std::string, std::int64_t> weights;
+    };
     struct Naming
     {
         std::int64_t version = 0;
@@ -101,8 +107,7 @@
     std::map<std::string, std::int64_t> wanted;
     std::map<std::string, std::vector<Naming>> namings; ///< by model, oldest first
     std::map<std::string, Engine> working;
-    std::map<std::string, EngineReport> reported; ///< newer than the roster
-    std::map<std::string, std::int64_t> reportedBorn;
+    std::map<std::string, Reported> reported; ///< by engine
 };
 
 } // namespace lavenderhall
--- a/src/router/configfeed.cpp
+++ b/src/router/configfeed.cpp
@@ -107,7 +107,6 @@
 {
     ConfigSharing sharing;
     sharing.version = [this] { return this->configs.activeVersion(); };
-    sharing.storeSilence = [this] { return this->storeSilence(); };
     sharing.request = [this] {
         proto::ConfigRequest request;
         request.set_known_version(this->configs.activeVersion());
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -52,7 +52,8 @@
           },
           randomSeed())
     , fleet(this->loop, this->settings,
-            {[this](const std::string &object, const StoreHandler &handler) {
+            {[this] { return this->feed.storeSilence(); },
+             [this](const std::string &object, const StoreHandler &handler) {
                  this->store.read(object, handler);
              },
              [this](const std::string &object, std::string text, std::int64_t expected,
@@ -88,9 +89,11 @@
     };
     this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
                                           this->metrics, std::move(hooks));
+    http::ServerLimits limits
+        = http::limitsOf(static_cast<std::size_t>(this->settings.maxBodyBytes));
+    limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
     this->callers = std::make_unique<http::Server>(
-        this->loop, this->settings.listen,
-        http::limitsOf(static_cast<std::size_t>(this->settings.maxBodyBytes)),
+        this->loop, this->settings.listen, limits,
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
 }
 
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -31,8 +31,9 @@
 
 } // namespace
 
-Fleet::Fleet(http::Loop &loop, const Settings &settings, SeatStore store, ConfigSharing configs,
-             TimelineRing &timeline, Metrics &metrics, SeatTimings timings)
+Fleet::Fleet(http::Loop &loop, const Settings &settings, SeatStore store,
+             std::optional<ConfigSharing> configs, TimelineRing &timeline, Metrics &metrics,
+             SeatTimings timings)
     : loop(loop)
     , settings(settings)
     , store(std::move(store))
@@ -100,7 +101,8 @@
             ownFirst.push_back(region.name);
     }
     this->borrower->setRegions(std::move(ownFirst));
-    this->members->setConfigVersion(version);
+    if (this->configs)
+        this->members->setConfigVersion(version);
     this->carryOut(this->members->pingSome(ConfigFanOut, now));
 }
 
@@ -119,7 +121,7 @@
         if (!member.leaving())
             alive.push_back({member.id(), member.region(), member.zone()});
     }
-    if (!members.empty() || this->configs.storeSilence() == Millis(0))
+    if (!members.empty() || this->store.silence() == Millis(0))
         this->lastCompany = now;
     this->seats->setMembers(std::move(alive), now);
     this->carryOut(this->seats->onTick(now));
@@ -298,7 +300,9 @@
     case proto::Envelope::kConfigRequest:
         return this->receiveConfigRequest(message);
     case proto::Envelope::kConfigOffer:
-        return this->configs.take(message.config_offer());
+        if (this->configs)
+            this->configs->take(message.config_offer());
+        return;
     case proto::Envelope::kObjectsRequest:
         return this->receiveObjectsRequest(message);
     case proto::Envelope::kObjectsOffer:
@@ -358,20 +362,22 @@
 void Fleet::askForConfig()
 {
     const MonoTime now = monoNow();
-    if (now < this->nextConfigQuestion)
+    if (!this->configs || now < this->nextConfigQuestion)
         return;
     const auto news = this->members->takeConfigNews();
-    if (!news || news->version <= this->configs.version())
+    if (!news || news->version <= this->configs->version())
         return;
     this->nextConfigQuestion = now + ConfigQuestionInterval;
     proto::Envelope question;
-    *question.mutable_config_request() = this->configs.request();
+    *question.mutable_config_request() = this->configs->request();
     this->send(news->from, std::move(question));
 }
 
 void Fleet::receiveConfigRequest(const proto::Envelope &message)
 {
-    const auto offer = this->configs.answer(message.config_request());
+    if (!this->configs)
+        return;
+    const auto offer = this->configs->answer(message.config_request());
     if (!offer)
         return;
     proto::Envelope answer;
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -27,7 +28,6 @@
     std::function<proto::ConfigRequest()> request; ///< what to ask a newer peer for
     std::function<std::optional<proto::ConfigOffer>(const proto::ConfigRequest &request)> answer;
     std::function<void(const proto::ConfigOffer &offer)> take;
-    std::function<Millis()> storeSilence; ///< how long the store has not answered
 };
 
 /// Objects of the store that instances tell each other of, so that one whose watch has fallen
@@ -44,6 +44,7 @@
 /// Where the records of seats lie.
 struct SeatStore
 {
+    std::function<Millis()> silence; ///< how long the store has not answered
     std::function<void(const std::string &object, const StoreHandler &handler)> read;
     std::function<void(const std::string &object, std::string text, std::int64_t expected,
                        const StoreHandler &handler)>
@@ -56,8 +57,9 @@
 class Fleet
 {
 public:
-    Fleet(http::Loop &loop, const Settings &settings, SeatStore store, ConfigSharing configs,
-          TimelineRing &timeline, Metrics &metrics, SeatTimings timings = {});
+    Fleet(http::Loop &loop, const Settings &settings, SeatStore store,
+          std::optional<ConfigSharing> configs, TimelineRing &timeline, Metrics &metrics,
+          SeatTimings timings = {});
     ~Fleet();
 
     /// Binds the peer address and begins; throws std::runtime_error if it is taken.
@@ -88,8 +90,6 @@
     /// others, reaches none of them, and does not reach the store either. A withdrawal that the
     /// others know of would not arrive.
     bool isCutOff() const;
-    /// Instances that may be running, this one included.
-    std::size_t knownInstances() const { return this->members->knownCount() + 1; }
     std::size_t peerCount() const { return this->members ? this->members->alive().size() : 0; }
     Json status() const;
     void updateMetrics();
@@ -118,7 +118,7 @@
     http::Loop &loop;
     const Settings &settings;
     SeatStore store;
-    ConfigSharing configs;
+    std::optional<ConfigSharing> configs; ///< not where they spread as objects
     ObjectSharing objects;
     TimelineRing &timeline;
     Metrics &metrics;
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -12,7 +12,6 @@
 
 constexpr IntRange PortRange{1, 65535};
 constexpr std::int64_t DefaultMaxBodyBytes = 8 << 20;
-constexpr std::int64_t DefaultMaxConnections = 8192;
 constexpr std::int64_t DefaultDrainMillis = 120'000;
 constexpr std::size_t Z85KeyLength = 40;
 const std::vector<std::string> DialectNames{"openai", "forward"};
@@ -159,7 +158,8 @@
     settings.engineCredential = reader.text("engine_credential");
     settings.logLevel = static_cast<LogLevel>(reader.choice("log_level", LogLevelNames, 1));
     settings.maxBodyBytes = reader.integer("max_body_bytes", {1024, 64 << 20}, DefaultMaxBodyBytes);
-    settings.maxConnections = reader.integer("max_connections", {64, 65536}, DefaultMaxConnections);
+    settings.maxConnections
+        = reader.integer("max_connections", {64, 65536}, settings.maxConnections);
     settings.drainDeadline = Millis(reader.integer("drain_ms", {0, 3'600'000}, DefaultDrainMillis));
     settings.cutOffBound
         = Millis(reader.integer("cut_off_ms", {1000, 3'600'000}, settings.cutOffBound.count()));
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -61,7 +61,7 @@
     std::string engineCredential; ///< sent to endpoints in place of callers' keys
     LogLevel logLevel = LogLevel::Info;
     std::int64_t maxBodyBytes = 0;
-    std::int64_t maxConnections = 0;
+    std::int64_t maxConnections = 8192; ///< of callers
     Millis cutOffBound{30'000}; ///< alone for so long, keys are not trusted any more
     Millis drainDeadline{0}; ///< after SIGTERM, for streams to finish
 };
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "http/server.h"
 
 #include <cstdint>
 #include <map>
@@ -91,24 +92,13 @@
     auto operator<=>(const OrganisationSpec &) const = default;
 };
 
-/// Bounds on what callers send.
-struct CallerLimits
-{
-    std::size_t maxHeadBytes = 16U << 10U;
-    std::size_t maxBodyBytes = 8U << 20U;
-    Millis headTimeout{15'000};
-    Millis idleTimeout{60'000};
-
-    auto operator<=>(const CallerLimits &) const = default;
-};
-
 struct TableContent
 {
     std::int64_t version = 0;
     std::vector<ForwardRoute> routes;
     std::vector<ServiceSpec> services;
     std::vector<OrganisationSpec> organisations;
-    CallerLimits limits;
+    http::ServerLimits limits; ///< on what callers send, and how long they may take
 
     bool operator==(const TableContent &) const = default;
 };
