--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -56,9 +56,9 @@
         member.set_port(8221);
         member.set_region(index % 2 == 0 ? "region-one" : "region-two");
         member.set_zone("zone-" + std::to_string(index % 6));
-        const std::string address = http::Address{member.host(), 8221}.toString();
+        const std::string address = Address{member.host(), 8221}.toString();
         nodes[address]
-            = std::make_unique<Members>(member, std::vector<http::Address>{{"10.0.0.0", 8221}},
+            = std::make_unique<Members>(member, std::vector<Address>{{"10.0.0.0", 8221}},
                                         MemberTimings{}, static_cast<std::uint64_t>(index) + 1);
     }
     std::uint64_t bytes = 0;
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -18,7 +18,7 @@
 
 struct Plan
 {
-    http::Address target;
+    Address target;
     std::string key;
     std::string model;
     long perSecond = 0; ///< open loop, if positive
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -20,7 +20,7 @@
 
 struct EngineOptions
 {
-    http::Address listen;
+    Address listen;
     std::string model = "loom";
     std::string version = "v1";
     int slots = 16;
--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -21,7 +21,7 @@
     std::vector<std::unique_ptr<fakes::Service>> services;
 };
 
-http::Address addressOf(const Json &entry)
+Address addressOf(const Json &entry)
 {
     return {entry.value("host", "127.0.0.1"), entry.at("port").get<std::uint16_t>()};
 }
--- a/fakes/service.cpp
+++ b/fakes/service.cpp
@@ -8,7 +8,7 @@
 
 } // namespace
 
-Service::Service(http::Loop &loop, const http::Address &listen)
+Service::Service(http::Loop &loop, const Address &listen)
     : loop(loop)
     , server(loop, listen, http::limitsOf(MaxBodyBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -21,7 +21,7 @@
 class Service
 {
 public:
-    Service(http::Loop &loop, const http::Address &listen);
+    Service(http::Loop &loop, const Address &listen);
 
     ServiceFaults faults;
 
--- a/fakes/store.cpp
+++ b/fakes/store.cpp
@@ -37,7 +37,7 @@
     return true;
 }
 
-Store::Store(http::Loop &loop, const http::Address &listen, int writesPerSecond, int readsPerSecond)
+Store::Store(http::Loop &loop, const Address &listen, int writesPerSecond, int readsPerSecond)
     : loop(loop)
     , server(loop, listen, http::limitsOf(MaxObjectBytes),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
--- a/fakes/store.h
+++ b/fakes/store.h
@@ -23,7 +23,7 @@
 class Store
 {
 public:
-    Store(http::Loop &loop, const http::Address &listen, int writesPerSecond = 400,
+    Store(http::Loop &loop, const Address &listen, int writesPerSecond = 400,
           int readsPerSecond = 2000);
 
     StoreFaults faults;
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -1,6 +1,6 @@
 #include "base/json.h"
 
-#include "http/message.h"
+#include "base/address.h"
 
 #include <algorithm>
 
@@ -129,7 +129,7 @@
 std::string ObjectReader::ipAddress(const std::string &name)
 {
     std::string address = this->text(name);
-    if (this->isGood() && !http::isIpAddress(address))
+    if (this->isGood() && !isIpAddress(address))
         this->complain(name, "\"" + address + "\"", "an IP address in figures");
     return address;
 }
--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -63,7 +63,7 @@
                  "Exit codes: 0 done, 1 failed, 2 wrong usage or input, 3 conflict, 4 unknown.\n";
 }
 
-Result<http::Address> parseAddress(const std::string &text)
+Result<Address> parseAddress(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
     const long port
@@ -71,12 +71,12 @@
     if (colon == 0 || port < 1 || port > 65535)
         return fail(ErrorCode::BadInput, "read command line",
                     "found address \"" + text + "\", expected IP:PORT");
-    return http::Address{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+    return Address{text.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
-Result<std::vector<http::Address>> parseAddresses(std::string_view text)
+Result<std::vector<Address>> parseAddresses(std::string_view text)
 {
-    std::vector<http::Address> addresses;
+    std::vector<Address> addresses;
     while (!text.empty()) {
         const std::size_t comma = text.find(',');
         BOOST_LEAF_AUTO(address, parseAddress(std::string(text.substr(0, comma))));
--- a/src/client/command.h
+++ b/src/client/command.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/address.h"
 #include "base/errors.h"
 #include "forward/adapter.h"
-#include "http/message.h"
 
 #include <string>
 #include <vector>
@@ -23,8 +23,8 @@
 struct Arguments
 {
     std::vector<std::string> words; ///< after the subcommand's name
-    http::Address store;
-    std::vector<http::Address> admins;
+    Address store;
+    std::vector<Address> admins;
     std::string settingsFile;
     std::string author;
     std::string request;
--- a/src/client/instancecommands.cpp
+++ b/src/client/instancecommands.cpp
@@ -18,7 +18,7 @@
 /// Answer of one instance, or why there is none.
 struct AdminAnswer
 {
-    http::Address address;
+    Address address;
     bool ok = false;
     std::string body;
 };
@@ -30,7 +30,7 @@
         return fail(ErrorCode::BadInput, "read command line",
                     "--admin IP:PORT,... is missing, and LAVENDERHALL_ADMINS is not set");
     std::vector<AdminAnswer> answers;
-    for (const http::Address &address : arguments.admins) {
+    for (const Address &address : arguments.admins) {
         http::CallRequest request;
         request.to = address;
         request.method = method;
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/address.h"
 #include "base/clock.h"
 #include "base/errors.h"
 #include "base/json.h"
-#include "http/message.h"
 
 #include <cstdint>
 #include <optional>
@@ -55,7 +55,7 @@
 {
     std::string name;
     EndpointKind kind = EndpointKind::Engine;
-    http::Address address;
+    Address address;
     std::string region;
     std::string zone;
     std::vector<std::string> models; ///< names of the models that an engine may serve
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -19,18 +19,10 @@
 constexpr Millis BalancerTime{3000};
 // Instances that do not hold the duty of the rollout take it up at different times.
 constexpr unsigned MostPatienceMillis = 600;
-constexpr Millis TokensPatience{200}; ///< for a rate to allow a request
-constexpr Millis UnknownRateRetryAfter{300};
 // Shares of what the whole fleet may do are cut for at least so many instances.
 constexpr std::size_t LeastInstances = 8;
 constexpr Millis StopMargin{250}; ///< before the process is killed
 
-TokenLimits limitsOf(const OrganisationSpec &organisation)
-{
-    return {static_cast<double>(organisation.tokensPerSecond),
-            static_cast<double>(organisation.burstTokens)};
-}
-
 // A holder's silence leaves its organisations without a decision for about one lease.
 SeatTimings seatTimings(const Settings &settings)
 {
@@ -85,8 +77,12 @@
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
                     leaseTimingsOf(this->settings)),
               rolloutTimingsOf(this->settings))
-    , fleet(loop, this->settings, this->seatStore(), std::nullopt, this->timeline, this->metrics,
-            seatTimings(this->settings))
+    , followed(loop, this->store, adapter.kinds, this->followedHandlers(), randomSeed())
+    , fleet(loop, this->settings,
+            objectSeatStore(this->store, adapter.kinds.limits,
+                            [this] { return this->followed.silence(); }),
+            std::nullopt, this->timeline, this->metrics, seatTimings(this->settings))
+    , rates(this->fleet)
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -108,11 +104,10 @@
     this->callers->setRefusal([this](int status, std::string_view reason) {
         return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
     });
-    for (std::size_t kind = 0; kind < FollowedCount; ++kind)
-        this->feeds.push_back(std::make_unique<KindFeed>(loop, this->store, this->kindName(kind),
-                                                         this->feedHandlers(kind), randomSeed()));
-    this->fleet.shareObjects(this->objectSharing());
-    this->context.tokens = this->tokensGate();
+    ObjectSharing sharing = this->followed.sharing();
+    sharing.onNotice = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
+    this->fleet.shareObjects(std::move(sharing));
+    this->context.tokens = this->rates.gate();
     this->rollout.setNotify(
         [this](const proto::WeightsNotice &notice) { this->fleet.announce(notice); });
     this->applySettings();
@@ -128,11 +123,12 @@
     budgetSettings.instances = LeastInstances;
     this->budget.setSettings(budgetSettings);
     this->context.oldWeightsTime = bounds.weights;
-    this->tolerance.overage = bounds.rateOverage;
-    this->tolerance.slack = static_cast<double>(bounds.rateSlack);
-    this->tolerance.window = bounds.rateWindow;
-    this->tolerance.instances = LeastInstances;
-    this->allowance.setSettings(this->tolerance);
+    AllowanceSettings tolerance;
+    tolerance.overage = bounds.rateOverage;
+    tolerance.slack = static_cast<double>(bounds.rateSlack);
+    tolerance.window = bounds.rateWindow;
+    tolerance.instances = LeastInstances;
+    this->rates.setTolerance(tolerance);
 }
 
 void ForwardDaemon::start()
@@ -146,8 +142,7 @@
     this->rollout.setPatience(Millis(this->context.random(MostPatienceMillis)));
     // The peer address is bound before anything is decided: whoever bound it before is dead.
     this->fleet.start();
-    for (const auto &feed : this->feeds)
-        feed->start();
+    this->followed.start();
     this->tick();
     this->reloadSettings("start");
 }
@@ -169,95 +164,34 @@
     return 0;
 }
 
-const std::string &ForwardDaemon::kindName(std::size_t kind) const
-{
-    const ObjectKinds &kinds = this->adapter.kinds;
-    const std::array<const std::string *, FollowedCount> names{&kinds.configuration,
-                                                               &kinds.endpoints, &kinds.weights};
-    return *names.at(kind);
-}
-
-FeedHandlers ForwardDaemon::feedHandlers(std::size_t kind)
+FollowedHandlers ForwardDaemon::followedHandlers()
 {
-    FeedHandlers handlers;
-    handlers.onListed
-        = [this, kind](const std::vector<StoredObject> &objects, std::int64_t revision,
-                       bool wasAway) { this->onListed(kind, objects, revision, wasAway); };
-    handlers.onEvents
-        = [this, kind](const std::vector<ObjectEvent> &events) { this->onEvents(kind, events); };
+    FollowedHandlers handlers;
+    handlers.onEvent
+        = [this](ObjectKind kind, const ObjectEvent &event) { this->apply(kind, event); };
+    handlers.onListed = [this](ObjectKind kind, const std::vector<std::string> &names,
+                               std::int64_t revision, bool wasAway) {
+        if (kind == ObjectKind::Endpoints)
+            this->roster.onListed(names, revision, wasAway, monoNow());
+    };
+    handlers.onBatchEnd = [this] { this->applyRosterChanges(); };
     return handlers;
 }
 
-void ForwardDaemon::onListed(std::size_t kind, const std::vector<StoredObject> &objects,
-                             std::int64_t revision, bool wasAway)
-{
-    this->mirrors.at(kind).takeList(objects);
-    std::vector<std::string> names;
-    for (const StoredObject &object : objects) {
-        names.push_back(object.name);
-        this->apply(kind, {object, false});
-    }
-    if (kind == Endpoints)
-        this->roster.onListed(names, revision, wasAway, monoNow());
-    this->applyRosterChanges();
-}
-
-void ForwardDaemon::onEvents(std::size_t kind, const std::vector<ObjectEvent> &events)
-{
-    for (const ObjectEvent &event : this->mirrors.at(kind).take(events))
-        this->apply(kind, event);
-    this->applyRosterChanges();
-}
-
-void ForwardDaemon::apply(std::size_t kind, const ObjectEvent &event)
+void ForwardDaemon::apply(ObjectKind kind, const ObjectEvent &event)
 {
     const StoredObject &object = event.object;
-    if (kind == Endpoints && event.isDeleted)
+    if (kind == ObjectKind::Endpoints && event.isDeleted)
         return this->roster.remove(object.name, object.revision);
     if (event.isDeleted)
         return;
-    if (kind == Endpoints)
+    if (kind == ObjectKind::Endpoints)
         return this->putEndpoint(object);
-    if (kind == Weights)
+    if (kind == ObjectKind::Weights)
         return this->putWeights(object);
     this->offerTable(object.content, object.revision);
 }
 
-ObjectSharing ForwardDaemon::objectSharing()
-{
-    ObjectSharing sharing;
-    for (std::size_t kind = 0; kind < FollowedCount; ++kind)
-        sharing.kinds.push_back(this->kindName(kind));
-    sharing.revision = [this](std::size_t kind) { return this->mirrors.at(kind).revision(); };
-    sharing.answer = [this](std::size_t kind, std::int64_t after) {
-        proto::ObjectsOffer offer;
-        offer.set_kind(this->kindName(kind));
-        for (const ObjectEvent &event : this->mirrors.at(kind).after(after)) {
-            proto::SharedObject &object = *offer.add_objects();
-            object.set_name(event.object.name);
-            object.set_revision(event.object.revision);
-            object.set_is_deleted(event.isDeleted);
-            object.set_content(event.object.content.dump());
-        }
-        return offer;
-    };
-    sharing.take = [this](std::size_t kind, const proto::ObjectsOffer &offer) {
-        std::vector<ObjectEvent> events;
-        for (const proto::SharedObject &object : offer.objects()) {
-            Json content = Json::parse(object.content(), nullptr, false);
-            events.push_back(
-                {{object.name(), object.revision(), std::move(content)}, object.is_deleted()});
-        }
-        logEvent(LogLevel::Info, "objects_from_peer",
-                 {{"kind", this->kindName(kind)},
-                  {"objects", events.size()},
-                  {"known", this->mirrors.at(kind).revision()}});
-        this->onEvents(kind, events);
-    };
-    sharing.onNotice = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
-    return sharing;
-}
-
 void ForwardDaemon::onNotice(const proto::WeightsNotice &notice)
 {
     const RosterEntry *entry = this->loads.entryOf(notice.endpoint());
@@ -268,89 +202,6 @@
     this->loads.onWeightsChange(notice.endpoint(), monoNow() + Millis(notice.avoid_ms()));
 }
 
-// A record is one object, named after its region and seat.
-SeatStore ForwardDaemon::seatStore()
-{
-    const auto nameOf = [](const std::string &object) {
-        std::string name = object.substr(object.find('/') + 1);
-        std::replace(name.begin(), name.end(), '/', '.');
-        return name;
-    };
-    const auto toReply = [](const ObjectReply &reply) {
-        StoreReply made;
-        made.status = reply.status;
-        if (reply.object) {
-            made.version = reply.object->revision;
-            made.body = textIn(reply.object->content, "record");
-        }
-        return made;
-    };
-    SeatStore seats;
-    seats.silence = [this] {
-        const KindFeed &feed = *this->feeds.at(Configuration);
-        return feed.isAway() ? feed.age() : Millis(0);
-    };
-    seats.read = [this, nameOf, toReply](const std::string &object, const StoreHandler &handler) {
-        this->store.read(this->adapter.kinds.limits, nameOf(object),
-                         [handler, toReply](const ObjectReply &reply) { handler(toReply(reply)); });
-    };
-    seats.write = [this, nameOf, toReply](const std::string &object, std::string text,
-                                          std::int64_t expected, const StoreHandler &handler) {
-        const StoredObject stored{nameOf(object), expected, Json{{"record", std::move(text)}}};
-        const auto onReply
-            = [handler, toReply](const ObjectReply &reply) { handler(toReply(reply)); };
-        if (expected == CreateVersion)
-            return this->store.create(this->adapter.kinds.limits, stored, onReply);
-        this->store.replace(this->adapter.kinds.limits, stored, onReply);
-    };
-    return seats;
-}
-
-TokensGate ForwardDaemon::tokensGate()
-{
-    TokensGate gate;
-    gate.ask = [this](const OrganisationSpec &organisation, double tokens,
-                      const TokensGate::Handler &handler) {
-        const auto onResult = [this, name = organisation.name, limits = limitsOf(organisation),
-                               tokens, handler](const BorrowResult &result) {
-            if (result.granted)
-                return handler({true, true, {}});
-            const bool isAllowed = this->allowance.take(name, limits, tokens, monoNow());
-            handler({isAllowed, result.isAnswered,
-                     result.isAnswered ? result.retryAfter : UnknownRateRetryAfter});
-        };
-        return this->fleet.requestTokens(organisation.name, tokens, TokensPatience, onResult);
-    };
-    gate.giveBack = [this](std::uint64_t number, bool isGranted, double unused) {
-        if (isGranted)
-            this->fleet.returnTokens(number, unused);
-        else
-            this->fleet.cancelTokens(number);
-    };
-    return gate;
-}
-
-void ForwardDaemon::shareLimits(const TableContent &content)
-{
-    std::set<std::string> names;
-    for (const auto &[zone, region] : this->settings.regionOfZone)
-        names.insert(region);
-    std::vector<Region> regions;
-    for (const std::string &name : names)
-        regions.push_back({name, 1});
-    std::vector<Organisation> organisations;
-    RestartTokens restart;
-    for (const OrganisationSpec &spec : content.organisations) {
-        restart.emplace(spec.name, restartTokens(limitsOf(spec), this->tolerance));
-        const TokenLimits limits = accountLimits(limitsOf(spec), this->tolerance);
-        organisations.push_back({spec.name,
-                                 static_cast<std::int64_t>(limits.perSecond),
-                                 static_cast<std::int64_t>(limits.burst),
-                                 {}});
-    }
-    this->fleet.onConfig(content.version, regions, organisations, restart);
-}
-
 // What was accepted once stays in force until a newer one: an older or malformed one is left out.
 void ForwardDaemon::offerTable(const Json &content, std::int64_t revision)
 {
@@ -372,7 +223,7 @@
         if (service.engine)
             this->loads.setEngines(service.name, *service.engine);
     }
-    this->shareLimits(table->content());
+    this->rates.onConfig(table->content(), this->settings.regionOfZone);
     this->metrics.setConfigVersion(static_cast<double>(table->version()));
     this->timeline.add(EventKind::ConfigInForce, "", "", {{"version", table->version()}});
     logEvent(LogLevel::Info, "config_in_force",
@@ -516,8 +367,7 @@
                                        : "starting"},
             {"config", {{"version", this->context.table ? this->context.table->version() : 0}}},
             {"store",
-             {{"silent_ms", this->feeds.at(Configuration)->age().count()},
-              {"calls", this->store.callCount()}}},
+             {{"silent_ms", this->followed.age().count()}, {"calls", this->store.callCount()}}},
             {"open_requests", this->forwarder.openCalls()},
             {"endpoints", std::move(endpoints)}};
 }
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -1,16 +1,13 @@
 #pragma once
 
+#include "forward/followed.h"
 #include "forward/forwarder.h"
+#include "forward/rates.h"
 #include "forward/rollout.h"
-#include "limits/allowance.h"
 #include "router/admin.h"
-#include "router/fleet.h"
 #include "router/settings.h"
-#include "store/kindfeed.h"
-#include "store/mirror.h"
 #include "timeline/ring.h"
 
-#include <array>
 #include <memory>
 #include <string>
 
@@ -32,21 +29,10 @@
     void drain();
 
 private:
-    /// The kinds of objects that this instance follows and shares with the others.
-    enum Followed : std::size_t { Configuration, Endpoints, Weights, FollowedCount };
-
-    const std::string &kindName(std::size_t kind) const;
-    FeedHandlers feedHandlers(std::size_t kind);
-    void onListed(std::size_t kind, const std::vector<StoredObject> &objects, std::int64_t revision,
-                  bool wasAway);
-    void onEvents(std::size_t kind, const std::vector<ObjectEvent> &events);
-    void apply(std::size_t kind, const ObjectEvent &event);
-    ObjectSharing objectSharing();
-    SeatStore seatStore();
-    TokensGate tokensGate();
+    FollowedHandlers followedHandlers();
+    void apply(ObjectKind kind, const ObjectEvent &event);
     void onNotice(const proto::WeightsNotice &notice);
     void offerTable(const Json &content, std::int64_t revision);
-    void shareLimits(const TableContent &content);
     void putEndpoint(const StoredObject &object);
     void applyRosterChanges();
     void putWeights(const StoredObject &object);
@@ -70,11 +56,9 @@
     ForwardContext context;
     Forwarder forwarder;
     Rollout rollout;
+    FollowedObjects followed;
     Fleet fleet;
-    AllowanceSettings tolerance;
-    Allowance allowance{monoNow()};
-    std::array<ObjectMirror, FollowedCount> mirrors;
-    std::vector<std::unique_ptr<KindFeed>> feeds; ///< one for each followed kind
+    Rates rates;
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -57,7 +57,7 @@
     std::string endpointId;
     double costMillis = 0;
     std::int64_t cachedTokens = 0; ///< thought to be there, or to be fetched
-    std::optional<http::Address> source; ///< to fetch them from
+    std::optional<Address> source; ///< to fetch them from
     std::int64_t weightsVersion = 0; ///< thought to be loaded there, 0 if not known
     std::size_t candidates = 0;
 };
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -49,7 +49,7 @@
     std::string cacheSalt; ///< cached prompts are found under the same salt only
     std::optional<int> priority;
     std::optional<std::int64_t> weightsVersion; ///< only these weights may run it
-    std::optional<http::Address> cacheSource; ///< another engine that keeps parts of the prompt
+    std::optional<Address> cacheSource; ///< another engine that keeps parts of the prompt
     std::string resumeAfter; ///< id of the last event that the caller has
 
     bool operator==(const AttemptMarks &) const = default;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,7 +1,5 @@
 #include "http/message.h"
 
-#include <arpa/inet.h>
-#include <array>
 #include <charconv>
 
 namespace lavenderhall::http {
@@ -70,11 +68,4 @@
     return decoded;
 }
 
-bool isIpAddress(const std::string &text)
-{
-    std::array<unsigned char, sizeof(in6_addr)> parsed{};
-    return inet_pton(AF_INET, text.c_str(), parsed.data()) == 1
-        || inet_pton(AF_INET6, text.c_str(), parsed.data()) == 1;
-}
-
 } // namespace lavenderhall::http
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -51,17 +51,4 @@
     std::string body;
 };
 
-/// IP address and TCP port.
-struct Address
-{
-    std::string host;
-    std::uint16_t port = 0;
-
-    auto operator<=>(const Address &) const = default;
-    std::string toString() const { return this->host + ":" + std::to_string(this->port); }
-};
-
-/// Whether \a text is an IPv4 or IPv6 address in figures; names are not looked up anywhere.
-bool isIpAddress(const std::string &text);
-
 } // namespace lavenderhall::http
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/address.h"
 #include "http/loop.h"
 #include "http/message.h"
 
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -15,7 +15,7 @@
 constexpr Millis SeedPingInterval{5000};
 constexpr Millis JoinPingInterval{300};
 
-http::Address addressIn(const proto::Member &member)
+Address addressIn(const proto::Member &member)
 {
     return {member.host(), static_cast<std::uint16_t>(member.port())};
 }
@@ -28,7 +28,7 @@
     return (static_cast<std::uint64_t>(wallMillis) << IncarnationRandomBits) | (random & mask);
 }
 
-Members::Members(proto::Member self, std::vector<http::Address> seeds, MemberTimings timings,
+Members::Members(proto::Member self, std::vector<Address> seeds, MemberTimings timings,
                  std::uint64_t seed)
     : own(std::move(self))
     , seeds(std::move(seeds))
@@ -39,9 +39,9 @@
     this->ownRumoursLeft = RumourFactor;
 }
 
-void Members::addSeeds(const std::vector<http::Address> &more)
+void Members::addSeeds(const std::vector<Address> &more)
 {
-    for (const http::Address &seed : more) {
+    for (const Address &seed : more) {
         const bool isKnown
             = std::find(this->seeds.begin(), this->seeds.end(), seed) != this->seeds.end();
         if (!isKnown && seed != addressIn(this->own))
@@ -153,7 +153,7 @@
     }
 }
 
-MemberAction Members::ping(const http::Address &to, std::uint64_t number)
+MemberAction Members::ping(const Address &to, std::uint64_t number)
 {
     MemberAction action;
     action.to = to;
@@ -224,8 +224,8 @@
 void Members::probeSeed(MonoTime now, std::vector<MemberAction> &actions)
 {
     this->nextSeedPing = now + (this->hasJoined ? SeedPingInterval : JoinPingInterval);
-    std::vector<http::Address> unknown;
-    for (const http::Address &seed : this->seeds) {
+    std::vector<Address> unknown;
+    for (const Address &seed : this->seeds) {
         const bool isKnown
             = std::any_of(this->table.begin(), this->table.end(), [&](const auto &entry) {
                   return addressIn(entry.second.member) == seed && this->isUsable(entry.second);
@@ -415,7 +415,7 @@
     probe.onBehalfOf = asker;
     probe.askersNumber = request.number();
     probe.asker = message.from();
-    const http::Address target{request.host(), static_cast<std::uint16_t>(request.port())};
+    const Address target{request.host(), static_cast<std::uint16_t>(request.port())};
     actions.push_back(this->ping(target, probe.number));
     this->probes.push_back(std::move(probe));
 }
@@ -475,7 +475,7 @@
         }));
 }
 
-std::optional<http::Address> Members::addressOf(const proto::ProcessId &id) const
+std::optional<Address> Members::addressOf(const proto::ProcessId &id) const
 {
     const auto found = this->table.find(id.name());
     if (found == this->table.end())
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/address.h"
 #include "base/clock.h"
-#include "http/message.h"
 #include "proto/peer.pb.h"
 
 #include <functional>
@@ -30,7 +30,7 @@
 /// A message to send.
 struct MemberAction
 {
-    http::Address to;
+    Address to;
     proto::Envelope message;
 };
 
@@ -44,7 +44,7 @@
 class Members
 {
 public:
-    Members(proto::Member self, std::vector<http::Address> seeds, MemberTimings timings,
+    Members(proto::Member self, std::vector<Address> seeds, MemberTimings timings,
             std::uint64_t seed);
 
     std::vector<MemberAction> onTick(MonoTime now);
@@ -57,7 +57,7 @@
     std::vector<MemberAction> pingSome(std::size_t count, MonoTime now);
 
     /// Adds addresses to be asked for as long as no member is known there.
-    void addSeeds(const std::vector<http::Address> &more);
+    void addSeeds(const std::vector<Address> &more);
     void setConfigVersion(std::int64_t version) { this->configVersion = version; }
     /// Highest configuration version heard of, and from whom.
     struct ConfigNews
@@ -84,7 +84,7 @@
     std::vector<proto::Member> alive() const;
     /// Members that have not said that they left, alive or not.
     std::size_t knownCount() const;
-    std::optional<http::Address> addressOf(const proto::ProcessId &id) const;
+    std::optional<Address> addressOf(const proto::ProcessId &id) const;
     std::vector<MemberChange> takeChanges();
     const proto::Member &self() const { return this->own; }
 
@@ -101,7 +101,7 @@
         std::string name;
         MonoTime sentAt{};
         bool askedOthers = false;
-        std::optional<http::Address> onBehalfOf; ///< who is to get the answer
+        std::optional<Address> onBehalfOf; ///< who is to get the answer
         std::uint64_t askersNumber = 0;
         proto::ProcessId asker;
     };
@@ -111,7 +111,7 @@
     void learnSender(const proto::ProcessId &from, MonoTime now);
     void setState(Entry &entry, proto::MemberState state, MonoTime now);
     void fillRumours(google::protobuf::RepeatedPtrField<proto::Member> &rumours, bool all);
-    MemberAction ping(const http::Address &to, std::uint64_t number);
+    MemberAction ping(const Address &to, std::uint64_t number);
     void probe(Entry &entry, MonoTime now, std::vector<MemberAction> &actions);
     void probeNext(MonoTime now, std::vector<MemberAction> &actions);
     void probeDead(MonoTime now, std::vector<MemberAction> &actions);
@@ -129,7 +129,7 @@
     std::vector<std::string> usableNames() const;
 
     proto::Member own;
-    std::vector<http::Address> seeds;
+    std::vector<Address> seeds;
     MemberTimings timings;
     pcg32 random;
     std::map<std::string, Entry> table;
--- a/src/membership/members_test.cpp
+++ b/src/membership/members_test.cpp
@@ -34,7 +34,7 @@
         member.set_port(1);
         member.set_region(index % 2 == 0 ? "east" : "west");
         this->nodes[index] = std::make_unique<Members>(
-            member, std::vector<http::Address>{{"10.0.0.0", 1}}, MemberTimings{}, this->random());
+            member, std::vector<Address>{{"10.0.0.0", 1}}, MemberTimings{}, this->random());
     }
 
     void stop(int index) { this->nodes.erase(index); }
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -25,7 +25,7 @@
 constexpr const char *CommandEndpoint = "inproc://commands";
 constexpr std::size_t RawKeyBytes = 32;
 
-std::string endpointOf(const http::Address &address)
+std::string endpointOf(const Address &address)
 {
     return "tcp://" + address.toString();
 }
@@ -36,7 +36,7 @@
 class PeerLink::Task
 {
 public:
-    Task(const http::Address &listen, LinkKeys keys, Handler handler)
+    Task(const Address &listen, LinkKeys keys, Handler handler)
         : keys(std::move(keys))
         , handler(std::move(handler))
         , inbox(this->context, zmq::socket_type::router)
@@ -74,7 +74,7 @@
     Task(const Task &) = delete;
     Task &operator=(const Task &) = delete;
 
-    void send(const http::Address &to, const std::string &bytes)
+    void send(const Address &to, const std::string &bytes)
     {
         this->commandsOut.send(zmq::buffer(to.toString()), zmq::send_flags::sndmore);
         this->commandsOut.send(zmq::buffer(bytes), zmq::send_flags::none);
@@ -232,13 +232,13 @@
     std::thread thread;
 };
 
-PeerLink::PeerLink(const http::Address &listen, LinkKeys keys, Handler handler)
+PeerLink::PeerLink(const Address &listen, LinkKeys keys, Handler handler)
     : task(std::make_unique<Task>(listen, std::move(keys), std::move(handler)))
 { }
 
 PeerLink::~PeerLink() = default;
 
-void PeerLink::send(const http::Address &to, const proto::Envelope &message)
+void PeerLink::send(const Address &to, const proto::Envelope &message)
 {
     this->task->send(to, message.SerializeAsString());
 }
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/message.h"
+#include "base/address.h"
 #include "proto/peer.pb.h"
 
 #include <atomic>
@@ -42,13 +42,13 @@
     using Handler = std::function<void(proto::Envelope message)>;
 
     /// Binds \a listen; throws std::runtime_error if that cannot be done.
-    PeerLink(const http::Address &listen, LinkKeys keys, Handler handler);
+    PeerLink(const Address &listen, LinkKeys keys, Handler handler);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
 
     /// Sends without waiting, from the owner's thread; what cannot be sent is dropped.
-    void send(const http::Address &to, const proto::Envelope &message);
+    void send(const Address &to, const proto::Envelope &message);
     LinkCounts counts() const;
 
 private:
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -13,8 +13,8 @@
 
 } // namespace
 
-Admin::Admin(http::Loop &loop, const http::Address &listen, TimelineRing &timeline,
-             Metrics &metrics, AdminHooks hooks)
+Admin::Admin(http::Loop &loop, const Address &listen, TimelineRing &timeline, Metrics &metrics,
+             AdminHooks hooks)
     : timeline(timeline)
     , metrics(metrics)
     , hooks(std::move(hooks))
--- a/src/router/admin.h
+++ b/src/router/admin.h
@@ -20,7 +20,7 @@
 class Admin
 {
 public:
-    Admin(http::Loop &loop, const http::Address &listen, TimelineRing &timeline, Metrics &metrics,
+    Admin(http::Loop &loop, const Address &listen, TimelineRing &timeline, Metrics &metrics,
           AdminHooks hooks);
 
 private:
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -188,14 +188,14 @@
     this->instanceListVersion = reply.version;
     const Json json = Json::parse(reply.body, nullptr, false);
     std::set<std::string> leaving;
-    std::vector<http::Address> peers;
+    std::vector<Address> peers;
     for (const Json &entry : json.is_array() ? json : Json::array()) {
         const bool isLeaving = textIn(entry, "state") == "leaving";
         const std::string host = textIn(entry, "peer_host");
         const std::int64_t port = integerIn(entry, "peer_port");
         if (isLeaving)
             leaving.insert(textIn(entry, "name"));
-        else if (http::isIpAddress(host) && port > 0 && port <= UINT16_MAX)
+        else if (isIpAddress(host) && port > 0 && port <= UINT16_MAX)
             peers.push_back({host, static_cast<std::uint16_t>(port)});
     }
     this->fleet.addSeeds(peers);
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -164,7 +164,7 @@
     }
 }
 
-void Fleet::sendTo(const http::Address &to, proto::Envelope message)
+void Fleet::sendTo(const Address &to, proto::Envelope message)
 {
     if (!this->link)
         return;
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -72,7 +72,7 @@
     /// Tells all other instances.
     void announce(const proto::WeightsNotice &notice);
     /// Takes in more addresses under which members may be found.
-    void addSeeds(const std::vector<http::Address> &seeds) { this->members->addSeeds(seeds); }
+    void addSeeds(const std::vector<Address> &seeds) { this->members->addSeeds(seeds); }
 
     /// Asks for \a tokens of \a organisation; the handler is called exactly once unless the
     /// request is cancelled. Returns the request's number.
@@ -105,7 +105,7 @@
     void carryOut(const BorrowAction &action);
     void callStore(const SeatAction &action);
     void send(const proto::ProcessId &to, proto::Envelope message);
-    void sendTo(const http::Address &to, proto::Envelope message);
+    void sendTo(const Address &to, proto::Envelope message);
     void takeMemberChanges();
     void takeSeatChanges();
     void askForSeats();
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::uint16_t FirstPort = 18600;
 
-http::Address local(int offset)
+Address local(int offset)
 {
     return {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + offset)};
 }
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -17,26 +17,26 @@
 const std::vector<std::string> DialectNames{"openai", "forward"};
 const std::vector<std::string> LogLevelNames{"debug", "info", "warning", "error"};
 
-http::Address readAddress(ObjectReader &reader)
+Address readAddress(ObjectReader &reader)
 {
-    http::Address address;
+    Address address;
     address.host = reader.ipAddress("host");
     address.port = static_cast<std::uint16_t>(reader.integer("port", PortRange));
     return address;
 }
 
 // "IP:PORT" in one text, as other systems write it.
-http::Address readAddressText(ObjectReader &reader, const std::string &name)
+Address readAddressText(ObjectReader &reader, const std::string &name)
 {
     const std::string text = reader.text(name);
     const std::size_t colon = text.rfind(':');
-    http::Address address;
+    Address address;
     address.host = text.substr(0, colon);
     const char *from = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
     const char *end = text.data() + text.size();
     const auto read = std::from_chars(from, end, address.port);
     const bool isGood = read.ec == std::errc{} && read.ptr == end && address.port > 0
-        && http::isIpAddress(address.host);
+        && isIpAddress(address.host);
     if (reader.isGood() && !isGood)
         reader.complain(name, "\"" + text + "\"", "a text \"IP:PORT\"");
     return address;
@@ -88,7 +88,7 @@
     settings.metrics = readAddressText(reader, "metrics");
     for (const std::string &seed : reader.texts("seeds")) {
         const std::string host = seed.substr(0, seed.rfind(':'));
-        if (http::isIpAddress(host) && host != settings.peer.host)
+        if (isIpAddress(host) && host != settings.peer.host)
             settings.seeds.push_back({host, settings.peer.port});
     }
     settings.regionOfZone = reader.textMap("zones");
@@ -97,9 +97,9 @@
     return settings;
 }
 
-http::Address readRequiredAddress(ObjectReader &reader, const std::string &name)
+Address readRequiredAddress(ObjectReader &reader, const std::string &name)
 {
-    http::Address address;
+    Address address;
     const bool isThere
         = reader.object(name, [&](ObjectReader &entry) { address = readAddress(entry); });
     if (!isThere)
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/address.h"
 #include "base/clock.h"
 #include "base/errors.h"
 #include "base/log.h"
-#include "http/message.h"
 
 #include <map>
 #include <optional>
@@ -48,15 +48,15 @@
     Dialect dialect = Dialect::OpenAi;
     ForwardBounds bounds; ///< of the forward dialect
     std::map<std::string, std::string> regionOfZone; ///< of the forward dialect
-    std::optional<http::Address> metrics; ///< besides the admin address
+    std::optional<Address> metrics; ///< besides the admin address
     std::string instance; ///< unique name of this instance
     std::string region;
     std::string zone;
-    http::Address listen; ///< for callers
-    http::Address admin; ///< for operators, metrics and health checks
-    http::Address peer; ///< for the other instances
-    http::Address store; ///< the platform's object service
-    std::vector<http::Address> seeds; ///< peers to ask first
+    Address listen; ///< for callers
+    Address admin; ///< for operators, metrics and health checks
+    Address peer; ///< for the other instances
+    Address store; ///< the platform's object service
+    std::vector<Address> seeds; ///< peers to ask first
     FleetKeys fleetKeys; ///< empty in the forward dialect: its network is the platform's own
     std::string engineCredential; ///< sent to endpoints in place of callers' keys
     LogLevel logLevel = LogLevel::Info;
--- a/src/routing/roster.h
+++ b/src/routing/roster.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "base/address.h"
 #include "base/clock.h"
-#include "http/message.h"
 
 #include <cstdint>
 #include <map>
@@ -18,7 +18,7 @@
     std::string id;
     std::int64_t bornMillis = 0; ///< Unix time of its start; a new value is a new incarnation
     std::string service;
-    http::Address address;
+    Address address;
     std::string zone;
     std::int64_t slots = 1;
     bool isLeaving = false; ///< takes no new work
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -71,7 +71,7 @@
 class ObjectClient
 {
 public:
-    ObjectClient(http::Loop &loop, http::Address address, const ObjectForm &form);
+    ObjectClient(http::Loop &loop, Address address, const ObjectForm &form);
 
     using PageHandler = std::function<void(const ObjectPage &page)>;
     using ChangesHandler = std::function<void(const ObjectChanges &changes)>;
@@ -93,7 +93,7 @@
                     Reply (*read)(const http::Response &response),
                     const std::function<void(const Reply &reply)> &handler);
 
-    http::Address address;
+    Address address;
     const ObjectForm &form;
     http::Client client;
     std::uint64_t calls = 0;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -121,7 +121,7 @@
     return reply;
 }
 
-StoreClient::StoreClient(http::Loop &loop, http::Address address)
+StoreClient::StoreClient(http::Loop &loop, Address address)
     : requests{std::move(address)}
     , client(loop)
 { }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -40,7 +40,7 @@
 /// Builds the calls; shared by the asynchronous client and the command line.
 struct StoreCalls
 {
-    http::Address address;
+    Address address;
     Millis timeout = std::chrono::seconds(2);
 
     http::CallRequest read(const std::string &name) const;
@@ -62,7 +62,7 @@
 class StoreClient
 {
 public:
-    StoreClient(http::Loop &loop, http::Address address);
+    StoreClient(http::Loop &loop, Address address);
 
     void read(const std::string &name, const StoreHandler &handler);
     void watch(const std::string &name, std::int64_t after, Millis wait,
@@ -85,7 +85,7 @@
 class SyncStore
 {
 public:
-    explicit SyncStore(http::Address address)
+    explicit SyncStore(Address address)
         : requests{std::move(address)}
     { }
 
