One record of attempts in both dialects: CallAttempts over RunRecord, with a retry budget for the OpenAI gateway

ModelCall, ServiceCall and StreamRelay each decided for themselves whether another attempt may follow; they now ask RunRecord as the forward dialect does, through CallAttempts, which also has the board, the log and the time line of attempts. The gateway gets the retry budget that it lacked: a service in trouble no longer multiplies its load. RunRecord and RetryBudget move to src/routing, as both dialects use them. Tests: the relay no longer decides on resumes, so its two tests of that (resumes bounded, unrepeatable gives up) are cases of RunRecord's test now, with the bound of the old one; the 10,000 fault schedules drive both together. No functional change in the forward dialect

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -226,7 +226,7 @@
 
 void measureRelay()
 {
-    StreamRelay relay("request", true, 3);
+    StreamRelay relay("request");
     std::int64_t number = 0;
     const std::string data(200, 'x');
     const double micros = microsecondsPer(100'000, [&](int) {
--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -1,6 +1,6 @@
 #include "forward/loadbook.h"
-#include "forward/retrybudget.h"
-#include "forward/run.h"
+#include "routing/retrybudget.h"
+#include "routing/run.h"
 
 #include <array>
 #include <criterion/criterion.h>
@@ -134,6 +134,10 @@
     RunRecord resumable(true, 2);
     cr_assert(resumable.mayResume(Everything));
     cr_assert(not(resumable.mayResume(Everything)));
+    RunRecord thrice(true, 3);
+    cr_assert(thrice.mayResume(Everything));
+    cr_assert(thrice.mayResume(Everything));
+    cr_assert(not(thrice.mayResume(Everything)));
     RunRecord once(false, 2);
     cr_assert(not(once.mayResume(Everything)));
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -2,8 +2,8 @@
 
 #include "forward/adapter.h"
 #include "forward/loadbook.h"
-#include "forward/retrybudget.h"
-#include "forward/run.h"
+#include "routing/retrybudget.h"
+#include "routing/run.h"
 #include "http/server.h"
 #include "router/metrics.h"
 #include "streams/eventcutter.h"
--- a/src/router/context.h
+++ b/src/router/context.h
@@ -10,6 +10,7 @@
 #include "router/fleet.h"
 #include "router/metrics.h"
 #include "router/settings.h"
+#include "routing/retrybudget.h"
 #include "timeline/ring.h"
 
 #include <string>
@@ -28,6 +29,7 @@
     StoreClient &store;
     EndpointBoard board;
     PrefixHistory history;
+    RetryBudget retryBudget;
     ActiveConfigPtr config;
     Keyring keyring;
 };
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// The slack lets a quiet instance repeat at all.
+constexpr RetryBudgetSettings RouterRetryBudget{0.2, 20, Millis(10'000), 1};
 constexpr std::size_t TimelineCapacity = 20'000;
 constexpr const char *InstanceListObject = "platform/instances";
 constexpr Millis InstanceListWait = std::chrono::seconds(30);
@@ -70,6 +72,7 @@
               this->store,
               {},
               PrefixHistory(HistoryBlocks, DefaultHistoryMemory),
+              RetryBudget(RouterRetryBudget),
               {},
               {}}
     , gateway(this->context)
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-constexpr int MaxAttempts = 4;
-constexpr int MaxResumes = 3;
+constexpr int MaxRuns = 4;
 constexpr std::size_t MaxWholeAnswerBytes = 16U << 20U;
 constexpr std::size_t PauseBacklogBytes = 256U << 10U;
 constexpr std::int64_t DefaultMaxTokens = 1024;
@@ -96,7 +95,8 @@
     , caller(std::move(caller))
     , model(std::move(request))
     , done(std::move(done))
-    , relay(this->caller.id, this->caller.route.isRepeatable, MaxResumes)
+    , relay(this->caller.id)
+    , attempts(context, this->caller, MaxRuns)
 { }
 
 void ModelCall::onAdmissionAsked(std::uint64_t tokensRequest)
@@ -117,8 +117,9 @@
     this->caller.exchange->onClosed([self] {
         if (self->finished)
             return;
-        self->endAttempt(true);
-        self->finish(0, self->mayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun);
+        const RunOutcome outcome = self->attempts.outcome();
+        self->dropCall();
+        self->finish(0, outcome);
     });
     this->caller.exchange->onDrained([self] {
         if (!self->isPaused || !self->call)
@@ -132,13 +133,13 @@
                     "server_error",
                     "route_timeout",
                     "the route's time for a whole answer is over",
-                    self->mayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun,
+                    self->attempts.outcome(),
                     {}});
     });
     this->startAttempt();
 }
 
-void ModelCall::startAttempt()
+std::vector<Candidate> ModelCall::rankedEndpoints() const
 {
     const Document &document = this->context.config->document;
     // A resumed answer must come from the weights that began it, whatever is configured now.
@@ -147,7 +148,7 @@
     input.region = this->context.settings.region;
     input.prefix = this->model.prefix;
     input.promptTokens = this->model.promptTokens;
-    input.excluded = this->tried;
+    input.excluded = this->attempts.tried();
     input.now = monoNow();
     const auto candidates = this->context.board.candidates(this->caller.route, &pinned, monoNow());
     std::vector<Candidate> ranked
@@ -156,23 +157,27 @@
         input.excluded.clear();
         ranked = rankEndpoints(candidates, input, document.placement, this->context.history);
     }
-    if (ranked.empty() || this->attempts >= MaxAttempts)
-        return this->noCandidate();
+    return ranked;
+}
 
-    ++this->attempts;
-    this->endpoint = ranked.front().endpoint;
-    this->tried.insert(this->endpoint);
+void ModelCall::startAttempt()
+{
+    const std::vector<Candidate> ranked = this->rankedEndpoints();
+    if (ranked.empty())
+        return this->stop(
+            unavailable("no_endpoint", "no endpoint can take the request now", RetryHint));
+
+    const std::string &endpoint = ranked.front().endpoint;
+    const std::int64_t cached = static_cast<std::int64_t>(ranked.front().cachedBlocks)
+        * this->context.config->document.placement.blockTokens;
+    this->attempts.begin(endpoint, std::max<std::int64_t>(0, this->model.promptTokens - cached));
     this->context.timeline.add(EventKind::EndpointChosen, this->caller.id,
                                this->caller.organisation,
-                               {{"endpoint", this->endpoint},
-                                {"attempt", this->attempts},
+                               {{"endpoint", endpoint},
+                                {"attempt", this->attempts.count()},
                                 {"resume_after", this->relay.resumeAfter()},
                                 {"candidates", describe(ranked)}});
-    const auto cached
-        = static_cast<std::int64_t>(ranked.front().cachedBlocks) * document.placement.blockTokens;
-    this->pendingTokens = std::max<std::int64_t>(0, this->model.promptTokens - cached);
-    this->context.board.onStarted(this->endpoint, this->pendingTokens);
-    this->context.history.onSent(this->endpoint, this->model.prefix, input.now);
+    this->context.history.onSent(endpoint, this->model.prefix, monoNow());
     this->relay.onAttemptStarted();
     this->isEventStream = false;
     this->isPaused = false;
@@ -186,19 +191,10 @@
     handlers.onEnd = [self] { self->onEnd(); };
     handlers.onFailed
         = [self](const http::CallFailure &failure) { self->onAttemptFailed(failure); };
-    const EndpointView *view = this->context.board.find(this->endpoint);
+    const EndpointView *view = this->context.board.find(endpoint);
     this->call = this->context.endpoints.start(this->buildCall(*view), std::move(handlers));
 }
 
-void ModelCall::noCandidate()
-{
-    if (this->mayHaveRun)
-        return this->stop({502, "server_error", "endpoints_failed",
-                           "each endpoint tried has failed; the request may have run in part",
-                           RunOutcome::Unknown, RetryHint});
-    this->stop(unavailable("no_endpoint", "no endpoint can take the request now", RetryHint));
-}
-
 http::CallRequest ModelCall::buildCall(const EndpointView &view) const
 {
     http::CallRequest request;
@@ -222,7 +218,6 @@
 void ModelCall::onHead(int code, const http::Headers &headers)
 {
     this->status = code;
-    this->mayHaveRun = true;
     const std::string_view type = http::findHeader(headers, "content-type");
     this->isEventStream = code == 200 && type.starts_with("text/event-stream");
     if (this->isEventStream)
@@ -236,7 +231,7 @@
     if (this->isEventStream)
         return this->onStreamData(data);
     if (this->wholeAnswer.size() + data.size() > MaxWholeAnswerBytes)
-        return this->retryOrGiveUp("the answer is too large", true);
+        return this->retryOrGiveUp(AttemptEnd::Broken, "the answer is too large");
     this->wholeAnswer.append(data);
 }
 
@@ -254,46 +249,42 @@
     case RelayStep::Continue:
         return;
     case RelayStep::Complete:
-        this->endAttempt(true);
+        this->dropCall();
+        this->attempts.finish(true);
         this->caller.exchange->end();
         this->finish(200, RunOutcome::Ran);
         return;
-    case RelayStep::Resume:
-        this->context.metrics.countResume();
-        this->context.timeline.add(EventKind::StreamResumed, this->caller.id,
-                                   this->caller.organisation,
-                                   {{"endpoint", this->endpoint},
-                                    {"after", this->relay.resumeAfter()},
-                                    {"reason", action.reason}});
-        this->endAttempt(false);
-        this->startAttempt();
-        return;
-    case RelayStep::GiveUp:
-        this->endAttempt(false);
-        this->stop({502, "server_error", "stream_cut", "the answer is incomplete: " + action.reason,
-                    RunOutcome::Unknown, RetryHint});
-        return;
+    case RelayStep::Interrupted:
+        return this->onInterrupted(action.reason);
     }
 }
 
-void ModelCall::onPrefilled()
+void ModelCall::onInterrupted(const std::string &reason)
 {
-    this->context.board.onPrefilled(this->endpoint, std::exchange(this->pendingTokens, 0));
+    const std::string endpoint = this->attempts.endpoint();
+    this->dropCall();
+    if (!this->attempts.mayResume(reason, !this->rankedEndpoints().empty()))
+        return this->stop({502, "server_error", "stream_cut", "the answer is incomplete: " + reason,
+                           RunOutcome::Unknown, RetryHint});
+    this->context.metrics.countResume();
+    this->context.timeline.add(
+        EventKind::StreamResumed, this->caller.id, this->caller.organisation,
+        {{"endpoint", endpoint}, {"after", this->relay.resumeAfter()}, {"reason", reason}});
+    this->startAttempt();
 }
 
 void ModelCall::forward(const std::string &bytes)
 {
     http::Exchange &exchange = *this->caller.exchange;
-    if (this->pendingTokens > 0)
-        this->onPrefilled();
+    this->attempts.onPromptRead();
     if (!this->firstTokenSeen) {
         this->firstTokenSeen = true;
         const auto elapsed
             = std::chrono::duration<double>(monoNow() - this->caller.arrivedAt).count();
         this->context.metrics.observeFirstToken(elapsed);
-        this->context.timeline.add(EventKind::FirstToken, this->caller.id,
-                                   this->caller.organisation,
-                                   {{"endpoint", this->endpoint}, {"ms", elapsed * 1000}});
+        this->context.timeline.add(
+            EventKind::FirstToken, this->caller.id, this->caller.organisation,
+            {{"endpoint", this->attempts.endpoint()}, {"ms", elapsed * 1000}});
         exchange.begin(200, this->answerHeaders("text/event-stream"));
     }
     exchange.write(bytes);
@@ -311,7 +302,7 @@
         return fleet.cancelTokens(this->caller.tokensRequest);
     const std::int64_t streamed = this->relay.resumeAfter() - (this->relay.isComplete() ? 1 : 0);
     const std::int64_t generated = std::max(streamed, this->outputTokens);
-    const bool ranAtAll = this->mayHaveRun || generated > 0;
+    const bool ranAtAll = generated > 0 || this->attempts.outcome() != RunOutcome::NotRun;
     const double unused = ranAtAll
         ? static_cast<double>(std::max<std::int64_t>(0, this->model.maxTokens - generated))
         : this->tokens();
@@ -337,19 +328,21 @@
 
 void ModelCall::onWholeAnswer()
 {
-    if (this->status == 404 || this->status == 429 || this->status >= 500)
-        return this->retryOrGiveUp("the engine answered " + std::to_string(this->status),
-                                   this->status >= 500);
+    const std::string answered = "the engine answered " + std::to_string(this->status);
+    if (this->status == 404 || this->status == 429)
+        return this->retryOrGiveUp(AttemptEnd::Refused, answered);
+    if (this->status >= 500)
+        return this->retryOrGiveUp(AttemptEnd::Failed, answered);
     const Json answer = Json::parse(this->wholeAnswer, nullptr, false);
     if (this->status != 200) {
-        this->endAttempt(true);
+        this->attempts.finish(true);
         this->caller.exchange->respond(
             {this->status, this->answerHeaders("application/json"), this->wholeAnswer});
         return this->finish(this->status, RunOutcome::Ran);
     }
     const std::string answerId = textIn(answer, "id");
     if (!answerId.ends_with(this->caller.id))
-        return this->retryOrGiveUp("an answer to another request arrived", true);
+        return this->retryOrGiveUp(AttemptEnd::Broken, "an answer to another request arrived");
 
     const Json &usage = objectIn(answer, "usage");
     const Json &details = objectIn(usage, "prompt_tokens_details");
@@ -358,7 +351,7 @@
     this->context.metrics.countTokens(static_cast<double>(integerIn(usage, "prompt_tokens")),
                                       static_cast<double>(integerIn(details, "cached_tokens")),
                                       static_cast<double>(this->outputTokens));
-    this->endAttempt(true);
+    this->attempts.finish(true);
     const auto elapsed = std::chrono::duration<double>(monoNow() - this->caller.arrivedAt).count();
     this->context.metrics.observeFirstToken(elapsed);
     this->caller.exchange->respond(
@@ -373,48 +366,34 @@
     this->call.reset();
     if (failure.headSeen && this->isEventStream)
         return this->act(this->relay.onAttemptEnded(failure.reason));
-    this->retryOrGiveUp(failure.reason, failure.maybeSent);
+    this->retryOrGiveUp(failure.maybeSent ? AttemptEnd::Broken : AttemptEnd::NeverSent,
+                        failure.reason);
 }
 
-void ModelCall::retryOrGiveUp(const std::string &reason, bool maybeRan)
+void ModelCall::retryOrGiveUp(AttemptEnd end, const std::string &reason)
 {
-    this->mayHaveRun = this->mayHaveRun || maybeRan;
-    logEvent(LogLevel::Warning, "attempt_failed",
-             {{"request", this->caller.id},
-              {"step", "engine call"},
-              {"peer", this->endpoint},
-              {"reason", reason}});
-    this->context.timeline.add(EventKind::AttemptFailed, this->caller.id, this->caller.organisation,
-                               {{"endpoint", this->endpoint}, {"reason", reason}});
-    this->endAttempt(false);
-    if (this->mayHaveRun && !this->caller.route.isRepeatable)
-        return this->stop({502,
-                           "server_error",
-                           "attempt_failed",
-                           "the endpoint failed and the request must not be repeated",
-                           RunOutcome::Unknown,
-                           {}});
-    this->startAttempt();
+    this->dropCall();
+    switch (this->attempts.onFailed(end, reason, !this->rankedEndpoints().empty())) {
+    case RunStep::Retry:
+        return this->startAttempt();
+    case RunStep::Refuse:
+        return this->stop(
+            unavailable("no_endpoint", "no endpoint can take the request now", RetryHint));
+    case RunStep::PassOn:
+    case RunStep::Fail:
+        return this->stop({502, "server_error", "attempt_failed",
+                           "the endpoint failed, and the request may have run: " + reason,
+                           RunOutcome::Unknown, RetryHint});
+    }
 }
 
-void ModelCall::endAttempt(bool succeeded)
+void ModelCall::dropCall()
 {
     this->gapTimer.cancel();
-    if (this->call) {
-        this->call->cancel();
-        this->call.reset();
-    }
-    if (this->endpoint.empty())
+    if (!this->call)
         return;
-    this->onPrefilled();
-    this->context.board.onFinished(this->endpoint);
-    if (succeeded) {
-        this->context.board.onSuccess(this->endpoint);
-    } else {
-        this->context.board.onFailure(this->endpoint, monoNow());
-        this->context.metrics.countAttemptFailure(this->endpoint);
-    }
-    this->endpoint.clear();
+    this->call->cancel();
+    this->call.reset();
 }
 
 void ModelCall::armGapTimer()
@@ -437,7 +416,7 @@
         return;
     }
     if (this->isPaused) {
-        this->endAttempt(true);
+        this->dropCall();
         this->caller.exchange->abort();
         return this->finish(0, RunOutcome::Unknown);
     }
@@ -448,10 +427,9 @@
 {
     if (this->finished)
         return;
-    // Whether a call in progress has sent anything is not known here, so it counts as sent.
-    if (this->call || this->mayHaveRun)
+    if (this->attempts.outcome() != RunOutcome::NotRun)
         refusal.outcome = RunOutcome::Unknown;
-    this->endAttempt(true);
+    this->dropCall();
     http::Exchange &exchange = *this->caller.exchange;
     if (exchange.hasBegun()) {
         refusal.outcome = RunOutcome::Unknown;
@@ -472,6 +450,7 @@
     this->finished = true;
     this->deadlineTimer.cancel();
     this->gapTimer.cancel();
+    this->attempts.finish(false);
     this->giveTokensBack();
     this->context.metrics.countAnswer("model", toString(outcome), answered);
     const auto elapsed
--- a/src/router/modelcall.h
+++ b/src/router/modelcall.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "placement/choice.h"
+#include "router/attempts.h"
 #include "router/context.h"
 #include "streams/relay.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 /// One request to a model, from its admission to the last byte of its answer.
@@ -51,8 +51,8 @@
     const CallerRequest &request() const { return this->caller; }
 
 private:
+    std::vector<Candidate> rankedEndpoints() const;
     void startAttempt();
-    void noCandidate();
     http::CallRequest buildCall(const EndpointView &view) const;
     void onHead(int status, const http::Headers &headers);
     void onData(std::string_view data);
@@ -61,11 +61,11 @@
     void onEnd();
     void onWholeAnswer();
     void onAttemptFailed(const http::CallFailure &failure);
-    void retryOrGiveUp(const std::string &reason, bool maybeRan);
-    void endAttempt(bool succeeded);
+    void retryOrGiveUp(AttemptEnd end, const std::string &reason);
+    void onInterrupted(const std::string &reason);
+    void dropCall();
     void armGapTimer();
     void onGapTimer();
-    void onPrefilled();
     void forward(const std::string &bytes);
     void giveTokensBack();
     void finish(int status, RunOutcome outcome);
@@ -80,19 +80,15 @@
     http::Timer gapTimer;
     http::Timer deadlineTimer;
     MonoTime lastDataAt{};
-    std::string endpoint;
-    std::set<std::string> tried;
-    int attempts = 0;
+    CallAttempts attempts;
     int status = 0;
     bool isEventStream = false;
     bool isPaused = false;
-    bool mayHaveRun = false;
     bool firstTokenSeen = false;
     bool isAdmitted = false;
     bool finished = false;
     std::string wholeAnswer;
     std::int64_t outputTokens = 0;
-    std::int64_t pendingTokens = 0; ///< counted for the endpoint until its first token
 };
 
 } // namespace lavenderhall
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int MaxAttempts = 3;
+constexpr int MaxRuns = 3;
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 constexpr Millis RetryHint{1000};
 constexpr std::size_t ClaimTokenBytes = 12;
@@ -18,6 +18,7 @@
     , caller(std::move(caller))
     , path(std::move(path))
     , done(std::move(done))
+    , attempts(context, this->caller, MaxRuns)
 { }
 
 void ServiceCall::onAdmissionAsked(std::uint64_t tokensRequest)
@@ -39,8 +40,9 @@
     this->caller.exchange->onClosed([self] {
         if (self->finished || !self->caller.route.isRepeatable)
             return;
-        self->endAttempt(true);
-        self->finish(0, self->mayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun);
+        const RunOutcome outcome = self->attempts.outcome();
+        self->dropCall();
+        self->finish(0, outcome);
     });
     this->deadlineTimer = this->context.loop.after(this->caller.route.timeout, [self] {
         self->stop({504,
@@ -174,44 +176,47 @@
     writeOutcome(this->context.store, this->claim, step);
 }
 
-void ServiceCall::startAttempt()
+std::vector<Candidate> ServiceCall::rankedEndpoints() const
 {
     ChoiceInput input;
     input.region = this->context.settings.region;
-    input.excluded = this->tried;
+    input.excluded = this->attempts.tried();
     const auto candidates = this->context.board.candidates(this->caller.route, nullptr, monoNow());
-    const auto ranked = rankEndpoints(candidates, input, this->context.config->document.placement,
-                                      this->context.history);
-    if (ranked.empty() || this->attempts >= MaxAttempts)
-        return this->giveUp("no endpoint is left to try");
+    return rankEndpoints(candidates, input, this->context.config->document.placement,
+                         this->context.history);
+}
+
+void ServiceCall::startAttempt()
+{
+    const std::vector<Candidate> ranked = this->rankedEndpoints();
+    if (ranked.empty())
+        return this->stop(
+            unavailable("no_endpoint", "no endpoint of the service takes work", RetryHint));
 
-    ++this->attempts;
-    this->endpoint = ranked.front().endpoint;
-    this->tried.insert(this->endpoint);
+    const std::string &endpoint = ranked.front().endpoint;
+    this->attempts.begin(endpoint, 0);
     this->context.timeline.add(EventKind::EndpointChosen, this->caller.id,
                                this->caller.organisation,
-                               {{"endpoint", this->endpoint}, {"attempt", this->attempts}});
-    this->context.board.onStarted(this->endpoint, 0);
+                               {{"endpoint", endpoint}, {"attempt", this->attempts.count()}});
     this->answer = {};
 
     const auto self = this->shared_from_this();
     http::CallHandlers handlers;
     handlers.onHead = [self](int code, const http::Headers &headers) {
         self->answer.status = code;
-        self->mayHaveRun = true;
         const std::string_view type = http::findHeader(headers, "content-type");
         self->answer.headers.push_back(
             {"content-type", type.empty() ? "application/octet-stream" : std::string(type)});
     };
     handlers.onData = [self](std::string_view data) {
         if (self->answer.body.size() + data.size() > MaxAnswerBytes)
-            return self->giveUp("the answer is too large");
+            return self->onAttemptFailed({true, true, false, false, "the answer is too large"});
         self->answer.body.append(data);
     };
     handlers.onEnd = [self] { self->onEnd(); };
     handlers.onFailed
         = [self](const http::CallFailure &failure) { self->onAttemptFailed(failure); };
-    const EndpointView *view = this->context.board.find(this->endpoint);
+    const EndpointView *view = this->context.board.find(endpoint);
     this->call = this->context.endpoints.start(this->buildCall(*view), std::move(handlers));
 }
 
@@ -241,7 +246,7 @@
     if (this->finished)
         return;
     this->call.reset();
-    this->endAttempt(true);
+    this->attempts.finish(true);
     this->answer.headers.push_back({RequestIdHeader, this->caller.id});
     this->answer.headers.push_back({OutcomeHeader, toString(RunOutcome::Ran)});
     const int status = this->answer.status;
@@ -253,59 +258,40 @@
 {
     if (this->finished)
         return;
-    this->call.reset();
-    this->mayHaveRun = this->mayHaveRun || failure.maybeSent;
-    logEvent(LogLevel::Warning, "attempt_failed",
-             {{"request", this->caller.id},
-              {"step", "service call"},
-              {"peer", this->endpoint},
-              {"reason", failure.reason}});
-    this->context.timeline.add(EventKind::AttemptFailed, this->caller.id, this->caller.organisation,
-                               {{"endpoint", this->endpoint}, {"reason", failure.reason}});
-    this->endAttempt(false);
-    if (this->mayHaveRun && !this->caller.route.isRepeatable)
-        return this->giveUp(failure.reason);
-    this->startAttempt();
-}
-
-void ServiceCall::giveUp(const std::string &reason)
-{
-    if (this->mayHaveRun)
+    this->dropCall();
+    const AttemptEnd end = failure.maybeSent ? AttemptEnd::Broken : AttemptEnd::NeverSent;
+    switch (this->attempts.onFailed(end, failure.reason, !this->rankedEndpoints().empty())) {
+    case RunStep::Retry:
+        return this->startAttempt();
+    case RunStep::Refuse:
+        return this->stop(unavailable(
+            "no_endpoint", "the service cannot be reached: " + failure.reason, RetryHint));
+    case RunStep::PassOn:
+    case RunStep::Fail:
         return this->stop({502,
                            "server_error",
                            "outcome_unknown",
-                           "the service's answer was lost: " + reason,
+                           "the service's answer was lost: " + failure.reason,
                            RunOutcome::Unknown,
                            {}});
-    this->stop(unavailable("no_endpoint", "the service cannot be reached: " + reason, RetryHint));
+    }
 }
 
-void ServiceCall::endAttempt(bool succeeded)
+void ServiceCall::dropCall()
 {
-    if (this->call) {
-        this->call->cancel();
-        this->call.reset();
-    }
-    if (this->endpoint.empty())
+    if (!this->call)
         return;
-    this->context.board.onFinished(this->endpoint);
-    if (succeeded) {
-        this->context.board.onSuccess(this->endpoint);
-    } else {
-        this->context.board.onFailure(this->endpoint, monoNow());
-        this->context.metrics.countAttemptFailure(this->endpoint);
-    }
-    this->endpoint.clear();
+    this->call->cancel();
+    this->call.reset();
 }
 
-// Whether a call in progress has sent anything is not known here, so it counts as sent.
 void ServiceCall::stop(Refusal refusal)
 {
     if (this->finished)
         return;
-    if (this->call || this->mayHaveRun)
+    if (this->attempts.outcome() != RunOutcome::NotRun)
         refusal.outcome = RunOutcome::Unknown;
-    this->endAttempt(true);
+    this->dropCall();
     this->caller.exchange->respond(toResponse(refusal, this->caller.id));
     if (refusal.outcome == RunOutcome::NotRun)
         this->context.metrics.countRefusal(refusal.code);
@@ -318,6 +304,7 @@
         return;
     this->finished = true;
     this->deadlineTimer.cancel();
+    this->attempts.finish(false);
     this->recordOutcome(answered, outcome);
     if (this->isAdmitted)
         this->context.fleet.returnTokens(this->caller.tokensRequest, 0);
--- a/src/router/servicecall.h
+++ b/src/router/servicecall.h
@@ -2,12 +2,13 @@
 
 #include "claims/claim.h"
 #include "placement/choice.h"
+#include "router/attempts.h"
 #include "router/context.h"
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
+#include <vector>
 
 /// One request to a plain service.
 namespace lavenderhall {
@@ -35,12 +36,12 @@
     void refuseClaim(ClaimRefusal reason);
     void replay(const ClaimRecord &record);
     void recordOutcome(int answered, RunOutcome outcome);
+    std::vector<Candidate> rankedEndpoints() const;
     void startAttempt();
     http::CallRequest buildCall(const EndpointView &view) const;
     void onEnd();
     void onAttemptFailed(const http::CallFailure &failure);
-    void giveUp(const std::string &reason);
-    void endAttempt(bool succeeded);
+    void dropCall();
     void finish(int answered, RunOutcome outcome);
 
     RouterContext &context;
@@ -49,12 +50,9 @@
     Done done;
     http::CallPtr call;
     http::Timer deadlineTimer;
-    std::string endpoint;
-    std::set<std::string> tried;
-    int attempts = 0;
+    CallAttempts attempts;
     http::Response answer;
     std::shared_ptr<ClaimFlow> claim;
-    bool mayHaveRun = false;
     bool isAdmitted = false;
     bool finished = false;
 };
--- a/src/forward/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -1,4 +1,4 @@
-#include "forward/retrybudget.h"
+#include "routing/retrybudget.h"
 
 #include <numeric>
 
--- a/src/forward/run.cpp
+++ b/src/routing/run.cpp
@@ -1,4 +1,4 @@
-#include "forward/run.h"
+#include "routing/run.h"
 
 namespace lavenderhall {
 
--- a/src/forward/run.h
+++ b/src/routing/run.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "forward/request.h"
-
 /// Whether a request has run, what may be done after a failed attempt, and which status is
 /// true at the end. Answers the load pattern of endpoints that refuse, break off and fall silent.
 namespace lavenderhall {
--- a/src/streams/relay.cpp
+++ b/src/streams/relay.cpp
@@ -18,13 +18,12 @@
     return error == std::errc{} && end == digits.data() + digits.size() ? number : -1;
 }
 
-} // namespace
+RelayAction interrupted(std::string reason)
+{
+    return {RelayStep::Interrupted, "", std::move(reason)};
+}
 
-StreamRelay::StreamRelay(std::string requestId, bool canResume, int maxResumes)
-    : requestId(std::move(requestId))
-    , canResume(canResume)
-    , resumesLeft(maxResumes)
-{ }
+} // namespace
 
 RelayAction StreamRelay::onBytes(std::string_view bytes)
 {
@@ -33,7 +32,7 @@
         return {RelayStep::Complete, "", ""};
     const auto parsed = attempt([&] { return this->parser.feed(bytes); });
     if (const auto *error = std::get_if<Error>(&parsed))
-        return this->interrupt(error->message());
+        return interrupted(error->message());
     for (const SseEvent &event : std::get<std::vector<SseEvent>>(parsed)) {
         RelayAction action = this->take(event);
         result.forward += action.forward;
@@ -49,12 +48,12 @@
 {
     const std::int64_t number = numberOf(event.id, this->requestId);
     if (number < 0)
-        return this->interrupt("an event of another request arrived");
+        return interrupted("an event of another request arrived");
     // A resumed engine may repeat what has been forwarded; a gap can only be mended by resuming.
     if (number <= this->forwarded)
         return {};
     if (number > this->forwarded + 1)
-        return this->interrupt("events are missing");
+        return interrupted("events are missing");
     this->forwarded = number;
     this->complete = event.data == StreamEndMark;
     return {this->complete ? RelayStep::Complete : RelayStep::Continue, toWire(event), ""};
@@ -64,15 +63,7 @@
 {
     if (this->complete)
         return {RelayStep::Complete, "", ""};
-    return this->interrupt(std::string(reason));
-}
-
-RelayAction StreamRelay::interrupt(std::string reason)
-{
-    if (!this->canResume || this->resumesLeft == 0)
-        return {RelayStep::GiveUp, "", std::move(reason)};
-    --this->resumesLeft;
-    return {RelayStep::Resume, "", std::move(reason)};
+    return interrupted(std::string(reason));
 }
 
 void StreamRelay::onAttemptStarted()
--- a/src/streams/relay.h
+++ b/src/streams/relay.h
@@ -14,26 +14,25 @@
 enum class RelayStep {
     Continue, ///< go on reading
     Complete, ///< the whole answer has been forwarded
-    Resume, ///< ask an engine to go on after resumeAfter()
-    GiveUp, ///< tell the caller with an error event that the answer is incomplete
+    Interrupted, ///< another attempt must go on after resumeAfter(), or the caller be told
 };
 
 struct RelayAction
 {
     RelayStep step = RelayStep::Continue;
     std::string forward; ///< bytes for the caller, before the step is taken
-    std::string reason; ///< why Resume or GiveUp
+    std::string reason; ///< of the interruption
 };
 
 /// Relays one answer, over as many attempts as it takes. Each event must carry the request's id
 /// and the next number in order, "REQUEST:NUMBER" from 1; an event of another request or an
-/// old number never reaches the caller.
+/// old number never reaches the caller. Whether there is another attempt is not decided here.
 class StreamRelay
 {
 public:
-    /// \a maxResumes bounds the attempts after the first. \a canResume is false for routes that
-    /// must not be repeated.
-    StreamRelay(std::string requestId, bool canResume, int maxResumes);
+    explicit StreamRelay(std::string requestId)
+        : requestId(std::move(requestId))
+    { }
 
     /// Takes in what the engine of the current attempt sent.
     RelayAction onBytes(std::string_view bytes);
@@ -50,11 +49,8 @@
 
 private:
     RelayAction take(const SseEvent &event);
-    RelayAction interrupt(std::string reason);
 
     std::string requestId;
-    bool canResume;
-    int resumesLeft;
     std::int64_t forwarded = 0;
     bool complete = false;
     SseParser parser;
--- a/src/streams/streams_test.cpp
+++ b/src/streams/streams_test.cpp
@@ -1,3 +1,4 @@
+#include "routing/run.h"
 #include "streams/eventcutter.h"
 #include "streams/relay.h"
 #include "streams/sse.h"
@@ -42,14 +43,15 @@
         , tokens(tokens)
     { }
 
-    /// Runs \a relay to its end; returns what the caller got and the last step taken.
-    std::pair<std::string, RelayStep> run(StreamRelay &relay)
+    /// Runs \a relay to its end, resuming while \a run allows; returns what the caller got and
+    /// the last step taken.
+    std::pair<std::string, RelayStep> run(StreamRelay &relay, RunRecord run)
     {
         std::string received;
         for (;;) {
             relay.onAttemptStarted();
             const RelayAction last = this->attemptOnce(relay, received);
-            if (last.step != RelayStep::Resume)
+            if (last.step != RelayStep::Interrupted || !run.mayResume({true, true, true}))
                 return {received, last.step};
         }
     }
@@ -139,9 +141,9 @@
 
 Test(relay, a_cut_is_resumed_after_the_last_event)
 {
-    StreamRelay relay(Id, true, 3);
+    StreamRelay relay(Id);
     cr_assert(relay.onBytes(event(1, "a") + event(2, "b")).step == RelayStep::Continue);
-    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::Resume);
+    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::Interrupted);
     cr_assert(relay.lastEventId() == "req1:2");
     relay.onAttemptStarted();
     const RelayAction action = relay.onBytes(event(2, "b") + event(3, "c") + event(4, "[DONE]"));
@@ -151,25 +153,18 @@
 
 Test(relay, another_requests_event_is_never_forwarded)
 {
-    StreamRelay relay(Id, true, 3);
+    StreamRelay relay(Id);
     const RelayAction action = relay.onBytes(event(1, "a") + event(2, "x", "req11"));
     cr_assert(action.forward == event(1, "a"));
-    cr_assert(action.step == RelayStep::Resume);
+    cr_assert(action.step == RelayStep::Interrupted);
 }
 
-Test(relay, a_route_that_must_not_be_repeated_gives_up)
+Test(relay, an_interruption_before_the_first_event_resumes_from_the_start)
 {
-    StreamRelay relay(Id, false, 3);
-    relay.onBytes(event(1, "a"));
-    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::GiveUp);
-}
-
-Test(relay, resumes_are_bounded)
-{
-    StreamRelay relay(Id, true, 2);
-    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::Resume);
-    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::Resume);
-    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::GiveUp);
+    StreamRelay relay(Id);
+    cr_assert(relay.onAttemptEnded("cut").step == RelayStep::Interrupted);
+    cr_assert(relay.lastEventId().empty());
+    cr_assert(relay.resumeAfter() == 0);
 }
 
 Test(relay, ten_thousand_fault_schedules_give_the_whole_answer_or_an_explicit_end)
@@ -179,8 +174,8 @@
     const std::string whole = wholeAnswer(Tokens);
     int complete = 0;
     for (std::uint64_t seed = 1; seed <= Schedules; ++seed) {
-        StreamRelay relay(Id, true, 3);
-        const auto [received, last] = FaultyEngine(seed, Tokens).run(relay);
+        StreamRelay relay(Id);
+        const auto [received, last] = FaultyEngine(seed, Tokens).run(relay, RunRecord(true, 4));
         cr_assert(whole.starts_with(received), "seed %lu: not a prefix of the answer",
                   static_cast<unsigned long>(seed));
         const bool isWhole = received == whole;
