Few instances follow the store for their region; shares of the fleet's retry budget by its real size

Change: two members of each region (rendezvous, no election) follow the store, push what changes to the region and beat twice a second while what they know is current; one that misses three beats follows the store itself. An offer that would leave a gap is asked for anew; a whole list passes on what has gone. FleetSize tells how many machines may share a budget: the most ever met, and a large fleet before that. Tests (failed first): one beat in a long silence must not end the watch (found 600 ms without any); shares add up.

--- a/src/forward/followed.h
+++ b/src/forward/followed.h
@@ -4,6 +4,7 @@
 #include "router/fleet.h"
 #include "store/kindfeed.h"
 #include "store/mirror.h"
+#include "store/watchduty.h"
 
 #include <array>
 #include <functional>
@@ -28,6 +29,8 @@
         onListed;
     /// All events of one answer have been passed on.
     std::function<void()> onBatchEnd;
+    /// The store itself has told of changes.
+    std::function<void(ObjectKind kind)> onStoreNews;
 };
 
 class FollowedObjects
@@ -39,8 +42,8 @@
     void start();
     /// Serves and takes what instances tell each other; without onNotice.
     ObjectSharing sharing();
-    /// How long ago the configuration's state in the store was last known for sure.
-    Millis age() const;
+    /// Whether the store is followed here, as against through other instances.
+    bool isWatching() const { return this->feeds.front()->isActive(); }
     /// How long the store has not answered; 0 while it does.
     Millis silence() const;
 
@@ -50,7 +53,10 @@
                   bool wasAway);
     void onEvents(ObjectKind kind, const std::vector<ObjectEvent> &events);
     proto::ObjectsOffer offerAfter(ObjectKind kind, std::int64_t revision) const;
+    proto::ObjectsOffer wholeOffer(ObjectKind kind) const;
     void takeOffer(ObjectKind kind, const proto::ObjectsOffer &offer);
+    void setOnDuty(bool isOnDuty);
+    bool isCurrent() const;
     const std::string &nameOf(ObjectKind kind) const;
     const ObjectMirror &mirror(ObjectKind kind) const;
     ObjectMirror &mirror(ObjectKind kind);
@@ -58,7 +64,15 @@
     const std::array<std::string, ObjectKindCount> names; ///< in the store
     FollowedHandlers handlers;
     std::array<ObjectMirror, ObjectKindCount> mirrors;
+    /// The last whole list of a kind, from the store or from another instance.
+    struct Listing
+    {
+        std::int64_t revision = 0;
+        bool wasAway = false;
+    };
+    std::array<Listing, ObjectKindCount> listings;
     std::vector<std::unique_ptr<KindFeed>> feeds; ///< one for each kind
+    WatchDuty duty{monoNow()};
 };
 
 } // namespace lavenderhall
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -19,8 +19,6 @@
 constexpr Millis BalancerTime{3000};
 // Instances that do not hold the duty of the rollout take it up at different times.
 constexpr unsigned MostPatienceMillis = 600;
-// Shares of what the whole fleet may do are cut for at least so many instances.
-constexpr std::size_t LeastInstances = 8;
 constexpr Millis StopMargin{250}; ///< before the process is killed
 
 // A holder's silence leaves its organisations without a decision for about one lease.
@@ -116,18 +114,19 @@
 void ForwardDaemon::applySettings()
 {
     const ForwardBounds &bounds = this->settings.bounds;
+    this->instances = this->fleet.sizeAtMost();
     RetryBudgetSettings budgetSettings;
     budgetSettings.ratio = bounds.retryRatio;
     budgetSettings.slack = bounds.retrySlack;
     budgetSettings.window = bounds.retryWindow;
-    budgetSettings.instances = LeastInstances;
+    budgetSettings.instances = static_cast<std::int64_t>(this->instances);
     this->budget.setSettings(budgetSettings);
     this->context.oldWeightsTime = bounds.weights;
     AllowanceSettings tolerance;
     tolerance.overage = bounds.rateOverage;
     tolerance.slack = static_cast<double>(bounds.rateSlack);
     tolerance.window = bounds.rateWindow;
-    tolerance.instances = LeastInstances;
+    tolerance.instances = this->instances;
     this->rates.setTolerance(tolerance);
 }
 
@@ -174,6 +173,8 @@
         if (kind == ObjectKind::Endpoints)
             this->roster.onListed(names, revision, wasAway, monoNow());
     };
+    handlers.onStoreNews
+        = [this](ObjectKind kind) { this->fleet.publishObjects(static_cast<std::size_t>(kind)); };
     handlers.onBatchEnd = [this] { this->applyRosterChanges(); };
     return handlers;
 }
@@ -291,6 +292,8 @@
     this->roster.onTick(now);
     this->applyRosterChanges();
     this->rollout.onTick(this->roster, now);
+    if (this->fleet.sizeAtMost() != this->instances)
+        this->applySettings();
     this->tickTimer = this->loop.after(TickInterval, [this] { this->tick(); });
 }
 
@@ -367,7 +370,9 @@
                                        : "starting"},
             {"config", {{"version", this->context.table ? this->context.table->version() : 0}}},
             {"store",
-             {{"silent_ms", this->followed.age().count()}, {"calls", this->store.callCount()}}},
+             {{"watching", this->followed.isWatching()},
+              {"silent_ms", this->followed.silence().count()},
+              {"calls", this->store.callCount()}}},
             {"open_requests", this->forwarder.openCalls()},
             {"endpoints", std::move(endpoints)}};
 }
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -66,6 +66,7 @@
     http::Timer tickTimer;
     http::Timer settingsTimer;
     http::Timer drainTimer;
+    std::size_t instances = 0; ///< among which the fleet's shares are divided
     MonoTime startedAt{};
     MonoTime drainBeganAt{};
     bool isDraining = false;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -2,10 +2,10 @@
 
 #include "forward/adapter.h"
 #include "forward/loadbook.h"
-#include "routing/retrybudget.h"
-#include "routing/run.h"
 #include "http/server.h"
 #include "router/metrics.h"
+#include "routing/retrybudget.h"
+#include "routing/run.h"
 #include "streams/eventcutter.h"
 
 #include <functional>
--- a/src/membership/members_test.cpp
+++ b/src/membership/members_test.cpp
@@ -1,3 +1,5 @@
+#include "membership/duty.h"
+#include "membership/fleetsize.h"
 #include "membership/members.h"
 #include "membership/peerlink.h"
 
@@ -265,3 +267,58 @@
         cr_assert(leaving == 1);
     }
 }
+
+// Each task falls to as many as wanted, the tasks spread over the fleet, and when one on duty
+// leaves, only its place is taken by another.
+Test(duty, falls_to_a_few_that_all_agree_on)
+{
+    std::vector<std::string> names;
+    for (int number = 0; number < 28; ++number)
+        names.push_back("front-" + std::to_string(number));
+    const auto onDuty = [](const std::vector<std::string> &alive, const std::string &task) {
+        std::vector<std::string> found;
+        for (const std::string &name : alive) {
+            std::vector<std::string> others = alive;
+            std::erase(others, name);
+            if (isOnDuty(name, others, task, 2))
+                found.push_back(name);
+        }
+        return found;
+    };
+    std::set<std::string> all;
+    for (int task = 0; task < 40; ++task) {
+        const std::string name = "task " + std::to_string(task);
+        const auto before = onDuty(names, name);
+        cr_assert(before.size() == 2U);
+        all.insert(before.begin(), before.end());
+        std::vector<std::string> rest = names;
+        std::erase(rest, before.front());
+        const auto after = onDuty(rest, name);
+        cr_assert(after.size() == 2U);
+        cr_assert(std::find(after.begin(), after.end(), before.back()) != after.end());
+    }
+    cr_assert(all.size() > names.size() / 2);
+    cr_assert(isOnDuty("alone", {}, "task", 1));
+}
+
+// Eighty-six instances that start together: what they may do in all stays within the whole,
+// before they have met and after, also when some of them are cut off from the rest.
+Test(fleetsize, shares_add_up_to_less_than_the_whole)
+{
+    constexpr std::size_t Instances = 86;
+    const MonoTime start{};
+    std::vector<FleetSize> sizes(Instances, FleetSize(start));
+    const auto sum = [&](Millis after) {
+        double total = 0;
+        for (const FleetSize &size : sizes)
+            total += 1.0 / static_cast<double>(size.atMost(start + after));
+        return total;
+    };
+    cr_assert(sum(Millis(0)) <= 1);
+    for (FleetSize &size : sizes)
+        size.onCount(Instances);
+    cr_assert(sum(Millis(10'000)) <= 1 + 1e-9);
+    for (FleetSize &size : sizes)
+        size.onCount(3);
+    cr_assert(sum(Millis(60'000)) <= 1 + 1e-9);
+}
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -1,6 +1,7 @@
 #include "router/fleet.h"
 
 #include "base/digest.h"
+#include "membership/duty.h"
 
 namespace lavenderhall {
 
@@ -10,7 +11,10 @@
 constexpr Millis SeatQuestionInterval{300};
 constexpr Millis ConfigQuestionInterval{200};
 constexpr Millis ObjectsQuestionInterval{200};
+constexpr Millis BeatInterval{500};
 constexpr std::size_t ConfigFanOut = 4;
+constexpr const char *StoreTask = "follow the store";
+constexpr std::size_t StoreWatchers = 2; ///< in each region, so that one may fail
 constexpr const char *BootIdFile = "/proc/sys/kernel/random/boot_id";
 
 std::string readBootId()
@@ -126,8 +130,10 @@
     this->seats->setMembers(std::move(alive), now);
     this->carryOut(this->seats->onTick(now));
     this->carryOut(this->borrower->onTick(now));
+    this->size.onCount(members.size() + 1);
     this->askForConfig();
     this->askForObjects();
+    this->beat();
     this->timer = this->loop.after(TickInterval, [this] { this->tick(); });
 }
 
@@ -306,7 +312,9 @@
     case proto::Envelope::kObjectsRequest:
         return this->receiveObjectsRequest(message);
     case proto::Envelope::kObjectsOffer:
-        return this->receiveObjectsOffer(message.objects_offer());
+        return this->receiveObjectsOffer(message);
+    case proto::Envelope::kStoreBeat:
+        return this->receiveBeat(message);
     case proto::Envelope::kWeightsNotice:
         if (this->objects.onNotice)
             this->objects.onNotice(message.weights_notice());
@@ -402,7 +410,10 @@
         return;
     this->nextObjectsQuestion = now + ObjectsQuestionInterval;
     std::vector<bool> isAsked(this->objects.kinds.size(), false);
-    for (const Members::RevisionNews &news : this->members->takeRevisionNews()) {
+    std::vector<Members::RevisionNews> heard = this->members->takeRevisionNews();
+    const auto told = std::exchange(this->revisionNews, {});
+    heard.insert(heard.end(), told.begin(), told.end());
+    for (const Members::RevisionNews &news : heard) {
         const std::int64_t known = this->objects.revision(news.kind);
         if (news.revision <= known || isAsked[news.kind])
             continue;
@@ -419,16 +430,111 @@
     const auto kind = this->kindOf(message.objects_request().kind());
     if (!kind)
         return;
+    const proto::ObjectsRequest &request = message.objects_request();
     proto::Envelope answer;
-    *answer.mutable_objects_offer()
-        = this->objects.answer(*kind, message.objects_request().after());
+    *answer.mutable_objects_offer() = request.wants_all()
+        ? this->objects.answerAll(*kind)
+        : this->objects.answer(*kind, request.after());
     this->send(message.from(), std::move(answer));
 }
 
-void Fleet::receiveObjectsOffer(const proto::ObjectsOffer &offer)
+// An offer that begins after what is known here would leave a gap.
+void Fleet::receiveObjectsOffer(const proto::Envelope &message)
 {
-    if (const auto kind = this->kindOf(offer.kind()))
-        this->objects.take(*kind, offer);
+    const proto::ObjectsOffer &offer = message.objects_offer();
+    const auto kind = this->kindOf(offer.kind());
+    if (!kind)
+        return;
+    if (offer.is_whole() || offer.after() <= this->objects.revision(*kind))
+        return this->objects.take(*kind, offer);
+    this->revisionNews.push_back({*kind, offer.after(), message.from()});
+}
+
+void Fleet::shareObjects(ObjectSharing how)
+{
+    this->objects = std::move(how);
+    this->nextListQuestion.resize(this->objects.kinds.size());
+    this->published.resize(this->objects.kinds.size());
+}
+
+std::vector<proto::ProcessId> Fleet::othersInRegion() const
+{
+    std::vector<proto::ProcessId> others;
+    for (const proto::Member &member : this->members->alive()) {
+        if (member.region() == this->settings.region)
+            others.push_back(member.id());
+    }
+    return others;
+}
+
+bool Fleet::isOnDuty(std::string_view task, std::size_t count) const
+{
+    if (this->isLeaving)
+        return false;
+    std::vector<std::string> others;
+    for (const proto::Member &member : this->members->alive()) {
+        if (member.region() == this->settings.region && !member.leaving())
+            others.push_back(member.id().name());
+    }
+    return lavenderhall::isOnDuty(this->settings.instance, others, task, count);
+}
+
+void Fleet::publishObjects(std::size_t kind)
+{
+    const std::int64_t known = this->objects.revision(kind);
+    const std::int64_t after = std::exchange(this->published[kind], known);
+    if (known <= after || !this->isOnDuty(StoreTask, StoreWatchers))
+        return;
+    proto::Envelope message;
+    *message.mutable_objects_offer() = this->objects.answer(kind, after);
+    for (const proto::ProcessId &other : this->othersInRegion())
+        this->send(other, message);
+}
+
+void Fleet::beat()
+{
+    const MonoTime now = monoNow();
+    if (this->objects.kinds.empty() || now < this->nextBeat)
+        return;
+    this->nextBeat = now + BeatInterval;
+    const bool isMine = this->isOnDuty(StoreTask, StoreWatchers);
+    this->objects.onDuty(isMine);
+    if (!isMine || !this->objects.isCurrent())
+        return;
+    proto::Envelope message;
+    for (std::size_t kind = 0; kind < this->objects.kinds.size(); ++kind) {
+        message.mutable_store_beat()->add_revisions(this->objects.revision(kind));
+        message.mutable_store_beat()->add_listed(this->objects.listed(kind));
+    }
+    for (const proto::ProcessId &other : this->othersInRegion())
+        this->send(other, message);
+}
+
+void Fleet::receiveBeat(const proto::Envelope &message)
+{
+    const proto::StoreBeat &told = message.store_beat();
+    const auto kinds = static_cast<int>(this->objects.kinds.size());
+    if (told.revisions_size() != kinds || told.listed_size() != kinds)
+        return;
+    this->objects.onBeat();
+    for (int index = 0; index < kinds; ++index) {
+        const auto kind = static_cast<std::size_t>(index);
+        this->revisionNews.push_back({kind, told.revisions(index), message.from()});
+        if (told.listed(index) > this->objects.listed(kind))
+            this->askForAll(kind, message.from());
+    }
+}
+
+void Fleet::askForAll(std::size_t kind, const proto::ProcessId &from)
+{
+    const MonoTime now = monoNow();
+    if (now < this->nextListQuestion[kind])
+        return;
+    this->nextListQuestion[kind] = now + ObjectsQuestionInterval;
+    proto::Envelope question;
+    question.mutable_objects_request()->set_kind(this->objects.kinds[kind]);
+    question.mutable_objects_request()->set_wants_all(true);
+    this->send(from, std::move(question));
 }
 
 void Fleet::announce(const proto::WeightsNotice &notice)
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -5,6 +5,7 @@
 #include "limits/borrower.h"
 #include "limits/lender.h"
 #include "limits/seats.h"
+#include "membership/fleetsize.h"
 #include "membership/members.h"
 #include "membership/peerlink.h"
 #include "router/metrics.h"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 /// This instance among the others: membership, limits and the spread of configurations, carried
@@ -36,8 +38,13 @@
 {
     std::vector<std::string> kinds;
     std::function<std::int64_t(std::size_t kind)> revision; ///< newest known here
+    std::function<std::int64_t(std::size_t kind)> listed; ///< revision of the last whole list
     std::function<proto::ObjectsOffer(std::size_t kind, std::int64_t after)> answer;
+    std::function<proto::ObjectsOffer(std::size_t kind)> answerAll;
     std::function<void(std::size_t kind, const proto::ObjectsOffer &offer)> take;
+    std::function<bool()> isCurrent; ///< whether this instance follows the store without doubt
+    std::function<void()> onBeat; ///< another instance does so for the region
+    std::function<void(bool isOnDuty)> onDuty; ///< told now and then
     std::function<void(const proto::WeightsNotice &notice)> onNotice;
 };
 
@@ -68,7 +75,13 @@
     void onConfig(std::int64_t version, const std::vector<Region> &regions,
                   const std::vector<Organisation> &organisations,
                   const RestartTokens &restart = {});
-    void shareObjects(ObjectSharing how) { this->objects = std::move(how); }
+    void shareObjects(ObjectSharing how);
+    /// This instance has learnt of changes from the store: tells the region, if that is its duty.
+    void publishObjects(std::size_t kind);
+    /// Whether \a task falls to this instance, as one of \a count in its region.
+    bool isOnDuty(std::string_view task, std::size_t count) const;
+    /// How many instances there may be.
+    std::size_t sizeAtMost() const { return this->size.atMost(monoNow()); }
     /// Tells all other instances.
     void announce(const proto::WeightsNotice &notice);
     /// Takes in more addresses under which members may be found.
@@ -111,8 +124,12 @@
     void askForSeats();
     void askForConfig();
     void askForObjects();
+    std::vector<proto::ProcessId> othersInRegion() const;
+    void beat();
+    void receiveBeat(const proto::Envelope &message);
+    void askForAll(std::size_t kind, const proto::ProcessId &from);
     void receiveObjectsRequest(const proto::Envelope &message);
-    void receiveObjectsOffer(const proto::ObjectsOffer &offer);
+    void receiveObjectsOffer(const proto::Envelope &message);
     std::optional<std::size_t> kindOf(const std::string &name) const;
 
     http::Loop &loop;
@@ -134,6 +151,11 @@
     MonoTime nextSeatQuestion{};
     MonoTime nextConfigQuestion{};
     MonoTime nextObjectsQuestion{};
+    MonoTime nextBeat{};
+    std::vector<MonoTime> nextListQuestion; ///< by kind
+    std::vector<std::int64_t> published; ///< newest revision told to the region, by kind
+    std::vector<Members::RevisionNews> revisionNews; ///< from beats and offers
+    FleetSize size{monoNow()};
     MonoTime lastCompany{}; ///< when a peer or the store was last in reach
     bool isLeaving = false;
     http::Timer timer;
--- a/src/store/kindfeed.cpp
+++ b/src/store/kindfeed.cpp
@@ -30,6 +30,24 @@
     return std::chrono::duration_cast<Millis>(monoNow() - this->lastKnown);
 }
 
+void KindFeed::start(bool mayHaveBeenAway)
+{
+    if (this->active)
+        return;
+    this->active = true;
+    this->wasAway = mayHaveBeenAway;
+    this->failures = 0;
+    this->list({});
+}
+
+void KindFeed::stop()
+{
+    this->active = false;
+    this->timer.cancel();
+    *this->alive = false;
+    this->alive = std::make_shared<bool>(true);
+}
+
 void KindFeed::list(const std::string &after)
 {
     if (after.empty())
--- a/src/store/kindfeed.h
+++ b/src/store/kindfeed.h
@@ -28,7 +28,12 @@
              std::uint64_t seed);
     ~KindFeed() { *this->alive = false; }
 
-    void start() { this->list({}); }
+    /// Begins to follow, with a whole list; no effect on one that does already. \a wasAway tells
+    /// whether the store may have been out of reach before.
+    void start(bool wasAway = false);
+    /// Follows no longer; what is still under way is left out.
+    void stop();
+    bool isActive() const { return this->active; }
     /// How long ago the store's state was last known for sure.
     Millis age() const;
     bool isAway() const { return this->failures > 0; }
@@ -52,7 +57,9 @@
     MonoTime askedAt{};
     int failures = 0;
     bool wasAway = false;
+    bool active = false;
     http::Timer timer;
+    /// Replaced at each stop, so that answers to older calls are known.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -1,5 +1,6 @@
 #include "store/kindfeed.h"
 #include "store/mirror.h"
+#include "store/watchduty.h"
 
 #include "http/server.h"
 
@@ -156,3 +157,47 @@
     cr_assert(scripted.listed == Revisions({10, 15}));
     cr_assert(scripted.away == Flags({false, true}));
 }
+
+// One that hears nothing follows the store itself; one that is told for a while that others do
+// stops; one on duty always does.
+Test(watchduty, follows_the_store_only_as_long_as_nobody_else_does)
+{
+    const MonoTime start{};
+    const auto at = [&](int millis) { return start + Millis(millis); };
+    WatchDuty duty(start);
+    cr_assert(duty.shouldWatch(false, at(0)));
+    int switches = 0;
+    bool wasWatching = true;
+    for (int now = 0; now <= 60'000; now += 100) {
+        // Beats come each half second, but for an outage, and one alone in its middle.
+        const bool isOutage = now >= 20'000 && now < 30'000 && now != 25'000;
+        if (now % 500 == 0 && !isOutage)
+            duty.onBeat(at(now));
+        const bool isWatching = duty.shouldWatch(false, at(now));
+        cr_assert(duty.shouldWatch(true, at(now)));
+        switches += isWatching != wasWatching ? 1 : 0;
+        wasWatching = isWatching;
+        if (now > 2500 && now < 20'000)
+            cr_assert(not(isWatching));
+        if (now > 22'000 && now < 30'000)
+            cr_assert(isWatching);
+    }
+    cr_assert(switches == 3);
+}
+
+Test(kindfeed, one_that_is_stopped_says_nothing_more_and_starts_with_a_list)
+{
+    Scripted scripted({{200, {}, "10"}, {200, {}, "12"}});
+    scripted.feed.stop();
+    const std::size_t asked = scripted.asked.size();
+    scripted.hanging.front()->respond({200, {}, "14"});
+    scripted.loop.runFor(Millis(300));
+    cr_assert(scripted.seen == Revisions({12}));
+    cr_assert(scripted.asked.size() == asked);
+    scripted.script.push_back({200, {}, "20"});
+    scripted.feed.start(true);
+    scripted.feed.start(true);
+    scripted.loop.runFor(Millis(300));
+    cr_assert(scripted.listed == Revisions({10, 20}));
+    cr_assert(scripted.away == Flags({false, true}));
+}
