A watch that waits for changes is no doubt about what is known

Ruled out: lost beats (peers were up). Change: a feed is current while the call that would tell of a change is not overdue. Test: is_current_while_its_watch_waits_and_not_when_it_is_overdue.

--- a/src/forward/followed.cpp
+++ b/src/forward/followed.cpp
@@ -6,12 +6,6 @@
 
 namespace lavenderhall {
 
-namespace {
-
-constexpr Millis MostCurrentAge{4500};
-
-} // namespace
-
 FollowedObjects::FollowedObjects(http::Loop &loop, ObjectClient &store, const ObjectKinds &kinds,
                                  FollowedHandlers handlers, std::uint64_t seed)
     : names{kinds.configuration, kinds.endpoints, kinds.weights}
@@ -155,12 +149,10 @@
     }
 }
 
-// A watch that waits for changes tells for a few seconds only that nothing has changed.
 bool FollowedObjects::isCurrent() const
 {
-    return std::all_of(this->feeds.begin(), this->feeds.end(), [](const auto &feed) {
-        return feed->isActive() && !feed->isAway() && feed->age() < MostCurrentAge;
-    });
+    return std::all_of(this->feeds.begin(), this->feeds.end(),
+                       [](const auto &feed) { return feed->isCurrent(); });
 }
 
 const std::string &FollowedObjects::nameOf(ObjectKind kind) const
--- a/src/store/kindfeed.cpp
+++ b/src/store/kindfeed.cpp
@@ -11,6 +11,7 @@
 // A watch that has fallen silent is noticed after this time at the latest; other instances tell
 // of what it misses sooner.
 constexpr Millis WatchWait{3000};
+constexpr Millis AnswerMargin{600};
 constexpr Millis FirstRetry{80};
 constexpr int MaxRetryDoublings = 3;
 
@@ -36,10 +37,17 @@
         return;
     this->active = true;
     this->wasAway = mayHaveBeenAway;
+    this->hasList = false;
     this->failures = 0;
     this->list({});
 }
 
+bool KindFeed::isCurrent() const
+{
+    return this->active && this->hasList && this->failures == 0
+        && monoNow() - this->askedAt < WatchWait + AnswerMargin;
+}
+
 void KindFeed::stop()
 {
     this->active = false;
@@ -73,6 +81,7 @@
     if (this->failures > 0)
         logEvent(LogLevel::Info, "store_back", {{"kind", this->kind}, {"revision", page.revision}});
     this->failures = 0;
+    this->hasList = true;
     this->lastKnown = this->askedAt;
     if (this->pendingRevision >= this->revision) {
         this->revision = this->pendingRevision;
--- a/src/store/kindfeed.h
+++ b/src/store/kindfeed.h
@@ -37,6 +37,8 @@
     /// How long ago the store's state was last known for sure.
     Millis age() const;
     bool isAway() const { return this->failures > 0; }
+    /// Whether all is known, and the call that tells of the next change is not overdue.
+    bool isCurrent() const;
 
 private:
     void list(const std::string &after);
@@ -58,6 +60,7 @@
     int failures = 0;
     bool wasAway = false;
     bool active = false;
+    bool hasList = false; ///< since start()
     http::Timer timer;
     /// Replaced at each stop, so that answers to older calls are known.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -201,3 +201,19 @@
     cr_assert(scripted.listed == Revisions({10, 20}));
     cr_assert(scripted.away == Flags({false, true}));
 }
+
+// A watch of a quiet kind waits for seconds: that is no doubt. One that is overdue is, and so is
+// one whose list is not there yet.
+Test(kindfeed, is_current_while_its_watch_waits_and_not_when_it_is_overdue)
+{
+    Scripted scripted({{200, {}, "10"}});
+    cr_assert(scripted.feed.isCurrent());
+    scripted.loop.runFor(Millis(1600));
+    cr_assert(scripted.feed.isCurrent());
+    scripted.loop.runFor(Millis(900));
+    cr_assert(not(scripted.feed.isCurrent()));
+    scripted.feed.stop();
+    cr_assert(not(scripted.feed.isCurrent()));
+    scripted.feed.start();
+    cr_assert(not(scripted.feed.isCurrent()));
+}
