Instances ask engines for their load in turn and tell each other

Change: the engines of a region are shared out in four parts, each asked by one instance (rendezvous); busy engines three times a second, idle ones once; what has changed is told to all. An engine that does not answer is told of as well, and its weights. LoadBook weighs what engines report, and its own requests since.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -81,6 +81,10 @@
                             [this] { return this->followed.silence(); }),
             std::nullopt, this->timeline, this->metrics, seatTimings(this->settings))
     , rates(this->fleet)
+    , loadWatch(
+          loop, adapter, this->loads,
+          [this](const std::string &task) { return this->fleet.isOnDuty(task, 1); },
+          this->engineTelling())
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -104,10 +108,11 @@
     });
     ObjectSharing sharing = this->followed.sharing();
     sharing.onNotice = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
+    sharing.onLoadNews
+        = [this](const proto::LoadNews &news) { this->loadWatch.onNews(news, monoNow()); };
     this->fleet.shareObjects(std::move(sharing));
     this->context.tokens = this->rates.gate();
-    this->rollout.setNotify(
-        [this](const proto::WeightsNotice &notice) { this->fleet.announce(notice); });
+    this->rollout.setTelling(this->engineTelling());
     this->applySettings();
 }
 
@@ -122,6 +127,7 @@
     budgetSettings.instances = static_cast<std::int64_t>(this->instances);
     this->budget.setSettings(budgetSettings);
     this->context.oldWeightsTime = bounds.weights;
+    this->loads.setInstances(this->instances);
     AllowanceSettings tolerance;
     tolerance.overage = bounds.rateOverage;
     tolerance.slack = static_cast<double>(bounds.rateSlack);
@@ -163,6 +169,14 @@
     return 0;
 }
 
+EngineTelling ForwardDaemon::engineTelling()
+{
+    EngineTelling telling;
+    telling.load = [this](const proto::LoadNews &news) { this->fleet.announce(news); };
+    telling.weights = [this](const proto::WeightsNotice &notice) { this->fleet.announce(notice); };
+    return telling;
+}
+
 FollowedHandlers ForwardDaemon::followedHandlers()
 {
     FollowedHandlers handlers;
@@ -292,6 +306,8 @@
     this->roster.onTick(now);
     this->applyRosterChanges();
     this->rollout.onTick(this->roster, now);
+    if (!this->isDraining)
+        this->loadWatch.onTick(this->roster, now);
     if (this->fleet.sizeAtMost() != this->instances)
         this->applySettings();
     this->tickTimer = this->loop.after(TickInterval, [this] { this->tick(); });
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -2,6 +2,7 @@
 
 #include "forward/followed.h"
 #include "forward/forwarder.h"
+#include "forward/loadwatch.h"
 #include "forward/rates.h"
 #include "forward/rollout.h"
 #include "router/admin.h"
@@ -30,6 +31,7 @@
 
 private:
     FollowedHandlers followedHandlers();
+    EngineTelling engineTelling();
     void apply(ObjectKind kind, const ObjectEvent &event);
     void onNotice(const proto::WeightsNotice &notice);
     void offerTable(const Json &content, std::int64_t revision);
@@ -59,6 +61,7 @@
     FollowedObjects followed;
     Fleet fleet;
     Rates rates;
+    LoadWatch loadWatch;
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -11,6 +11,8 @@
 
 // Running requests and what the cache keeps share an engine's memory.
 constexpr double CachePart = 0.6;
+constexpr Millis ReportLife{2500};
+constexpr double AlikeInstances = 8; ///< so many share what one of them sends on average
 
 } // namespace
 
@@ -60,6 +62,7 @@
     constexpr double BitsPerByte = 8;
     constexpr double BitsPerMilliAtOneMbps = 1000;
     Service &known = this->services[service];
+    known.hasEngines = true;
     known.cacheTokens
         = static_cast<std::int64_t>(CachePart * static_cast<double>(engine.cacheTokens));
     known.move.millisPerToken = engine.linkMbps > 0
@@ -88,19 +91,45 @@
     return one != end && two != end && one->second == two->second;
 }
 
-double LoadBook::costOf(const Load &load, const ChoiceQuery &query) const
+bool LoadBook::isEngineHere(const RosterEntry &entry) const
+{
+    return this->serviceOf(entry.service).hasEngines
+        && this->isInRegionOf(entry.zone, this->place.zone);
+}
+
+void LoadBook::onLoad(const std::string &endpointId, ReportedLoad reported, MonoTime now)
+{
+    const auto found = this->loads.find(endpointId);
+    if (found == this->loads.end())
+        return;
+    found->second.reported = reported;
+    found->second.reportedAt = now;
+    found->second.sentSince = 0;
+}
+
+// What the others have sent since a report is not known; they are taken to do as this one does.
+double LoadBook::queueCost(const Load &load, MonoTime now) const
 {
     constexpr double QueueMillis = 100; // for each request that waits for a slot
-    double cost = 0;
+    const auto requestCost = static_cast<double>(this->settings.requestCost.count());
+    const auto inFlight = static_cast<double>(load.inFlight);
+    if (load.reported && now - load.reportedAt < ReportLife) {
+        const double alike = std::max(1.0, static_cast<double>(this->instances) / AlikeInstances);
+        return static_cast<double>(load.reported->running * this->settings.runningCost.count()
+                                   + load.reported->waiting * this->settings.waitingCost.count())
+            + static_cast<double>(load.sentSince) * requestCost * alike;
+    }
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, load.entry.slots));
+    return inFlight * requestCost + std::max(0.0, inFlight - slots + 1) * QueueMillis;
+}
+
+double LoadBook::costOf(const Load &load, const ChoiceQuery &query, MonoTime now) const
+{
+    double cost = this->queueCost(load, now);
     const bool isNear = this->isInRegionOf(load.entry.zone, this->place.zone);
     if (load.entry.zone != this->place.zone)
         cost += static_cast<double>(
             (isNear ? this->settings.zoneHop : this->settings.regionHop).count());
-    const auto slots = static_cast<double>(std::max<std::int64_t>(1, load.entry.slots));
-    const auto inFlight = static_cast<double>(load.inFlight);
-    cost += inFlight * static_cast<double>(this->settings.requestCost.count());
-    if (inFlight >= slots)
-        cost += (inFlight - slots + 1) * QueueMillis;
     if (!query.model.empty() && versionIn(load.entry, query.model) < query.newestWeights)
         cost += static_cast<double>(this->settings.oldWeightsCost.count());
     return cost;
@@ -194,7 +223,7 @@
         Choice choice;
         choice.endpointId = id;
         choice.weightsVersion = versionIn(load.entry, query.model);
-        choice.costMillis = this->costOf(load, query);
+        choice.costMillis = this->costOf(load, query, now);
         const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
             this->addPromptCost(load, query, group == groups.end() ? Nobody : group->second, now,
@@ -220,6 +249,7 @@
     if (found == this->loads.end())
         return;
     ++found->second.inFlight;
+    ++found->second.sentSince;
     found->second.unreadTokens += uncachedTokens;
     found->second.memory.onSent(chain, now);
 }
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -19,6 +19,8 @@
 {
     double promptTokensPerMilli = 60; ///< that an engine reads
     Millis requestCost{4}; ///< added to the wait by each request in flight
+    Millis runningCost{1}; ///< by each one that an engine reports to run
+    Millis waitingCost{30}; ///< by each one that waits there
     Millis zoneHop{2}; ///< there and back between zones of a region
     Millis regionHop{24}; ///< there and back between regions
     Millis fetchSetup{2}; ///< to fetch cached parts from another engine
@@ -32,6 +34,15 @@
     bool operator==(const ChoiceSettings &) const = default;
 };
 
+/// Requests at an engine, from all instances, as it reported them.
+struct ReportedLoad
+{
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+
+    auto operator<=>(const ReportedLoad &) const = default;
+};
+
 /// Where this instance is, to tell near endpoints from far ones.
 struct OwnPlace
 {
@@ -83,6 +94,13 @@
     /// Takes in what is configured of the engines of a service.
     void setEngines(const std::string &service, const EngineSpec &engine);
 
+    /// How many instances send requests to the same endpoints.
+    void setInstances(std::size_t count) { this->instances = count; }
+    /// Whether \a entry is an engine in this instance's region.
+    bool isEngineHere(const RosterEntry &entry) const;
+    /// What an engine reported a moment ago.
+    void onLoad(const std::string &endpointId, ReportedLoad reported, MonoTime now);
+
     /// Chooses an endpoint; none if no endpoint takes the request at all. Endpoints that should
     /// not get it, for their trouble or their old weights, do so only if there are no others.
     std::optional<Choice> choose(const ChoiceQuery &query, MonoTime now) const;
@@ -114,16 +132,21 @@
         std::size_t inFlight = 0;
         std::int64_t unreadTokens = 0;
         MonoTime avoidedUntil{};
+        std::optional<ReportedLoad> reported;
+        MonoTime reportedAt{};
+        std::size_t sentSince = 0; ///< requests of this instance, since the report
         PromptMemory memory{0};
     };
 
     struct Service
     {
+        bool hasEngines = false;
         std::int64_t cacheTokens = 0;
         CacheMoveCost move;
     };
 
-    double costOf(const Load &load, const ChoiceQuery &query) const;
+    double costOf(const Load &load, const ChoiceQuery &query, MonoTime now) const;
+    double queueCost(const Load &load, MonoTime now) const;
     /// Engines that run the same weights, seen from one prompt.
     struct PromptGroup
     {
@@ -144,6 +167,7 @@
 
     OwnPlace place;
     ChoiceSettings settings;
+    std::size_t instances = 1;
     std::map<std::string, Load> loads;
     std::map<std::string, Service> services;
 };
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -73,10 +73,10 @@
     switch (action.kind) {
     case RolloutAction::Kind::Announce:
         this->loads.onWeightsChange(action.engine.id, monoNow() + AnnounceTime);
-        if (this->notify) {
+        if (this->telling.weights) {
             proto::WeightsNotice notice = noticeAbout(action.engine);
             notice.set_avoid_ms(AnnounceTime.count());
-            this->notify(notice);
+            this->telling.weights(notice);
         }
         return;
     case RolloutAction::Kind::AskReport:
@@ -121,22 +121,7 @@
 void Rollout::onReport(const RosterEntry &engine, const EngineReport &report)
 {
     this->planner.onReport(engine.id, report, monoNow());
-    const RosterEntry *known = this->loads.entryOf(engine.id);
-    if (!known || report.isBusy)
-        return;
-    const auto before = known->weights;
-    for (const auto &[model, version] : report.weights) {
-        const auto listed = before.find(model);
-        if (listed != before.end() && listed->second >= version)
-            continue;
-        this->loads.onWeightsLoaded(engine.id, model, version);
-        if (!this->notify)
-            continue;
-        proto::WeightsNotice notice = noticeAbout(engine);
-        notice.set_model(model);
-        notice.set_version(version);
-        this->notify(notice);
-    }
+    learnWeights(this->loads, engine, report, this->telling);
 }
 
 // The lease is looked at once more right before the order leaves.
--- a/src/forward/rollout.h
+++ b/src/forward/rollout.h
@@ -2,6 +2,7 @@
 
 #include "forward/adapter.h"
 #include "forward/loadbook.h"
+#include "forward/loadwatch.h"
 #include "proto/peer.pb.h"
 #include "rollout/lease.h"
 #include "rollout/planner.h"
@@ -16,9 +17,6 @@
 class Rollout
 {
 public:
-    /// Tells the other instances that an engine is about to change its weights, or has.
-    using Notify = std::function<void(const proto::WeightsNotice &notice)>;
-
     Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store, LoadBook &loads,
             Lease lease, RolloutTimings timings);
     ~Rollout() { *this->alive = false; }
@@ -27,7 +25,8 @@
     {
         this->planner.setWanted(versions);
     }
-    void setNotify(Notify how) { this->notify = std::move(how); }
+    /// How the other instances hear that an engine is about to change its weights, or has.
+    void setTelling(EngineTelling how) { this->telling = std::move(how); }
     /// How long this instance leaves the duty to those before it, once there is work.
     void setPatience(Millis patience) { this->patience = patience; }
     void onTick(const Roster &roster, MonoTime now);
@@ -47,7 +46,7 @@
     http::Client client;
     Lease lease;
     RolloutPlanner planner;
-    Notify notify;
+    EngineTelling telling;
     Millis patience{0};
     MonoTime workSince{};
     std::size_t outdatedCount = 0;
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -319,6 +319,10 @@
         if (this->objects.onNotice)
             this->objects.onNotice(message.weights_notice());
         return;
+    case proto::Envelope::kLoadNews:
+        if (this->objects.onLoadNews)
+            this->objects.onLoadNews(message.load_news());
+        return;
     case proto::Envelope::kSeatHints:
         if (message.seat_hints().wants_all()) {
             proto::Envelope answer;
@@ -539,11 +543,22 @@
 
 void Fleet::announce(const proto::WeightsNotice &notice)
 {
-    for (const proto::Member &member : this->members->alive()) {
-        proto::Envelope message;
-        *message.mutable_weights_notice() = notice;
-        this->send(member.id(), std::move(message));
-    }
+    proto::Envelope message;
+    *message.mutable_weights_notice() = notice;
+    this->announce(message);
+}
+
+void Fleet::announce(const proto::LoadNews &news)
+{
+    proto::Envelope message;
+    *message.mutable_load_news() = news;
+    this->announce(message);
+}
+
+void Fleet::announce(const proto::Envelope &message)
+{
+    for (const proto::Member &member : this->members->alive())
+        this->send(member.id(), message);
 }
 
 void Fleet::leave()
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -46,6 +46,7 @@
     std::function<void()> onBeat; ///< another instance does so for the region
     std::function<void(bool isOnDuty)> onDuty; ///< told now and then
     std::function<void(const proto::WeightsNotice &notice)> onNotice;
+    std::function<void(const proto::LoadNews &news)> onLoadNews;
 };
 
 /// Where the records of seats lie.
@@ -84,6 +85,7 @@
     std::size_t sizeAtMost() const { return this->size.atMost(monoNow()); }
     /// Tells all other instances.
     void announce(const proto::WeightsNotice &notice);
+    void announce(const proto::LoadNews &news);
     /// Takes in more addresses under which members may be found.
     void addSeeds(const std::vector<Address> &seeds) { this->members->addSeeds(seeds); }
 
@@ -125,6 +127,7 @@
     void askForConfig();
     void askForObjects();
     std::vector<proto::ProcessId> othersInRegion() const;
+    void announce(const proto::Envelope &message);
     void beat();
     void receiveBeat(const proto::Envelope &message);
     void askForAll(std::size_t kind, const proto::ProcessId &from);
