Requests are drawn to new weights in proportion; few instances look at the rollout's lease

A constant cost for old weights is the same for all. Now each request draws a number: only up to 1.5 times the even part of the engines with the newest weights is drawn to them, the rest prefers the old ones until their time is over. Second cause: 85 instances read the rollout's lease twice a second while any engine is outdated (about 170 calls a second). Two members of each region are candidates; the others step in when no engine gets on for 4 s. Tests (first failed with the constant cost: 398 of 400 requests on 3 of 30 engines): few_engines_with_new_weights, old_weights_are_left_when_their_time_is_over, an_engine_that_others_keep_busy, reportschedule.

--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -1,4 +1,5 @@
 #include "forward/loadbook.h"
+#include "forward/reportschedule.h"
 #include "routing/retrybudget.h"
 #include "routing/run.h"
 
@@ -348,3 +349,115 @@
     for (const auto &[id, count] : sent)
         cr_assert(count <= 40, "%s got %d", id.c_str(), count);
 }
+
+namespace {
+
+/// A large fleet of instances and engines, with what the engines get in a second.
+struct CrowdedFleet
+{
+    static constexpr int Instances = 40;
+    static constexpr int EngineCount = 30;
+    static constexpr int NewEngines = 3; ///< that have new weights already
+    static constexpr int RequestsPerInstance = 10;
+    std::vector<LoadBook> books;
+    std::map<std::string, int> sent;
+
+    CrowdedFleet()
+        : books(Instances, LoadBook({"a", {{"a", "ra"}}}, {}))
+    {
+        for (LoadBook &book : this->books) {
+            book.setInstances(Instances);
+            for (int number = 0; number < EngineCount; ++number)
+                book.onChange(
+                    {RosterChange::Kind::Joined,
+                     engine("e" + std::to_string(number), "a", number < NewEngines ? 2 : 1)});
+        }
+    }
+
+    /// Each instance sends its requests, and hears nothing of the others'.
+    void play(pcg32 &random)
+    {
+        for (int number = 0; number < Instances * RequestsPerInstance; ++number) {
+            LoadBook &book = this->books.at(random(Instances));
+            ChoiceQuery query = Engines::query("part-" + std::to_string(random(50)));
+            query.newestWeights = 2;
+            query.draw = random(1000) / 1000.0;
+            const auto choice = book.choose(query, Start);
+            book.onSent(choice->endpointId, query.chain, 0, Start);
+            ++this->sent[choice->endpointId];
+        }
+    }
+};
+
+} // namespace
+
+// The load pattern after new weights were named: a few engines have them, and each of many
+// instances sees these few as free. They get no more than a small multiple of their even part.
+Test(loadbook, few_engines_with_new_weights_are_not_crowded)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        pcg32 random(seed);
+        CrowdedFleet fleet;
+        fleet.play(random);
+        int onNew = 0;
+        for (int number = 0; number < CrowdedFleet::NewEngines; ++number)
+            onNew += fleet.sent["e" + std::to_string(number)];
+        const int all = CrowdedFleet::Instances * CrowdedFleet::RequestsPerInstance;
+        const int even = all * CrowdedFleet::NewEngines / CrowdedFleet::EngineCount;
+        cr_assert(onNew <= 2 * even, "seed %u: %d of %d", seed, onNew, all);
+        cr_assert(onNew >= even / 2, "seed %u: %d of %d", seed, onNew, all);
+    }
+}
+
+// Past the time for old weights, all go to the new ones.
+Test(loadbook, old_weights_are_left_when_their_time_is_over)
+{
+    CrowdedFleet fleet;
+    ChoiceQuery query = Engines::query("p");
+    query.newestWeights = 2;
+    query.needsNewest = true;
+    query.draw = 0.99;
+    cr_assert(fleet.books.front().choose(query, Start)->weightsVersion == 2);
+}
+
+// What an engine reports counts, not only what this instance sent; and an old report does not.
+Test(loadbook, an_engine_that_others_keep_busy_is_left_alone)
+{
+    Engines engines;
+    const ChoiceQuery query = Engines::query("p");
+    const std::string home = engines.choose(query).endpointId;
+    engines.book.onLoad(home, {60, 40}, Start);
+    cr_assert(engines.choose(query).endpointId != home);
+    cr_assert(engines.choose(query, Start + Millis(3000)).endpointId == home);
+    engines.book.onLoad(home, {1, 0}, Start);
+    cr_assert(engines.choose(query).endpointId == home);
+}
+
+// A busy engine is asked often, an idle one seldom; what matters is told, and told again before
+// it fades; one that does not answer is told of at the second time, or at once if it refuses.
+Test(reportschedule, asks_and_tells_as_needed)
+{
+    ReportSchedule schedule;
+    const auto play = [&](std::int64_t running, int millis) {
+        std::pair<int, int> counts;
+        for (int now = 0; now < millis; now += 50) {
+            const MonoTime at = Start + Millis(now);
+            if (!schedule.isDue("e", at))
+                continue;
+            schedule.onAsked("e", at);
+            ++counts.first;
+            EngineReport report;
+            report.running = running;
+            counts.second += schedule.onReport("e", report, at) ? 1 : 0;
+        }
+        schedule.forgetBefore(Start + Millis(millis));
+        return counts;
+    };
+    cr_assert(play(1, 10'000) == std::pair(10, 0));
+    const auto busy = play(50, 10'000);
+    cr_assert(busy.first >= 30 && busy.second >= 6 && busy.second <= 10);
+    cr_assert(not(schedule.onFailure("e", true, Start)));
+    cr_assert(schedule.onFailure("e", true, Start));
+    cr_assert(schedule.onReport("e", {}, Start));
+    cr_assert(schedule.onFailure("e", false, Start));
+}
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -19,6 +19,10 @@
 constexpr Millis BalancerTime{3000};
 // Instances that do not hold the duty of the rollout take it up at different times.
 constexpr unsigned MostPatienceMillis = 600;
+// Few in each region look at the lease; the others do so only if no engine gets on for longer.
+constexpr const char *RolloutTask = "give engines their weights";
+constexpr std::size_t RolloutCandidates = 2;
+constexpr Millis StandInPatience{4000};
 constexpr Millis StopMargin{250}; ///< before the process is killed
 
 // A holder's silence leaves its organisations without a decision for about one lease.
@@ -144,7 +148,7 @@
              {{"listen", this->settings.listen.toString()},
               {"admin", this->settings.admin.toString()},
               {"zone", this->settings.zone}});
-    this->rollout.setPatience(Millis(this->context.random(MostPatienceMillis)));
+    this->patience = Millis(this->context.random(MostPatienceMillis));
     // The peer address is bound before anything is decided: whoever bound it before is dead.
     this->fleet.start();
     this->followed.start();
@@ -305,6 +309,8 @@
     const MonoTime now = monoNow();
     this->roster.onTick(now);
     this->applyRosterChanges();
+    const bool isRolloutDuty = this->fleet.isOnDuty(RolloutTask, RolloutCandidates);
+    this->rollout.setPatience(this->patience + (isRolloutDuty ? Millis(0) : StandInPatience));
     this->rollout.onTick(this->roster, now);
     if (!this->isDraining)
         this->loadWatch.onTick(this->roster, now);
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -69,6 +69,7 @@
     http::Timer tickTimer;
     http::Timer settingsTimer;
     http::Timer drainTimer;
+    Millis patience{0}; ///< before this instance takes up the rollout
     std::size_t instances = 0; ///< among which the fleet's shares are divided
     MonoTime startedAt{};
     MonoTime drainBeganAt{};
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 #include <utility>
 
 namespace lavenderhall {
@@ -61,6 +62,7 @@
         if (const auto self = weak.lock())
             self->onCallerGone();
     });
+    this->draw = std::uniform_real_distribution<double>(0, 1)(this->context.random);
     this->run = RunRecord(this->route->mayRepeat(), this->route->maxAttempts);
     this->service = chooseShare(*this->route, this->context.random());
     this->context.budget.onRequest(this->service, this->arrivedAt);
@@ -130,6 +132,7 @@
     query.model = this->request.model;
     query.chain = this->chain;
     query.tried = this->tried;
+    query.draw = this->draw;
     const auto named = this->context.namedWeights.find(this->request.model);
     if (named != this->context.namedWeights.end()) {
         query.newestWeights = named->second.version;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -114,6 +114,7 @@
     std::string cacheWall; ///< who shares cached parts, and the model
     PromptChain chain;
     RunRecord run{false, 1};
+    double draw = 0; ///< of this request, from 0 to 1
     MonoTime arrivedAt{};
     MonoTime deadline{};
     http::Timer deadlineTimer;
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -123,18 +123,35 @@
     return inFlight * requestCost + std::max(0.0, inFlight - slots + 1) * QueueMillis;
 }
 
-double LoadBook::costOf(const Load &load, const ChoiceQuery &query, MonoTime now) const
+double LoadBook::costOf(const Load &load, MonoTime now) const
 {
     double cost = this->queueCost(load, now);
     const bool isNear = this->isInRegionOf(load.entry.zone, this->place.zone);
     if (load.entry.zone != this->place.zone)
         cost += static_cast<double>(
             (isNear ? this->settings.zoneHop : this->settings.regionHop).count());
-    if (!query.model.empty() && versionIn(load.entry, query.model) < query.newestWeights)
-        cost += static_cast<double>(this->settings.oldWeightsCost.count());
     return cost;
 }
 
+// While few engines have the newest weights, only so many requests are drawn to them as they can
+// bear: all instances see the same engines as new, and none sees what the others send.
+bool LoadBook::prefersNewest(const ChoiceQuery &query, MonoTime now) const
+{
+    if (query.model.empty() || query.newestWeights == 0)
+        return true;
+    std::size_t newest = 0;
+    std::size_t all = 0;
+    for (const auto &[id, load] : this->loads) {
+        if (!this->isCandidate(load, query) || load.avoidedUntil > now)
+            continue;
+        ++all;
+        newest += versionIn(load.entry, query.model) >= query.newestWeights ? 1 : 0;
+    }
+    const double share
+        = static_cast<double>(newest) / static_cast<double>(std::max<std::size_t>(1, all));
+    return query.draw < share * this->settings.newestShareFactor;
+}
+
 double LoadBook::fetchFactor(const Load &from, const Load &to) const
 {
     if (from.entry.zone == to.entry.zone)
@@ -215,6 +232,8 @@
     const PromptGroups groups = this->groupsOf(query, now);
     std::optional<Choice> best;
     int bestRank = 0; // 0: fit, higher: the less so
+    const bool wantsNewest = this->prefersNewest(query, now);
+    const auto otherWeightsCost = static_cast<double>(this->settings.otherWeightsCost.count());
     std::size_t candidates = 0;
     for (const auto &[id, load] : this->loads) {
         if (!this->isCandidate(load, query))
@@ -223,7 +242,9 @@
         Choice choice;
         choice.endpointId = id;
         choice.weightsVersion = versionIn(load.entry, query.model);
-        choice.costMillis = this->costOf(load, query, now);
+        choice.costMillis = this->costOf(load, now);
+        if (wantsNewest != (choice.weightsVersion >= query.newestWeights))
+            choice.costMillis += otherWeightsCost;
         const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
             this->addPromptCost(load, query, group == groups.end() ? Nobody : group->second, now,
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -29,7 +29,9 @@
     std::int64_t leastFetchTokens = 256; ///< fewer are read again instead
     /// Reading a shared part away from its home costs the fleet a second reading of it there.
     double rereadMillisPerToken = 0.06;
-    Millis oldWeightsCost{400}; ///< for weights that are to be replaced
+    Millis otherWeightsCost{400}; ///< for other weights than the request is drawn to
+    /// Engines with the newest weights get at most so many times their even part of the work.
+    double newestShareFactor = 1.5;
 
     bool operator==(const ChoiceSettings &) const = default;
 };
@@ -58,6 +60,7 @@
     PromptChain chain;
     std::int64_t newestWeights = 0; ///< version named for the model, 0 if not known
     bool needsNewest = false; ///< older weights may not begin it any more
+    double draw = 0; ///< from 0 to 1, the request's own: which weights it is drawn to
     std::optional<std::int64_t> onlyWeights; ///< for a stream that goes on
     std::vector<std::string> tried; ///< endpoints that have failed the request
 };
@@ -145,7 +148,8 @@
         CacheMoveCost move;
     };
 
-    double costOf(const Load &load, const ChoiceQuery &query, MonoTime now) const;
+    double costOf(const Load &load, MonoTime now) const;
+    bool prefersNewest(const ChoiceQuery &query, MonoTime now) const;
     double queueCost(const Load &load, MonoTime now) const;
     /// Engines that run the same weights, seen from one prompt.
     struct PromptGroup
