An engine that does not answer, or whose address another one has, holds up no rollout and gets no work

Change: a refusal without weights expected means that the endpoint was replaced: it comes last for 3 s; a report that tells so counts as unreachable for all instances; the planner leaves an engine after two missing reports for 0.8 s, and a replaced one for 3 s.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -19,6 +19,7 @@
 constexpr Millis LeastRetryTime{60};
 constexpr Millis RefusedPause{250}; ///< an endpoint that refused comes last for so long
 constexpr Millis EngineRefusedPause{600}; ///< the same for an engine, which may load weights
+constexpr Millis ReplacedPause{3000}; ///< the same for one whose address another one has
 constexpr Millis BrokenPause{1000}; ///< the same for one that broke off
 constexpr std::size_t PauseBacklogBytes = 64U << 10U;
 constexpr std::size_t MaxBufferedBytes = 8U << 20U;
@@ -225,8 +226,9 @@
     this->isPromptRead = false;
     this->uncachedTokens
         = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
-    http::CallRequest outgoing
-        = this->context.adapter.writeAttempt(this->request, this->marksFor(*chosen));
+    const AttemptMarks marks = this->marksFor(*chosen);
+    this->hasExpectedWeights = marks.weightsVersion.has_value();
+    http::CallRequest outgoing = this->context.adapter.writeAttempt(this->request, marks);
     outgoing.to = entry->address;
     outgoing.connectTimeout = ConnectTimeout;
     outgoing.headTimeout = std::max(
@@ -261,7 +263,7 @@
     if (this->request.model.empty() || this->isForeign)
         return;
     const std::string &id = this->choice.endpointId;
-    if (this->head.status == OtherEndpointOrWeights)
+    if (this->head.status == OtherEndpointOrWeights && this->hasExpectedWeights)
         return this->context.loads.onWeightsUnknown(id, this->request.model);
     if (this->head.weightsVersion)
         this->context.loads.onWeightsLoaded(id, this->request.model, *this->head.weightsVersion);
@@ -351,6 +353,11 @@
 {
     const MonoTime now = monoNow();
     const bool isEngine = !this->request.model.empty();
+    // Without weights expected, the refusal means that the address belongs to another endpoint.
+    const bool isReplaced
+        = this->head.status == OtherEndpointOrWeights && !this->hasExpectedWeights;
+    if (end == AttemptEnd::Refused && isReplaced)
+        return this->context.loads.avoid(this->choice.endpointId, now + ReplacedPause);
     if (end == AttemptEnd::Refused)
         this->context.loads.avoid(this->choice.endpointId,
                                   now + (isEngine ? EngineRefusedPause : RefusedPause));
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -125,6 +125,7 @@
     http::CallPtr call;
     Choice choice;
     std::int64_t uncachedTokens = 0;
+    bool hasExpectedWeights = false; ///< only these may run the attempt under way
     bool isPromptRead = false;
     bool isForeign = false; ///< the answer under way belongs to another request
     AnswerHead head;
--- a/src/forward/loadwatch.cpp
+++ b/src/forward/loadwatch.cpp
@@ -53,6 +53,14 @@
     }
 }
 
+ReportFailure logReportFailure(const RosterEntry &engine, const Error &error)
+{
+    logEvent(LogLevel::Warning, "report_failed",
+             {{"endpoint", engine.id}, {"detail", error.detail}});
+    return error.code == ErrorCode::NotFound ? ReportFailure::OtherEndpoint
+                                             : ReportFailure::Malformed;
+}
+
 LoadWatch::LoadWatch(http::Loop &loop, const PlatformAdapter &adapter, LoadBook &loads,
                      DutyCheck isMine, EngineTelling telling)
     : adapter(adapter)
@@ -91,8 +99,8 @@
         const auto report = attempt([&] { return this->adapter.readReport(*response); });
         if (const auto *good = std::get_if<EngineReport>(&report))
             return this->onReport(engine, *good);
-        logEvent(LogLevel::Warning, "report_malformed",
-                 {{"endpoint", engine.id}, {"detail", std::get<Error>(report).detail}});
+        const ReportFailure why = logReportFailure(engine, std::get<Error>(report));
+        this->onFailure(engine, why != ReportFailure::OtherEndpoint);
     };
     http::startWhole(this->client, std::move(request), onAnswer);
 }
--- a/src/forward/loadwatch.h
+++ b/src/forward/loadwatch.h
@@ -22,6 +22,9 @@
 void learnWeights(LoadBook &loads, const RosterEntry &engine, const EngineReport &report,
                   const EngineTelling &telling);
 
+/// Logs that an answer was no report of \a engine, and tells why.
+ReportFailure logReportFailure(const RosterEntry &engine, const Error &error);
+
 class LoadWatch
 {
 public:
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -107,13 +107,12 @@
         if (!*held)
             return;
         if (!response)
-            return this->planner.onReportFailed(engine.id, monoNow());
+            return this->planner.onReportFailed(engine.id, ReportFailure::NoAnswer, monoNow());
         const auto report = attempt([&] { return this->adapter.readReport(*response); });
         if (const auto *good = std::get_if<EngineReport>(&report))
             return this->onReport(engine, *good);
-        logEvent(LogLevel::Warning, "report_malformed",
-                 {{"endpoint", engine.id}, {"detail", std::get<Error>(report).detail}});
-        this->planner.onReportFailed(engine.id, monoNow());
+        this->planner.onReportFailed(engine.id, logReportFailure(engine, std::get<Error>(report)),
+                                     monoNow());
     };
     callEngine(this->client, this->adapter.writeReportCall(engine), engine, onAnswer);
 }
@@ -128,7 +127,7 @@
 void Rollout::giveOrder(const RosterEntry &engine, WeightsOrder order)
 {
     if (!this->lease.isHeld(monoNow()))
-        return this->planner.onReportFailed(engine.id, monoNow());
+        return this->planner.onReportFailed(engine.id, ReportFailure::NoAnswer, monoNow());
     order.holder = this->lease.holderName();
     order.fence = this->lease.fence();
     const auto onAnswer = [this, held = this->alive, engine, order](
--- a/src/rollout/order.h
+++ b/src/rollout/order.h
@@ -19,6 +19,13 @@
     bool operator==(const EngineReport &) const = default;
 };
 
+/// Why there is no report.
+enum class ReportFailure {
+    NoAnswer,
+    OtherEndpoint, ///< the address belongs to another endpoint now
+    Malformed,
+};
+
 struct WeightsOrder
 {
     std::string model;
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -40,14 +40,31 @@
 {
     std::vector<const RosterEntry *> found;
     for (const auto &[id, entry] : roster.entries()) {
-        if (!entry.isLeaving && !this->outdatedModel(entry).empty())
+        if (!entry.isLeaving && !this->isAbsent(entry) && !this->outdatedModel(entry).empty())
             found.push_back(&entry);
     }
     return found;
 }
 
+bool RolloutPlanner::isAbsent(const RosterEntry &entry) const
+{
+    const auto found = this->absences.find(entry.id);
+    return found != this->absences.end() && found->second.bornMillis == entry.bornMillis
+        && this->tickAt < found->second.until;
+}
+
+// An engine that has crashed stays listed for seconds: it must not keep others from loading.
+void RolloutPlanner::leave(const std::string &engineId, Millis pause, MonoTime now)
+{
+    const auto found = this->working.find(engineId);
+    this->absences[engineId] = {found->second.bornMillis, now + pause};
+    this->working.erase(found);
+}
+
 std::vector<RolloutAction> RolloutPlanner::onTick(const Roster &roster, bool mayOrder, MonoTime now)
 {
+    this->tickAt = now;
+    std::erase_if(this->absences, [&](const auto &absence) { return now >= absence.second.until; });
     std::vector<RolloutAction> actions;
     std::erase_if(this->working, [&](const auto &work) {
         const RosterEntry *entry = roster.find(work.first);
@@ -95,7 +112,7 @@
 {
     std::size_t engines = 0;
     for (const auto &[id, entry] : roster.entries())
-        engines += entry.weights.empty() ? 0 : 1;
+        engines += entry.weights.empty() || this->isAbsent(entry) ? 0 : 1;
     std::vector<MonoTime> due;
     for (const RosterEntry *entry : this->outdated(roster))
         due.push_back(this->dueTime(*entry));
@@ -204,6 +221,7 @@
         return;
     Engine &engine = found->second;
     engine.isWaiting = false;
+    engine.failures = 0;
     engine.nextReport = now + this->timings.reportInterval;
     this->reported[engineId] = {engine.bornMillis, report.weights};
     const std::int64_t wantedVersion = versionIn(this->wanted, engine.model);
@@ -223,11 +241,16 @@
         engine.step = Step::Ordering;
 }
 
-void RolloutPlanner::onReportFailed(const std::string &engineId, MonoTime now)
+void RolloutPlanner::onReportFailed(const std::string &engineId, ReportFailure failure,
+                                    MonoTime now)
 {
     const auto found = this->working.find(engineId);
     if (found == this->working.end())
         return;
+    if (failure == ReportFailure::OtherEndpoint)
+        return this->leave(engineId, this->timings.replacedTime, now);
+    if (++found->second.failures >= this->timings.failuresToLeave)
+        return this->leave(engineId, this->timings.unreachableTime, now);
     found->second.isWaiting = false;
     found->second.isOrdered = false;
     found->second.nextReport = now + this->timings.reportInterval;
@@ -238,6 +261,8 @@
     const auto found = this->working.find(engineId);
     if (found == this->working.end())
         return;
+    if (answer == OrderAnswer::OtherEndpoint)
+        return this->leave(engineId, this->timings.replacedTime, now);
     Engine &engine = found->second;
     engine.isWaiting = false;
     engine.since = now;
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -20,6 +20,9 @@
     Millis reportInterval{150}; ///< between looks at an engine that loads
     Millis loadTime{1500}; ///< that an engine takes at the most, as others are told
     Millis answerTimeout{1500}; ///< until an unanswered order is looked into
+    int failuresToLeave = 2; ///< reports missing in a row, until an engine makes room for others
+    Millis unreachableTime{800}; ///< until it is tried again
+    Millis replacedTime{3000}; ///< the same, if its address belongs to another one
     Millis bound{10'000}; ///< from the naming of a version until no engine is to be without it
     double plannedPart = 0.7; ///< of that bound, to leave room for trouble
     Millis turnTime{1700}; ///< for an engine to run empty and to load
@@ -60,7 +63,7 @@
     /// \a mayOrder tells whether this process holds the lease now.
     std::vector<RolloutAction> onTick(const Roster &roster, bool mayOrder, MonoTime now);
     void onReport(const std::string &engineId, const EngineReport &report, MonoTime now);
-    void onReportFailed(const std::string &engineId, MonoTime now);
+    void onReportFailed(const std::string &engineId, ReportFailure failure, MonoTime now);
     void onOrderAnswer(const std::string &engineId, OrderAnswer answer, MonoTime now);
 
 private:
@@ -78,10 +81,19 @@
         bool isWaiting = false; ///< for an answer to a call
         bool isOrdered = false; ///< an order is on its way
         bool isLoaded = false;
+        int failures = 0; ///< reports missing in a row
+    };
+    /// An engine that does not answer, and that the registry still lists.
+    struct Absence
+    {
+        std::int64_t bornMillis = 0;
+        MonoTime until{};
     };
 
     std::int64_t versionOf(const RosterEntry &entry, const std::string &model) const;
     std::string outdatedModel(const RosterEntry &entry) const;
+    bool isAbsent(const RosterEntry &entry) const;
+    void leave(const std::string &engineId, Millis pause, MonoTime now);
     void begin(const Roster &roster, MonoTime now, std::vector<RolloutAction> &actions);
     void advance(const RosterEntry &entry, Engine &engine, MonoTime now,
                  std::vector<RolloutAction> &actions);
@@ -108,6 +120,8 @@
     std::map<std::string, std::vector<Naming>> namings; ///< by model, oldest first
     std::map<std::string, Engine> working;
     std::map<std::string, Reported> reported; ///< by engine
+    std::map<std::string, Absence> absences; ///< by engine
+    MonoTime tickAt{};
 };
 
 } // namespace lavenderhall
--- a/src/rollout/rollout_test.cpp
+++ b/src/rollout/rollout_test.cpp
@@ -64,12 +64,15 @@
         std::int64_t loading = 0;
         MonoTime doneAt{};
         std::int64_t taken = 0;
+        bool hasCrashed = false;
+        bool isReplaced = false; ///< its address belongs to another one
     };
 
     Roster roster;
     std::map<std::string, Engine> engines;
     std::int64_t revision = 1;
     Millis loadTime{1000};
+    int failedOrders = 0;
 
     explicit FakeEngines(int count)
     {
@@ -117,6 +120,11 @@
         this->tick(now);
         for (const RolloutAction &action : planner.onTick(this->roster, true, now)) {
             const std::string &id = action.engine.id;
+            const Engine &engine = this->engines.at(id);
+            if (engine.hasCrashed || engine.isReplaced) {
+                this->fail(planner, action, now);
+                continue;
+            }
             if (action.kind == RolloutAction::Kind::AskReport)
                 planner.onReport(id, this->report(id), now);
             if (action.kind == RolloutAction::Kind::GiveOrder)
@@ -124,6 +132,19 @@
         }
     }
 
+    void fail(RolloutPlanner &planner, const RolloutAction &action, MonoTime now)
+    {
+        const std::string &id = action.engine.id;
+        const bool isReplaced = this->engines.at(id).isReplaced;
+        this->failedOrders += action.kind == RolloutAction::Kind::GiveOrder ? 1 : 0;
+        if (action.kind == RolloutAction::Kind::AskReport)
+            planner.onReportFailed(
+                id, isReplaced ? ReportFailure::OtherEndpoint : ReportFailure::NoAnswer, now);
+        if (action.kind == RolloutAction::Kind::GiveOrder)
+            planner.onOrderAnswer(
+                id, isReplaced ? OrderAnswer::OtherEndpoint : OrderAnswer::Unknown, now);
+    }
+
     std::size_t loadingCount() const
     {
         return static_cast<std::size_t>(
@@ -337,3 +358,35 @@
     for (int step = 0; step < 50; ++step)
         cr_assert(planner.onTick(engines.roster, false, Start + Millis(50) * step).empty());
 }
+
+// The load pattern of a rack that crashes while new weights are brought out: its engines stay
+// listed for seconds, some with their addresses given to others. They do not hold up the rest,
+// and hardly any orders are wasted on them.
+Test(planner, engines_that_crashed_keep_no_place_from_others)
+{
+    for (const bool isReplaced : {false, true}) {
+        FakeEngines engines(20);
+        RolloutTimings timings;
+        timings.bound = Millis(60'000);
+        RolloutPlanner planner(timings);
+        for (int number = 0; number < 6; ++number) {
+            auto &engine = engines.engines.at("engine-" + std::to_string(number));
+            engine.hasCrashed = !isReplaced;
+            engine.isReplaced = isReplaced;
+        }
+        planner.setWanted({{"loom", 2}});
+        for (MonoTime now = Start; now < Start + Millis(9000); now += Millis(50))
+            engines.carryOut(planner, now);
+        int done = 0;
+        for (const auto &[id, engine] : engines.engines)
+            done += engine.version == 2 ? 1 : 0;
+        cr_assert(done == 14, "%d of 14", done);
+        cr_assert(engines.failedOrders <= 6, "%d", engines.failedOrders);
+        // One that is back is brought on like the others.
+        for (auto &[id, engine] : engines.engines)
+            engine.hasCrashed = engine.isReplaced = false;
+        for (MonoTime now = Start + Millis(9000); now < Start + Millis(20'000); now += Millis(50))
+            engines.carryOut(planner, now);
+        cr_assert(engines.oldest() == 2);
+    }
+}
