Engines that load or whose address another one has are told of by all who notice

And entries whose address another engine has stay listed for 25 s (i-7ae317b766): its reports come from the other engine, so its weights were told wrongly, and requests got 421 twice each time. Change: readers tell as long as an engine loads; a report with another start time counts as replaced; an instance that meets a replaced endpoint tells all.

--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -46,7 +46,7 @@
     http::Response (*writeRefusal)(const ForwardRefusal &refusal, const std::string &requestId);
 
     http::CallRequest (*writeReportCall)(const RosterEntry &endpoint);
-    /// NotFound: the address belongs to another endpoint now.
+    /// NotFound: the address belongs to another endpoint now, which says so.
     Result<EngineReport> (*readReport)(const http::Response &response);
     http::CallRequest (*writeOrder)(const RosterEntry &endpoint, const WeightsOrder &order);
     OrderAnswer (*readOrderAnswer)(const http::Response &response);
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -73,7 +73,8 @@
               nullptr,
               {},
               Millis(0),
-              pcg32(randomSeed())}
+              pcg32(randomSeed()),
+              [this](const std::string &endpoint) { this->loadWatch.onReplaced(endpoint); }}
     , forwarder(this->context)
     , rollout(loop, adapter, this->store, this->loads,
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -19,7 +19,6 @@
 constexpr Millis LeastRetryTime{60};
 constexpr Millis RefusedPause{250}; ///< an endpoint that refused comes last for so long
 constexpr Millis EngineRefusedPause{600}; ///< the same for an engine, which may load weights
-constexpr Millis ReplacedPause{3000}; ///< the same for one whose address another one has
 constexpr Millis BrokenPause{1000}; ///< the same for one that broke off
 constexpr std::size_t PauseBacklogBytes = 64U << 10U;
 constexpr std::size_t MaxBufferedBytes = 8U << 20U;
@@ -357,7 +356,7 @@
     const bool isReplaced
         = this->head.status == OtherEndpointOrWeights && !this->hasExpectedWeights;
     if (end == AttemptEnd::Refused && isReplaced)
-        return this->context.loads.avoid(this->choice.endpointId, now + ReplacedPause);
+        return this->context.tellReplaced(this->choice.endpointId);
     if (end == AttemptEnd::Refused)
         this->context.loads.avoid(this->choice.endpointId,
                                   now + (isEngine ? EngineRefusedPause : RefusedPause));
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -58,6 +58,8 @@
     std::map<std::string, Named> namedWeights; ///< by model
     Millis oldWeightsTime{10'000}; ///< after which no request may begin on weights replaced
     pcg32 random;
+    /// The endpoint's address belongs to another one now.
+    std::function<void(const std::string &endpointId)> tellReplaced;
 };
 
 /// One request, from its arrival to the last byte of its answer.
--- a/src/forward/loadwatch.cpp
+++ b/src/forward/loadwatch.cpp
@@ -10,7 +10,10 @@
 constexpr Millis CallTimeout{500};
 constexpr Millis ConnectTimeout{300};
 constexpr Millis TellInterval{200};
-constexpr Millis UnreachableTime{1000}; ///< that an engine is avoided, unless told again
+// An engine is avoided for so long, unless told again.
+constexpr Millis UnreachableTime{1000};
+constexpr Millis LoadingTime{900};
+constexpr Millis ReplacedTime{10'000};
 constexpr Millis ForgetTime{10'000};
 // The engines of a region are shared out in so many parts, to bound who tells whom.
 constexpr std::uint64_t Parts = 4;
@@ -53,12 +56,22 @@
     }
 }
 
-ReportFailure logReportFailure(const RosterEntry &engine, const Error &error)
+std::variant<EngineReport, ReportFailure> readEngineReport(const PlatformAdapter &adapter,
+                                                           const RosterEntry &engine,
+                                                           const http::Response &response)
 {
-    logEvent(LogLevel::Warning, "report_failed",
+    const auto read = attempt([&] { return adapter.readReport(response); });
+    if (const auto *report = std::get_if<EngineReport>(&read)) {
+        if (report->bornMillis.value_or(engine.bornMillis) == engine.bornMillis)
+            return *report;
+        return ReportFailure::OtherEndpoint;
+    }
+    const Error &error = std::get<Error>(read);
+    if (error.code == ErrorCode::NotFound)
+        return ReportFailure::OtherEndpoint;
+    logEvent(LogLevel::Warning, "report_malformed",
              {{"endpoint", engine.id}, {"detail", error.detail}});
-    return error.code == ErrorCode::NotFound ? ReportFailure::OtherEndpoint
-                                             : ReportFailure::Malformed;
+    return ReportFailure::Malformed;
 }
 
 LoadWatch::LoadWatch(http::Loop &loop, const PlatformAdapter &adapter, LoadBook &loads,
@@ -95,12 +108,11 @@
         if (!*held)
             return;
         if (!response)
-            return this->onFailure(engine, failure.maybeSent);
-        const auto report = attempt([&] { return this->adapter.readReport(*response); });
-        if (const auto *good = std::get_if<EngineReport>(&report))
-            return this->onReport(engine, *good);
-        const ReportFailure why = logReportFailure(engine, std::get<Error>(report));
-        this->onFailure(engine, why != ReportFailure::OtherEndpoint);
+            return this->onFailure(engine, ReportFailure::NoAnswer, failure.maybeSent);
+        const auto report = readEngineReport(this->adapter, engine, *response);
+        if (const auto *why = std::get_if<ReportFailure>(&report))
+            return this->onFailure(engine, *why, true);
+        this->onReport(engine, std::get<EngineReport>(report));
     };
     http::startWhole(this->client, std::move(request), onAnswer);
 }
@@ -109,24 +121,40 @@
 {
     const MonoTime now = monoNow();
     learnWeights(this->loads, engine, report, this->telling);
+    const bool isNews = this->schedule.onReport(engine.id, report, now);
+    if (report.isBusy)
+        return this->tellToAvoid(engine, LoadingTime, "loading");
     proto::EngineLoad load = loadOf(engine);
     load.set_running(report.running);
     load.set_waiting(report.waiting);
     this->take(load, now);
-    if (this->schedule.onReport(engine.id, report, now))
+    if (isNews)
         *this->pending.add_loads() = std::move(load);
 }
 
-void LoadWatch::onFailure(const RosterEntry &engine, bool wasSent)
+void LoadWatch::onFailure(const RosterEntry &engine, ReportFailure why, bool wasSent)
 {
-    const MonoTime now = monoNow();
-    if (!this->schedule.onFailure(engine.id, wasSent, now))
+    if (why == ReportFailure::Malformed)
         return;
-    logEvent(LogLevel::Info, "engine_unreachable",
-             {{"endpoint", engine.id}, {"was_sent", wasSent ? 1 : 0}});
+    const bool isReplaced = why == ReportFailure::OtherEndpoint;
+    if (this->schedule.onFailure(engine.id, wasSent, monoNow()) || isReplaced)
+        this->tellToAvoid(engine, isReplaced ? ReplacedTime : UnreachableTime,
+                          isReplaced ? "replaced" : "unreachable");
+}
+
+void LoadWatch::onReplaced(const std::string &endpointId)
+{
+    if (const RosterEntry *engine = this->loads.entryOf(endpointId))
+        this->tellToAvoid(*engine, ReplacedTime, "replaced");
+}
+
+void LoadWatch::tellToAvoid(const RosterEntry &engine, Millis pause, const char *reason)
+{
+    logEvent(LogLevel::Info, "endpoint_avoided",
+             {{"endpoint", engine.id}, {"reason", reason}, {"for_ms", pause.count()}});
     proto::EngineLoad load = loadOf(engine);
-    load.set_is_unreachable(true);
-    this->take(load, now);
+    load.set_avoid_ms(pause.count());
+    this->take(load, monoNow());
     *this->pending.add_loads() = std::move(load);
 }
 
@@ -135,8 +163,8 @@
     const RosterEntry *entry = this->loads.entryOf(load.endpoint());
     if (!entry || entry->bornMillis != load.born_ms())
         return;
-    if (load.is_unreachable())
-        return this->loads.avoid(load.endpoint(), now + UnreachableTime);
+    if (load.avoid_ms() > 0)
+        return this->loads.avoid(load.endpoint(), now + Millis(load.avoid_ms()));
     this->loads.onLoad(load.endpoint(), {load.running(), load.waiting()}, now);
 }
 
--- a/src/forward/loadwatch.h
+++ b/src/forward/loadwatch.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <variant>
 
 /// Asks the engines that fall to this instance how loaded they are, and tells all others.
 namespace lavenderhall {
@@ -22,8 +24,10 @@
 void learnWeights(LoadBook &loads, const RosterEntry &engine, const EngineReport &report,
                   const EngineTelling &telling);
 
-/// Logs that an answer was no report of \a engine, and tells why.
-ReportFailure logReportFailure(const RosterEntry &engine, const Error &error);
+/// Reads an engine's answer. An answer of another one, which has the address now, is none.
+std::variant<EngineReport, ReportFailure> readEngineReport(const PlatformAdapter &adapter,
+                                                           const RosterEntry &engine,
+                                                           const http::Response &response);
 
 class LoadWatch
 {
@@ -36,13 +40,16 @@
     ~LoadWatch() { *this->alive = false; }
 
     void onTick(const Roster &roster, MonoTime now);
+    /// An endpoint's address belongs to another one, as the answer to a request told.
+    void onReplaced(const std::string &endpointId);
     /// Another instance has asked.
     void onNews(const proto::LoadNews &news, MonoTime now);
 
 private:
     void ask(const RosterEntry &engine);
     void onReport(const RosterEntry &engine, const EngineReport &report);
-    void onFailure(const RosterEntry &engine, bool wasSent);
+    void onFailure(const RosterEntry &engine, ReportFailure why, bool wasSent);
+    void tellToAvoid(const RosterEntry &engine, Millis pause, const char *reason);
     void take(const proto::EngineLoad &load, MonoTime now);
     void flush(MonoTime now);
 
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -108,11 +108,10 @@
             return;
         if (!response)
             return this->planner.onReportFailed(engine.id, ReportFailure::NoAnswer, monoNow());
-        const auto report = attempt([&] { return this->adapter.readReport(*response); });
-        if (const auto *good = std::get_if<EngineReport>(&report))
-            return this->onReport(engine, *good);
-        this->planner.onReportFailed(engine.id, logReportFailure(engine, std::get<Error>(report)),
-                                     monoNow());
+        const auto report = readEngineReport(this->adapter, engine, *response);
+        if (const auto *why = std::get_if<ReportFailure>(&report))
+            return this->planner.onReportFailed(engine.id, *why, monoNow());
+        this->onReport(engine, std::get<EngineReport>(report));
     };
     callEngine(this->client, this->adapter.writeReportCall(engine), engine, onAnswer);
 }
