Changes in the store that come in quick succession are taken together

Change: a watch that ended with news goes on 250 ms after it began. Test (100 answers in 1.5 s cost 102 calls before, 5 to 8 now): changes_in_quick_succession_cost_few_calls.

--- a/src/store/kindfeed.cpp
+++ b/src/store/kindfeed.cpp
@@ -12,6 +12,7 @@
 // of what it misses sooner.
 constexpr Millis WatchWait{3000};
 constexpr Millis AnswerMargin{600};
+constexpr Millis WatchPace{250};
 constexpr Millis FirstRetry{80};
 constexpr int MaxRetryDoublings = 3;
 
@@ -115,7 +116,11 @@
     this->revision = std::max(this->revision, changes.revision);
     if (!changes.events.empty())
         this->handlers.onEvents(changes.events);
-    this->watch();
+    // Changes that come in quick succession are taken together, to spare the store calls.
+    const Millis left = WatchPace - std::chrono::duration_cast<Millis>(monoNow() - this->askedAt);
+    if (left <= Millis(0))
+        return this->watch();
+    this->timer = this->loop.after(left, [this] { this->watch(); });
 }
 
 // Jitter keeps a herd of instances from coming back to the store at the same moment.
--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -217,3 +217,13 @@
     scripted.feed.start();
     cr_assert(not(scripted.feed.isCurrent()));
 }
+
+// The load pattern of a fleet that starts: dozens of endpoints register within a second or two.
+Test(kindfeed, changes_in_quick_succession_cost_few_calls)
+{
+    std::vector<http::Response> answers;
+    for (int revision = 10; revision < 110; ++revision)
+        answers.push_back({200, {}, std::to_string(revision)});
+    const Scripted scripted(std::move(answers));
+    cr_assert(scripted.asked.size() >= 5U && scripted.asked.size() <= 8U);
+}
