An engine that is not a prompt's home asks the home for its parts

Ruled out: misses of the home (it is the same for all). Change: a choice beside the home names the home as the source; a miss costs a millisecond.

--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -461,3 +461,19 @@
     cr_assert(schedule.onReport("e", {}, Start));
     cr_assert(schedule.onFailure("e", false, Start));
 }
+
+// The load pattern of many instances, each of which has sent little itself: where the home is
+// busy and another engine gets the prompt, it asks the home for the parts.
+Test(loadbook, an_engine_that_is_not_the_home_asks_the_home_for_what_others_have_sent)
+{
+    for (int part = 0; part < 30; ++part) {
+        Engines engines;
+        const ChoiceQuery query = Engines::query("part-" + std::to_string(part));
+        const std::string home = engines.choose(query).endpointId;
+        engines.book.onLoad(home, {60, 40}, Start);
+        const Choice other = engines.choose(query);
+        cr_assert(other.endpointId != home);
+        cr_assert(other.source == engines.book.entryOf(home)->address);
+        cr_assert(other.cachedTokens == 0);
+    }
+}
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -197,8 +197,9 @@
 }
 
 // All instances send prompts with the same parts to the same home first. Once a prompt has been
-// sent to an engine, others that run the same weights may fetch its parts from there. A home that
-// has just joined may find them at the home before.
+// sent to an engine, others that run the same weights may fetch its parts from there. What this
+// instance has not sent itself, others probably have: an engine that is not the home asks the
+// home, and a home that has just joined the home before. A miss costs next to nothing.
 void LoadBook::addPromptCost(const Load &load, const ChoiceQuery &query, const PromptGroup &group,
                              MonoTime now, Choice &choice) const
 {
@@ -215,8 +216,10 @@
         choice.costMillis += static_cast<double>(this->settings.fetchSetup.count())
             + static_cast<double>(fetched) * moveMillis * this->fetchFactor(*group.keeper, load);
         cached = group.keptTokens;
-    } else if (canMove && isHome && group.formerHome && cached < shared) {
-        choice.source = group.formerHome->entry.address;
+    } else if (canMove && cached < shared) {
+        const Load *likely = isHome ? group.formerHome : group.home;
+        if (likely)
+            choice.source = likely->entry.address;
     }
     const std::int64_t reread
         = group.home && !isHome ? std::max<std::int64_t>(0, shared - cached) : 0;
