The part drawn to new weights follows how busy engines are; fewer engines load at once in a hurry

Change: up to half of the newest engines' slots, 1.5 to 4 times the even part; a quarter loads at once. Probes: idle engines are asked every 2 s.

--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -141,15 +141,24 @@
         return true;
     std::size_t newest = 0;
     std::size_t all = 0;
+    std::int64_t running = 0;
+    std::int64_t slots = 0;
     for (const auto &[id, load] : this->loads) {
         if (!this->isCandidate(load, query) || load.avoidedUntil > now)
             continue;
         ++all;
         newest += versionIn(load.entry, query.model) >= query.newestWeights ? 1 : 0;
+        slots += load.entry.slots;
+        if (load.reported && now - load.reportedAt < ReportLife)
+            running += load.reported->running + load.reported->waiting;
     }
-    const double share
-        = static_cast<double>(newest) / static_cast<double>(std::max<std::size_t>(1, all));
-    return query.draw < share * this->settings.newestShareFactor;
+    if (newest == 0)
+        return false;
+    const double busy = static_cast<double>(running + 1) / static_cast<double>(slots + 1);
+    const double factor
+        = std::clamp(this->settings.newestSlotsPart / busy, this->settings.leastNewestFactor,
+                     this->settings.mostNewestFactor);
+    return query.draw < factor * static_cast<double>(newest) / static_cast<double>(all);
 }
 
 double LoadBook::fetchFactor(const Load &from, const Load &to) const
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -30,8 +30,11 @@
     /// Reading a shared part away from its home costs the fleet a second reading of it there.
     double rereadMillisPerToken = 0.06;
     Millis otherWeightsCost{400}; ///< for other weights than the request is drawn to
-    /// Engines with the newest weights get at most so many times their even part of the work.
-    double newestShareFactor = 1.5;
+    /// Engines with the newest weights get more than their even part of the work, up to this part
+    /// of their slots.
+    double newestSlotsPart = 0.5;
+    double leastNewestFactor = 1.5; ///< but at least so many times the even part
+    double mostNewestFactor = 4;
 
     bool operator==(const ChoiceSettings &) const = default;
 };
--- a/src/forward/reportschedule.cpp
+++ b/src/forward/reportschedule.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr Millis BusyInterval{300};
-constexpr Millis IdleInterval{1000};
+constexpr Millis BusyInterval{350};
+constexpr Millis IdleInterval{2000};
 constexpr Millis CallTime{600}; ///< until an answer counts as failed at the latest
 constexpr Millis RepeatInterval{1500}; ///< what was told fades away at the others
-constexpr std::int64_t IdleRequests = 4; ///< an engine with fewer makes nobody wait
+constexpr std::int64_t IdleRequests = 8; ///< an engine with fewer makes nobody wait
 constexpr int FailuresToTell = 2;
 
 } // namespace
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -27,7 +27,7 @@
     double plannedPart = 0.7; ///< of that bound, to leave room for trouble
     Millis turnTime{1700}; ///< for an engine to run empty and to load
     std::size_t enginesPerLoad = 6; ///< one in so many loads at the same time if there is no hurry
-    double mostPart = 0.4; ///< of the engines, that load at the same time in a hurry
+    double mostPart = 0.25; ///< of the engines, that load at the same time in a hurry
 
     bool operator==(const RolloutTimings &) const = default;
 };
