--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -494,3 +494,20 @@
         cr_assert(other.cachedTokens == 0);
     }
 }
+
+// After a refusal for its weights, an engine gets work again only when it has told what it runs,
+// as long as there are others: its prompts would be read as a whole.
+Test(loadbook, an_engine_with_unknown_weights_comes_after_others)
+{
+    Engines engines;
+    ChoiceQuery query = Engines::query("p");
+    const std::string home = engines.choose(query).endpointId;
+    engines.book.onWeightsUnknown(home, "loom");
+    for (const double draw : {0.0, 0.99}) {
+        query.draw = draw;
+        query.newestWeights = 2;
+        cr_assert(engines.choose(query).endpointId != home);
+    }
+    engines.book.onWeightsLoaded(home, "loom", 1);
+    cr_assert(engines.choose(query).endpointId == home);
+}
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -255,7 +255,9 @@
         choice.endpointId = id;
         choice.weightsVersion = versionIn(load.entry, query.model);
         choice.costMillis = this->costOf(load, now);
-        if (wantsNewest != (choice.weightsVersion >= query.newestWeights))
+        // What runs on unknown weights shares no parts with anybody, and reads all of its prompt.
+        const bool isUnknown = query.newestWeights > 0 && choice.weightsVersion == 0;
+        if (isUnknown || wantsNewest != (choice.weightsVersion >= query.newestWeights))
             choice.costMillis += otherWeightsCost;
         const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
