--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -432,7 +432,7 @@
     CrowdedFleet fleet;
     ChoiceQuery query = Engines::query("p");
     query.newestWeights = 2;
-    query.needsNewest = true;
+    query.leastWeights = 2;
     query.draw = 0.99;
     cr_assert(fleet.books.front().choose(query, Start)->weightsVersion == 2);
 }
@@ -511,3 +511,19 @@
     engines.book.onWeightsLoaded(home, "loom", 1);
     cr_assert(engines.choose(query).endpointId == home);
 }
+
+// Rather refused, and told when to come back, than begun on weights whose time is over.
+Test(loadbook, weights_whose_time_is_over_begin_no_request)
+{
+    Engines engines;
+    ChoiceQuery query = Engines::query("p");
+    query.newestWeights = 3;
+    query.leastWeights = 2;
+    cr_assert(not(engines.book.choose(query, Start).has_value()));
+    engines.book.onWeightsLoaded("engine-b", "loom", 2);
+    engines.book.avoid("engine-b", Start + Millis(500));
+    cr_assert(engines.choose(query).endpointId == "engine-b");
+    // A stream that has begun goes on where its weights run.
+    query.onlyWeights = 1;
+    cr_assert(engines.choose(query).endpointId != "engine-b");
+}
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -289,19 +289,17 @@
                  {{"name", object.name}, {"detail", std::get<Error>(read).detail}});
         return;
     }
-    ForwardContext::Named &known = this->context.namedWeights[weights->model];
-    if (weights->version <= known.version)
-        return;
+    WeightsNamings &known = this->context.namedWeights[weights->model];
     // What this instance finds at its start may have been named a while ago.
-    const bool isFirst = known.version == 0;
-    known.version = weights->version;
-    known.since = monoNow() - (isFirst ? this->settings.bounds.weights / 2 : Millis(0));
+    const Millis age = known.newest() == 0 ? this->settings.bounds.weights / 2 : Millis(0);
+    if (!known.onNamed(weights->version, monoNow() - age))
+        return;
     logEvent(
         LogLevel::Info, "weights_named",
         {{"model", weights->model}, {"version", weights->version}, {"revision", object.revision}});
     std::map<std::string, std::int64_t> wanted;
     for (const auto &[model, named] : this->context.namedWeights)
-        wanted.emplace(model, named.version);
+        wanted.emplace(model, named.newest());
     this->rollout.setWanted(wanted);
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -135,9 +135,9 @@
     query.draw = this->draw;
     const auto named = this->context.namedWeights.find(this->request.model);
     if (named != this->context.namedWeights.end()) {
-        query.newestWeights = named->second.version;
-        query.needsNewest
-            = monoNow() - named->second.since > this->context.oldWeightsTime - QueueMargin;
+        query.newestWeights = named->second.newest();
+        query.leastWeights
+            = named->second.least(monoNow(), this->context.oldWeightsTime - QueueMargin);
     }
     if (this->isStreaming)
         query.onlyWeights = this->streamWeights;
@@ -204,7 +204,7 @@
               {"in_flight", this->context.loads.inFlight(this->choice.endpointId)},
               {"candidates", this->choice.candidates},
               {"weights", this->choice.weightsVersion},
-              {"named_weights", hasNamed ? named->second.version : 0},
+              {"named_weights", hasNamed ? named->second.newest() : 0},
               {"table", this->table->version()}});
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -4,6 +4,7 @@
 #include "forward/loadbook.h"
 #include "http/server.h"
 #include "router/metrics.h"
+#include "routing/namings.h"
 #include "routing/retrybudget.h"
 #include "routing/run.h"
 #include "streams/eventcutter.h"
@@ -50,12 +51,7 @@
     http::Client client;
     TokensGate tokens;
     RoutingTablePtr table; ///< nullptr until a configuration is known
-    struct Named
-    {
-        std::int64_t version = 0;
-        MonoTime since{}; ///< known here
-    };
-    std::map<std::string, Named> namedWeights; ///< by model
+    std::map<std::string, WeightsNamings> namedWeights; ///< by model
     Millis oldWeightsTime{10'000}; ///< after which no request may begin on weights replaced
     pcg32 random;
     /// The endpoint's address belongs to another one now.
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -80,7 +80,11 @@
         return false;
     if (std::find(query.tried.begin(), query.tried.end(), load.entry.id) != query.tried.end())
         return false;
-    return !query.onlyWeights || versionIn(load.entry, query.model) == *query.onlyWeights;
+    const std::int64_t version = versionIn(load.entry, query.model);
+    if (query.onlyWeights)
+        return version == *query.onlyWeights;
+    // An engine whose weights are not known may have new ones.
+    return version == 0 || version >= query.leastWeights;
 }
 
 bool LoadBook::isInRegionOf(const std::string &zone, const std::string &other) const
@@ -263,8 +267,8 @@
         if (!query.chain.links.empty())
             this->addPromptCost(load, query, group == groups.end() ? Nobody : group->second, now,
                                 choice);
-        const bool isTooOld = query.needsNewest && choice.weightsVersion < query.newestWeights;
-        const int rank = (load.avoidedUntil > now ? 1 : 0) + (isTooOld ? 2 : 0);
+        const bool mayBeTooOld = choice.weightsVersion < query.leastWeights;
+        const int rank = (load.avoidedUntil > now ? 1 : 0) + (mayBeTooOld ? 2 : 0);
         const bool isBetter = !best || rank < bestRank
             || (rank == bestRank && choice.costMillis < best->costMillis);
         if (!isBetter)
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -62,7 +62,7 @@
     std::string model; ///< "" for plain services
     PromptChain chain;
     std::int64_t newestWeights = 0; ///< version named for the model, 0 if not known
-    bool needsNewest = false; ///< older weights may not begin it any more
+    std::int64_t leastWeights = 0; ///< older versions may not begin it any more
     double draw = 0; ///< from 0 to 1, the request's own: which weights it is drawn to
     std::optional<std::int64_t> onlyWeights; ///< for a stream that goes on
     std::vector<std::string> tried; ///< endpoints that have failed the request
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -1,3 +1,4 @@
+#include "routing/namings.h"
 #include "routing/roster.h"
 #include "routing/table.h"
 
@@ -134,3 +135,24 @@
     roster.onListed({}, 5, false, Start);
     cr_assert(roster.find("a") != nullptr);
 }
+
+// The load pattern of versions named in quick succession: the time of each old version runs from
+// the first one after it, not from the newest.
+Test(namings, a_version_is_too_old_from_the_first_newer_one_on)
+{
+    WeightsNamings namings;
+    const auto at = [](int seconds) { return Start + std::chrono::seconds(seconds); };
+    constexpr Millis Time{10'000};
+    cr_assert(namings.onNamed(1, at(0)));
+    cr_assert(namings.onNamed(2, at(1)));
+    cr_assert(namings.onNamed(3, at(5)));
+    cr_assert(not(namings.onNamed(3, at(6))));
+    cr_assert(not(namings.onNamed(2, at(6))));
+    cr_assert(namings.onNamed(4, at(9)));
+    cr_assert(namings.newest() == 4);
+    cr_assert(namings.least(at(11), Time) == 1);
+    cr_assert(namings.least(at(12), Time) == 2);
+    cr_assert(namings.least(at(16), Time) == 3);
+    cr_assert(namings.least(at(20), Time) == 4);
+    cr_assert(WeightsNamings().least(at(20), Time) == 0);
+}
