A soak of real processes under faults from outside, by seed

Five routers, a store, nine endpoints and 24 callers on the loopback network; proxies on each path, signals to the processes, faults of store and endpoints, weights and keys in series. Judged by what callers and endpoints saw. No functional change

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build check check-asan lint format demo up bench-path bench-capacity proto clean
+.PHONY: all packages build check check-asan lint format soak demo up bench-path bench-capacity proto clean
 
 all: build
 
@@ -33,6 +33,11 @@
 	@echo $(TIDY_SOURCES) | tr ' ' '\n' | xargs -P $$(nproc) -n 2 clang-tidy -p $(BUILD) --quiet 2>/dev/null
 	@echo "clang-tidy: clean"
 
+# Real processes under faults drawn from a seed; SOAK takes the options of the script.
+SOAK ?= --seed 1 --seconds 8
+soak: build
+	python3 platform/soak/soak.py --build $(BUILD) $(SOAK)
+
 format:
 	clang-format -i $(SOURCES)
 
