--- a/src/forward/followed.h
+++ b/src/forward/followed.h
@@ -40,7 +40,7 @@
                     FollowedHandlers handlers, std::uint64_t seed);
 
     void start();
-    /// Serves and takes what instances tell each other; without onNotice.
+    /// Serves and takes what instances tell each other.
     ObjectSharing sharing();
     /// Whether the store is followed here, as against through other instances.
     bool isWatching() const { return this->feeds.front()->isActive(); }
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -111,11 +111,10 @@
     this->callers->setRefusal([this](int status, std::string_view reason) {
         return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
     });
-    ObjectSharing sharing = this->followed.sharing();
-    sharing.onNotice = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
-    sharing.onLoadNews
-        = [this](const proto::LoadNews &news) { this->loadWatch.onNews(news, monoNow()); };
-    this->fleet.shareObjects(std::move(sharing));
+    EngineNews news;
+    news.onWeights = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
+    news.onLoad = [this](const proto::LoadNews &told) { this->loadWatch.onNews(told, monoNow()); };
+    this->fleet.shareObjects(this->followed.sharing(), std::move(news));
     this->context.tokens = this->rates.gate();
     this->rollout.setTelling(this->engineTelling());
     this->applySettings();
--- a/src/forward/rates.cpp
+++ b/src/forward/rates.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-SeatStore objectSeatStore(ObjectClient &store, std::string kind, std::function<Millis()> silence)
+SeatStore objectSeatStore(ObjectClient &store, const std::string &kind,
+                          std::function<Millis()> silence)
 {
     SeatStore seats;
     seats.silence = std::move(silence);
--- a/src/forward/rates.h
+++ b/src/forward/rates.h
@@ -13,7 +13,8 @@
 
 /// Keeps the records of seats as objects of \a kind, each named after its region and seat.
 /// \a silence tells how long the store has not answered.
-SeatStore objectSeatStore(ObjectClient &store, std::string kind, std::function<Millis()> silence);
+SeatStore objectSeatStore(ObjectClient &store, const std::string &kind,
+                          std::function<Millis()> silence);
 
 class Rates
 {
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -10,8 +10,6 @@
 constexpr Millis TickInterval{50};
 constexpr Millis SeatQuestionInterval{300};
 constexpr Millis ConfigQuestionInterval{200};
-constexpr Millis ObjectsQuestionInterval{200};
-constexpr Millis BeatInterval{500};
 constexpr std::size_t ConfigFanOut = 4;
 constexpr const char *StoreTask = "follow the store";
 constexpr std::size_t StoreWatchers = 2; ///< in each region, so that one may fail
@@ -113,10 +111,8 @@
 void Fleet::tick()
 {
     const MonoTime now = monoNow();
-    std::vector<std::int64_t> revisions;
-    for (std::size_t kind = 0; kind < this->objects.kinds.size(); ++kind)
-        revisions.push_back(this->objects.revision(kind));
-    this->members->setRevisions(std::move(revisions));
+    if (this->objects)
+        this->members->setRevisions(this->objects->revisions());
     this->carryOut(this->members->onTick(now));
     this->takeMemberChanges();
     std::vector<SeatMember> alive;
@@ -132,8 +128,8 @@
     this->carryOut(this->borrower->onTick(now));
     this->size.onCount(members.size() + 1);
     this->askForConfig();
-    this->askForObjects();
-    this->beat();
+    if (this->objects)
+        this->objects->onTick(this->members->takeRevisionNews(), now);
     this->timer = this->loop.after(TickInterval, [this] { this->tick(); });
 }
 
@@ -310,18 +306,16 @@
             this->configs->take(message.config_offer());
         return;
     case proto::Envelope::kObjectsRequest:
-        return this->receiveObjectsRequest(message);
     case proto::Envelope::kObjectsOffer:
-        return this->receiveObjectsOffer(message);
     case proto::Envelope::kStoreBeat:
-        return this->receiveBeat(message);
+        return this->receiveObjects(message);
     case proto::Envelope::kWeightsNotice:
-        if (this->objects.onNotice)
-            this->objects.onNotice(message.weights_notice());
+        if (this->engineNews.onWeights)
+            this->engineNews.onWeights(message.weights_notice());
         return;
     case proto::Envelope::kLoadNews:
-        if (this->objects.onLoadNews)
-            this->objects.onLoadNews(message.load_news());
+        if (this->engineNews.onLoad)
+            this->engineNews.onLoad(message.load_news());
         return;
     case proto::Envelope::kSeatHints:
         if (message.seat_hints().wants_all()) {
@@ -337,6 +331,17 @@
     }
 }
 
+void Fleet::receiveObjects(const proto::Envelope &message)
+{
+    if (!this->objects)
+        return;
+    if (message.has_objects_request())
+        return this->objects->onRequest(message);
+    if (message.has_objects_offer())
+        return this->objects->onOffer(message);
+    this->objects->onBeat(message, monoNow());
+}
+
 void Fleet::receiveBorrow(const proto::Envelope &message)
 {
     const MonoTime now = monoNow();
@@ -397,68 +402,16 @@
     this->send(message.from(), std::move(answer));
 }
 
-std::optional<std::size_t> Fleet::kindOf(const std::string &name) const
-{
-    const auto found = std::find(this->objects.kinds.begin(), this->objects.kinds.end(), name);
-    if (found == this->objects.kinds.end())
-        return std::nullopt;
-    return static_cast<std::size_t>(found - this->objects.kinds.begin());
-}
-
-// The own watch is usually a little ahead or behind; only what it has not brought by the next
-// look is asked for.
-void Fleet::askForObjects()
-{
-    const MonoTime now = monoNow();
-    if (now < this->nextObjectsQuestion)
-        return;
-    this->nextObjectsQuestion = now + ObjectsQuestionInterval;
-    std::vector<bool> isAsked(this->objects.kinds.size(), false);
-    std::vector<Members::RevisionNews> heard = this->members->takeRevisionNews();
-    const auto told = std::exchange(this->revisionNews, {});
-    heard.insert(heard.end(), told.begin(), told.end());
-    for (const Members::RevisionNews &news : heard) {
-        const std::int64_t known = this->objects.revision(news.kind);
-        if (news.revision <= known || isAsked[news.kind])
-            continue;
-        isAsked[news.kind] = true;
-        proto::Envelope question;
-        question.mutable_objects_request()->set_kind(this->objects.kinds[news.kind]);
-        question.mutable_objects_request()->set_after(known);
-        this->send(news.from, std::move(question));
-    }
-}
-
-void Fleet::receiveObjectsRequest(const proto::Envelope &message)
-{
-    const auto kind = this->kindOf(message.objects_request().kind());
-    if (!kind)
-        return;
-    const proto::ObjectsRequest &request = message.objects_request();
-    proto::Envelope answer;
-    *answer.mutable_objects_offer() = request.wants_all()
-        ? this->objects.answerAll(*kind)
-        : this->objects.answer(*kind, request.after());
-    this->send(message.from(), std::move(answer));
-}
-
-// An offer that begins after what is known here would leave a gap.
-void Fleet::receiveObjectsOffer(const proto::Envelope &message)
+void Fleet::shareObjects(ObjectSharing how, EngineNews onNews)
 {
-    const proto::ObjectsOffer &offer = message.objects_offer();
-    const auto kind = this->kindOf(offer.kind());
-    if (!kind)
-        return;
-    if (offer.is_whole() || offer.after() <= this->objects.revision(*kind))
-        return this->objects.take(*kind, offer);
-    this->revisionNews.push_back({*kind, offer.after(), message.from()});
-}
-
-void Fleet::shareObjects(ObjectSharing how)
-{
-    this->objects = std::move(how);
-    this->nextListQuestion.resize(this->objects.kinds.size());
-    this->published.resize(this->objects.kinds.size());
+    SpreadLinks links;
+    links.send = [this](const proto::ProcessId &to, const proto::Envelope &message) {
+        this->send(to, message);
+    };
+    links.othersInRegion = [this] { return this->othersInRegion(); };
+    links.isOnDuty = [this] { return this->isOnDuty(StoreTask, StoreWatchers); };
+    this->objects.emplace(std::move(how), std::move(links));
+    this->engineNews = std::move(onNews);
 }
 
 std::vector<proto::ProcessId> Fleet::othersInRegion() const
@@ -485,60 +438,8 @@
 
 void Fleet::publishObjects(std::size_t kind)
 {
-    const std::int64_t known = this->objects.revision(kind);
-    const std::int64_t after = std::exchange(this->published[kind], known);
-    if (known <= after || !this->isOnDuty(StoreTask, StoreWatchers))
-        return;
-    proto::Envelope message;
-    *message.mutable_objects_offer() = this->objects.answer(kind, after);
-    for (const proto::ProcessId &other : this->othersInRegion())
-        this->send(other, message);
-}
-
-void Fleet::beat()
-{
-    const MonoTime now = monoNow();
-    if (this->objects.kinds.empty() || now < this->nextBeat)
-        return;
-    this->nextBeat = now + BeatInterval;
-    const bool isMine = this->isOnDuty(StoreTask, StoreWatchers);
-    this->objects.onDuty(isMine);
-    if (!isMine || !this->objects.isCurrent())
-        return;
-    proto::Envelope message;
-    for (std::size_t kind = 0; kind < this->objects.kinds.size(); ++kind) {
-        message.mutable_store_beat()->add_revisions(this->objects.revision(kind));
-        message.mutable_store_beat()->add_listed(this->objects.listed(kind));
-    }
-    for (const proto::ProcessId &other : this->othersInRegion())
-        this->send(other, message);
-}
-
-void Fleet::receiveBeat(const proto::Envelope &message)
-{
-    const proto::StoreBeat &told = message.store_beat();
-    const auto kinds = static_cast<int>(this->objects.kinds.size());
-    if (told.revisions_size() != kinds || told.listed_size() != kinds)
-        return;
-    this->objects.onBeat();
-    for (int index = 0; index < kinds; ++index) {
-        const auto kind = static_cast<std::size_t>(index);
-        this->revisionNews.push_back({kind, told.revisions(index), message.from()});
-        if (told.listed(index) > this->objects.listed(kind))
-            this->askForAll(kind, message.from());
-    }
-}
-
-void Fleet::askForAll(std::size_t kind, const proto::ProcessId &from)
-{
-    const MonoTime now = monoNow();
-    if (now < this->nextListQuestion[kind])
-        return;
-    this->nextListQuestion[kind] = now + ObjectsQuestionInterval;
-    proto::Envelope question;
-    question.mutable_objects_request()->set_kind(this->objects.kinds[kind]);
-    question.mutable_objects_request()->set_wants_all(true);
-    this->send(from, std::move(question));
+    if (this->objects)
+        this->objects->publish(kind);
 }
 
 void Fleet::announce(const proto::WeightsNotice &notice)
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -9,6 +9,7 @@
 #include "membership/members.h"
 #include "membership/peerlink.h"
 #include "router/metrics.h"
+#include "router/objectspread.h"
 #include "router/settings.h"
 #include "timeline/ring.h"
 
@@ -32,21 +33,11 @@
     std::function<void(const proto::ConfigOffer &offer)> take;
 };
 
-/// Objects of the store that instances tell each other of, so that one whose watch has fallen
-/// silent, or that the store refuses, is not left behind.
-struct ObjectSharing
+/// What instances tell each other about engines.
+struct EngineNews
 {
-    std::vector<std::string> kinds;
-    std::function<std::int64_t(std::size_t kind)> revision; ///< newest known here
-    std::function<std::int64_t(std::size_t kind)> listed; ///< revision of the last whole list
-    std::function<proto::ObjectsOffer(std::size_t kind, std::int64_t after)> answer;
-    std::function<proto::ObjectsOffer(std::size_t kind)> answerAll;
-    std::function<void(std::size_t kind, const proto::ObjectsOffer &offer)> take;
-    std::function<bool()> isCurrent; ///< whether this instance follows the store without doubt
-    std::function<void()> onBeat; ///< another instance does so for the region
-    std::function<void(bool isOnDuty)> onDuty; ///< told now and then
-    std::function<void(const proto::WeightsNotice &notice)> onNotice;
-    std::function<void(const proto::LoadNews &news)> onLoadNews;
+    std::function<void(const proto::WeightsNotice &notice)> onWeights;
+    std::function<void(const proto::LoadNews &news)> onLoad;
 };
 
 /// Where the records of seats lie.
@@ -76,7 +67,7 @@
     void onConfig(std::int64_t version, const std::vector<Region> &regions,
                   const std::vector<Organisation> &organisations,
                   const RestartTokens &restart = {});
-    void shareObjects(ObjectSharing how);
+    void shareObjects(ObjectSharing how, EngineNews onNews);
     /// This instance has learnt of changes from the store: tells the region, if that is its duty.
     void publishObjects(std::size_t kind);
     /// Whether \a task falls to this instance, as one of \a count in its region.
@@ -128,18 +119,14 @@
     void askForObjects();
     std::vector<proto::ProcessId> othersInRegion() const;
     void announce(const proto::Envelope &message);
-    void beat();
-    void receiveBeat(const proto::Envelope &message);
-    void askForAll(std::size_t kind, const proto::ProcessId &from);
-    void receiveObjectsRequest(const proto::Envelope &message);
-    void receiveObjectsOffer(const proto::Envelope &message);
-    std::optional<std::size_t> kindOf(const std::string &name) const;
+    void receiveObjects(const proto::Envelope &message);
 
     http::Loop &loop;
     const Settings &settings;
     SeatStore store;
     std::optional<ConfigSharing> configs; ///< not where they spread as objects
-    ObjectSharing objects;
+    std::optional<ObjectSpread> objects;
+    EngineNews engineNews;
     TimelineRing &timeline;
     Metrics &metrics;
     SeatTimings timings;
@@ -153,11 +140,6 @@
     pcg32 random;
     MonoTime nextSeatQuestion{};
     MonoTime nextConfigQuestion{};
-    MonoTime nextObjectsQuestion{};
-    MonoTime nextBeat{};
-    std::vector<MonoTime> nextListQuestion; ///< by kind
-    std::vector<std::int64_t> published; ///< newest revision told to the region, by kind
-    std::vector<Members::RevisionNews> revisionNews; ///< from beats and offers
     FleetSize size{monoNow()};
     MonoTime lastCompany{}; ///< when a peer or the store was last in reach
     bool isLeaving = false;
