The first naming of weights has its whole time

As long as old weights only came last this crowded requests onto the engines with new weights; since they begin no request it refused them. Ruled out: the roster (18 candidates), a restart (none before 34 s). Change: only what is heard of before the first whole list counts as found.

--- a/src/forward/followed.cpp
+++ b/src/forward/followed.cpp
@@ -23,6 +23,11 @@
         feed->start();
 }
 
+bool FollowedObjects::hasList(ObjectKind kind) const
+{
+    return this->listings.at(static_cast<std::size_t>(kind)).revision > 0;
+}
+
 Millis FollowedObjects::silence() const
 {
     const auto &feed = this->feeds.at(static_cast<std::size_t>(ObjectKind::Configuration));
@@ -47,13 +52,13 @@
 void FollowedObjects::onListed(ObjectKind kind, const std::vector<StoredObject> &objects,
                                std::int64_t revision, bool wasAway)
 {
-    this->listings.at(static_cast<std::size_t>(kind)) = {revision, wasAway};
     this->mirror(kind).takeList(objects);
     std::vector<std::string> listed;
     for (const StoredObject &object : objects) {
         listed.push_back(object.name);
         this->handlers.onEvent(kind, {object, false});
     }
+    this->listings.at(static_cast<std::size_t>(kind)) = {revision, wasAway};
     this->handlers.onListed(kind, listed, revision, wasAway);
     this->handlers.onBatchEnd();
 }
--- a/src/forward/followed.h
+++ b/src/forward/followed.h
@@ -44,6 +44,9 @@
     ObjectSharing sharing();
     /// Whether the store is followed here, as against through other instances.
     bool isWatching() const { return this->feeds.front()->isActive(); }
+    /// Whether all objects of the kind were known before: an event is a change seen as it happens,
+    /// not one that is found and may be older.
+    bool hasList(ObjectKind kind) const;
     /// How long the store has not answered; 0 while it does.
     Millis silence() const;
 
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -19,6 +19,8 @@
 constexpr Millis BalancerTime{3000};
 // Instances that do not hold the duty of the rollout take it up at different times.
 constexpr unsigned MostPatienceMillis = 600;
+// What an instance finds as it starts may have been named a while ago.
+constexpr Millis FoundWeightsAge{5000};
 // Few in each region look at the lease; the others do so only if no engine gets on for longer.
 constexpr const char *RolloutTask = "give engines their weights";
 constexpr std::size_t RolloutCandidates = 2;
@@ -289,9 +291,8 @@
         return;
     }
     WeightsNamings &known = this->context.namedWeights[weights->model];
-    // What this instance finds at its start may have been named a while ago.
-    const Millis age = known.newest() == 0 ? this->settings.bounds.weights / 2 : Millis(0);
-    if (!known.onNamed(weights->version, monoNow() - age))
+    const bool isFound = !this->followed.hasList(ObjectKind::Weights);
+    if (!known.onNamed(weights->version, monoNow(), isFound ? FoundWeightsAge : Millis(0)))
         return;
     logEvent(
         LogLevel::Info, "weights_named",
--- a/src/routing/namings.cpp
+++ b/src/routing/namings.cpp
@@ -8,11 +8,11 @@
 
 } // namespace
 
-bool WeightsNamings::onNamed(std::int64_t version, MonoTime since)
+bool WeightsNamings::onNamed(std::int64_t version, MonoTime now, Millis age)
 {
     if (version <= this->newest())
         return false;
-    this->known.push_back({version, since});
+    this->known.push_back({version, now - age});
     if (this->known.size() > MostNamings)
         this->known.erase(this->known.begin());
     return true;
--- a/src/routing/namings.h
+++ b/src/routing/namings.h
@@ -13,8 +13,9 @@
 class WeightsNamings
 {
 public:
-    /// \a version was named at \a since. Returns false if it is not newer than those known.
-    bool onNamed(std::int64_t version, MonoTime since);
+    /// \a version is heard of, and may have been named \a age ago. Returns false if it is not newer
+    /// than those known.
+    bool onNamed(std::int64_t version, MonoTime now, Millis age = Millis(0));
     /// The newest version, 0 if none is known.
     std::int64_t newest() const { return this->known.empty() ? 0 : this->known.back().version; }
     /// No request may begin on a version below this one: a newer one was named \a time ago.
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -156,3 +156,17 @@
     cr_assert(namings.least(at(20), Time) == 4);
     cr_assert(WeightsNamings().least(at(20), Time) == 0);
 }
+
+// Weights that were never named before, on a fleet that has run for a while: their time begins
+// when they are named. What a restarted instance finds counts as older.
+Test(namings, the_first_naming_has_its_whole_time_unless_it_was_found)
+{
+    constexpr Millis Time{10'000};
+    WeightsNamings seen;
+    seen.onNamed(2, Start);
+    cr_assert(seen.least(Start + Millis(9000), Time) == 0);
+    WeightsNamings found;
+    found.onNamed(2, Start, Millis(5000));
+    cr_assert(found.least(Start + Millis(4000), Time) == 0);
+    cr_assert(found.least(Start + Millis(6000), Time) == 2);
+}
