One piece for what stood twice: calls to engines, addresses, numbers, stop signals; choices do no work twice

Found by reading the whole change again. - Each finished attempt, also a successful one, chose an endpoint a second time only to know whether there is any: LoadBook::hasCandidate. A choice went over all endpoints three times with the same filter; now the candidates are found once, and a report's freshness is judged in one place. - LoadWatch worked out its duty for each engine of the region at each tick (20 engines, ten times a second, over copies of all members); the duties are four, so four times a tick. - Rollout and LoadWatch had the same call for a report and the same notice: enginecalls. What comes from other instances about engines goes to LoadWatch, and LoadBook::knows checks the incarnation for both messages. - Both daemons' stop signals: Loop::drainOnSignals.

--- a/src/base/address.cpp
+++ b/src/base/address.cpp
@@ -2,9 +2,25 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <charconv>
 
 namespace lavenderhall {
 
+std::optional<Address> parseAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    Address address;
+    address.host = text.substr(0, colon);
+    const char *end = text.data() + text.size();
+    const auto read = std::from_chars(text.data() + colon + 1, end, address.port);
+    const bool isPort = read.ec == std::errc{} && read.ptr == end && address.port > 0;
+    if (!isPort || !isIpAddress(address.host))
+        return std::nullopt;
+    return address;
+}
+
 bool isIpAddress(const std::string &text)
 {
     std::array<unsigned char, sizeof(in6_addr)> parsed{};
--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -26,7 +26,6 @@
     std::string weights;
     std::string leases; ///< our own: who gives orders
     std::string limits; ///< our own: who decides on organisations' rates
-    std::string instances; ///< our own: where the others are
 };
 
 /// Plain functions between the platform's words and the product's types. Errors are those of
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -114,7 +114,9 @@
         return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
     });
     EngineNews news;
-    news.onWeights = [this](const proto::WeightsNotice &notice) { this->onNotice(notice); };
+    news.onWeights = [this](const proto::WeightsNotice &notice) {
+        this->loadWatch.onNotice(notice, monoNow());
+    };
     news.onLoad = [this](const proto::LoadNews &told) { this->loadWatch.onNews(told, monoNow()); };
     this->fleet.shareObjects(this->followed.sharing(), std::move(news));
     this->context.tokens = this->rates.gate();
@@ -144,7 +146,6 @@
 
 void ForwardDaemon::start()
 {
-    this->startedAt = monoNow();
     this->timeline.add(EventKind::ProcessStarted, "", "", {{"version", LAVENDERHALL_VERSION}});
     logEvent(LogLevel::Info, "started",
              {{"listen", this->settings.listen.toString()},
@@ -160,14 +161,7 @@
 
 int ForwardDaemon::run()
 {
-    int signals = 0;
-    const auto onStop = [this, &signals] {
-        if (++signals > 1)
-            return this->loop.stop();
-        this->drain();
-    };
-    this->loop.onSignal(SIGTERM, onStop);
-    this->loop.onSignal(SIGINT, onStop);
+    this->loop.drainOnSignals([this] { this->drain(); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
     this->start();
     this->loop.run();
@@ -213,16 +207,6 @@
     this->offerTable(object.content, object.revision);
 }
 
-void ForwardDaemon::onNotice(const proto::WeightsNotice &notice)
-{
-    const RosterEntry *entry = this->loads.entryOf(notice.endpoint());
-    if (!entry || entry->bornMillis != notice.born_ms())
-        return;
-    if (notice.version() > 0)
-        return this->loads.onWeightsLoaded(notice.endpoint(), notice.model(), notice.version());
-    this->loads.onWeightsChange(notice.endpoint(), monoNow() + Millis(notice.avoid_ms()));
-}
-
 // What was accepted once stays in force until a newer one: an older or malformed one is left out.
 void ForwardDaemon::offerTable(const Json &content, std::int64_t revision)
 {
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -33,7 +33,6 @@
     FollowedHandlers followedHandlers();
     EngineTelling engineTelling();
     void apply(ObjectKind kind, const ObjectEvent &event);
-    void onNotice(const proto::WeightsNotice &notice);
     void offerTable(const Json &content, std::int64_t revision);
     void putEndpoint(const StoredObject &object);
     void applyRosterChanges();
@@ -71,7 +70,6 @@
     http::Timer drainTimer;
     Millis patience{0}; ///< before this instance takes up the rollout
     std::size_t instances = 0; ///< among which the fleet's shares are divided
-    MonoTime startedAt{};
     MonoTime drainBeganAt{};
     bool isDraining = false;
     bool isRefusing = false; ///< the balancer has turned away, what still comes is refused
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -149,7 +149,7 @@
     const MonoTime now = monoNow();
     RetryChance chance;
     chance.hasBudget = this->context.budget.hasLeft(this->service, now);
-    chance.hasCandidate = this->context.loads.choose(this->query(), now).has_value();
+    chance.hasCandidate = this->context.loads.hasCandidate(this->query());
     chance.hasTime = this->deadline - now > LeastRetryTime;
     return chance;
 }
@@ -463,22 +463,6 @@
     this->finish(0, "caller_gone");
 }
 
-void ForwardCall::stop(const std::string &reason)
-{
-    if (this->finished)
-        return;
-    const bool isSent = this->call != nullptr;
-    this->dropAttempt();
-    if (this->isStreaming)
-        this->exchange->abort();
-    else if (this->run.onTimeUp(isSent) == RunStep::Refuse)
-        return this->refuse({503, reason, Millis(200)});
-    else
-        this->exchange->respond(
-            this->context.adapter.writeRefusal({502, reason, {}}, this->request.id));
-    this->finish(502, reason);
-}
-
 void ForwardCall::refuse(ForwardRefusal refusal)
 {
     if (refusal.retryAfter && this->request.patience) {
@@ -542,11 +526,4 @@
     call->start();
 }
 
-void Forwarder::stopAll(const std::string &reason)
-{
-    const auto all = this->calls;
-    for (const auto &call : all)
-        call->stop(reason);
-}
-
 } // namespace lavenderhall
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -68,8 +68,6 @@
                 Done done);
 
     void start();
-    /// Ends the request now: refused if it has certainly not run, else failed.
-    void stop(const std::string &reason);
 
 private:
     void refuse(ForwardRefusal refusal);
@@ -151,8 +149,6 @@
     std::size_t openCalls() const { return this->calls.size(); }
     /// From now on new requests are refused: another instance serves them.
     void refuseNew() { this->isRefusing = true; }
-    /// Ends all requests in progress.
-    void stopAll(const std::string &reason);
 
 private:
     ForwardContext &context;
--- a/src/forward/loadbook.cpp
+++ b/src/forward/loadbook.cpp
@@ -111,16 +111,21 @@
     found->second.sentSince = 0;
 }
 
+const ReportedLoad *LoadBook::freshReport(const Load &load, MonoTime now) const
+{
+    return load.reported && now - load.reportedAt < ReportLife ? &*load.reported : nullptr;
+}
+
 // What the others have sent since a report is not known; they are taken to do as this one does.
 double LoadBook::queueCost(const Load &load, MonoTime now) const
 {
     constexpr double QueueMillis = 100; // for each request that waits for a slot
     const auto requestCost = static_cast<double>(this->settings.requestCost.count());
     const auto inFlight = static_cast<double>(load.inFlight);
-    if (load.reported && now - load.reportedAt < ReportLife) {
+    if (const ReportedLoad *report = this->freshReport(load, now)) {
         const double alike = std::max(1.0, static_cast<double>(this->instances) / AlikeInstances);
-        return static_cast<double>(load.reported->running * this->settings.runningCost.count()
-                                   + load.reported->waiting * this->settings.waitingCost.count())
+        return static_cast<double>(report->running * this->settings.runningCost.count()
+                                   + report->waiting * this->settings.waitingCost.count())
             + static_cast<double>(load.sentSince) * requestCost * alike;
     }
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, load.entry.slots));
@@ -139,22 +144,18 @@
 
 // While few engines have the newest weights, only so many requests are drawn to them as they can
 // bear: all instances see the same engines as new, and none sees what the others send.
-bool LoadBook::prefersNewest(const ChoiceQuery &query, MonoTime now) const
+bool LoadBook::prefersNewest(const Candidates &fit, const ChoiceQuery &query, MonoTime now) const
 {
     if (query.model.empty() || query.newestWeights == 0)
         return true;
     std::size_t newest = 0;
-    std::size_t all = 0;
     std::int64_t running = 0;
     std::int64_t slots = 0;
-    for (const auto &[id, load] : this->loads) {
-        if (!this->isCandidate(load, query) || load.avoidedUntil > now)
-            continue;
-        ++all;
-        newest += versionIn(load.entry, query.model) >= query.newestWeights ? 1 : 0;
-        slots += load.entry.slots;
-        if (load.reported && now - load.reportedAt < ReportLife)
-            running += load.reported->running + load.reported->waiting;
+    for (const Load *load : fit) {
+        newest += versionIn(load->entry, query.model) >= query.newestWeights ? 1 : 0;
+        slots += load->entry.slots;
+        if (const ReportedLoad *report = this->freshReport(*load, now))
+            running += report->running + report->waiting;
     }
     if (newest == 0)
         return false;
@@ -162,7 +163,7 @@
     const double factor
         = std::clamp(this->settings.newestSlotsPart / busy, this->settings.leastNewestFactor,
                      this->settings.mostNewestFactor);
-    return query.draw < factor * static_cast<double>(newest) / static_cast<double>(all);
+    return query.draw < factor * static_cast<double>(newest) / static_cast<double>(fit.size());
 }
 
 double LoadBook::fetchFactor(const Load &from, const Load &to) const
@@ -174,7 +175,8 @@
 }
 
 // An engine that is about to change its weights, or fails, is nobody's home and keeps nothing.
-LoadBook::PromptGroups LoadBook::groupsOf(const ChoiceQuery &query, MonoTime now) const
+LoadBook::PromptGroups LoadBook::groupsOf(const Candidates &fit, const ChoiceQuery &query,
+                                          MonoTime now) const
 {
     PromptGroups groups;
     const PromptChain::Link *shared = query.chain.shared();
@@ -186,24 +188,22 @@
         std::uint64_t formerHome = 0;
     };
     std::map<std::int64_t, Weights> best;
-    for (const auto &[id, load] : this->loads) {
-        if (!this->isCandidate(load, query) || load.avoidedUntil > now)
-            continue;
-        const std::int64_t version = versionIn(load.entry, query.model);
+    for (const Load *load : fit) {
+        const std::int64_t version = versionIn(load->entry, query.model);
         PromptGroup &group = groups[version];
         Weights &weights = best[version];
-        const std::uint64_t weight = homeWeight(shared->hash, id);
+        const std::uint64_t weight = homeWeight(shared->hash, load->entry.id);
         if (!group.home || weight > weights.home) {
-            group.formerHome = std::exchange(group.home, &load);
+            group.formerHome = std::exchange(group.home, load);
             weights.formerHome = std::exchange(weights.home, weight);
         } else if (!group.formerHome || weight > weights.formerHome) {
-            group.formerHome = &load;
+            group.formerHome = load;
             weights.formerHome = weight;
         }
-        const std::int64_t kept = load.memory.knownTokens(query.chain, now);
+        const std::int64_t kept = load->memory.knownTokens(query.chain, now);
         if (kept <= group.keptTokens)
             continue;
-        group.keeper = &load;
+        group.keeper = load;
         group.keptTokens = kept;
     }
     return groups;
@@ -242,33 +242,48 @@
         + static_cast<double>(reread) * this->settings.rereadMillisPerToken;
 }
 
+LoadBook::Candidates LoadBook::candidatesFor(const ChoiceQuery &query) const
+{
+    Candidates found;
+    for (const auto &[id, load] : this->loads) {
+        if (this->isCandidate(load, query))
+            found.push_back(&load);
+    }
+    return found;
+}
+
+bool LoadBook::hasCandidate(const ChoiceQuery &query) const
+{
+    return std::any_of(this->loads.begin(), this->loads.end(),
+                       [&](const auto &entry) { return this->isCandidate(entry.second, query); });
+}
+
 std::optional<Choice> LoadBook::choose(const ChoiceQuery &query, MonoTime now) const
 {
     static const PromptGroup Nobody;
-    const PromptGroups groups = this->groupsOf(query, now);
+    const Candidates candidates = this->candidatesFor(query);
+    Candidates fit = candidates;
+    std::erase_if(fit, [now](const Load *load) { return load->avoidedUntil > now; });
+    const PromptGroups groups = this->groupsOf(fit, query, now);
     std::optional<Choice> best;
     int bestRank = 0; // 0: fit, higher: the less so
-    const bool wantsNewest = this->prefersNewest(query, now);
+    const bool wantsNewest = this->prefersNewest(fit, query, now);
     const auto otherWeightsCost = static_cast<double>(this->settings.otherWeightsCost.count());
-    std::size_t candidates = 0;
-    for (const auto &[id, load] : this->loads) {
-        if (!this->isCandidate(load, query))
-            continue;
-        ++candidates;
+    for (const Load *load : candidates) {
         Choice choice;
-        choice.endpointId = id;
-        choice.weightsVersion = versionIn(load.entry, query.model);
-        choice.costMillis = this->costOf(load, now);
+        choice.endpointId = load->entry.id;
+        choice.weightsVersion = versionIn(load->entry, query.model);
+        choice.costMillis = this->costOf(*load, now);
         // What runs on unknown weights shares no parts with anybody, and reads all of its prompt.
         const bool isUnknown = query.newestWeights > 0 && choice.weightsVersion == 0;
         if (isUnknown || wantsNewest != (choice.weightsVersion >= query.newestWeights))
             choice.costMillis += otherWeightsCost;
         const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
-            this->addPromptCost(load, query, group == groups.end() ? Nobody : group->second, now,
+            this->addPromptCost(*load, query, group == groups.end() ? Nobody : group->second, now,
                                 choice);
         const bool mayBeTooOld = choice.weightsVersion < query.leastWeights;
-        const int rank = (load.avoidedUntil > now ? 1 : 0) + (mayBeTooOld ? 2 : 0);
+        const int rank = (load->avoidedUntil > now ? 1 : 0) + (mayBeTooOld ? 2 : 0);
         const bool isBetter = !best || rank < bestRank
             || (rank == bestRank && choice.costMillis < best->costMillis);
         if (!isBetter)
@@ -277,7 +292,7 @@
         bestRank = rank;
     }
     if (best)
-        best->candidates = candidates;
+        best->candidates = candidates.size();
     return best;
 }
 
@@ -346,6 +361,12 @@
     found->second.memory.clear();
 }
 
+bool LoadBook::knows(const std::string &endpointId, std::int64_t bornMillis) const
+{
+    const RosterEntry *entry = this->entryOf(endpointId);
+    return entry && entry->bornMillis == bornMillis;
+}
+
 const RosterEntry *LoadBook::entryOf(const std::string &endpointId) const
 {
     const auto found = this->loads.find(endpointId);
--- a/src/forward/loadbook.h
+++ b/src/forward/loadbook.h
@@ -111,6 +111,9 @@
     /// not get it, for their trouble or their old weights, do so only if there are no others.
     std::optional<Choice> choose(const ChoiceQuery &query, MonoTime now) const;
 
+    /// Whether choose() would find any.
+    bool hasCandidate(const ChoiceQuery &query) const;
+
     /// A request goes to the endpoint; \a uncachedTokens are to be read there.
     void onSent(const std::string &endpointId, const PromptChain &chain,
                 std::int64_t uncachedTokens, MonoTime now);
@@ -128,6 +131,8 @@
     /// The engine runs other weights than was thought.
     void onWeightsUnknown(const std::string &endpointId, const std::string &model);
 
+    /// Whether the endpoint is there in this incarnation.
+    bool knows(const std::string &endpointId, std::int64_t bornMillis) const;
     const RosterEntry *entryOf(const std::string &endpointId) const;
     std::size_t inFlight(const std::string &endpointId) const;
 
@@ -152,7 +157,7 @@
     };
 
     double costOf(const Load &load, MonoTime now) const;
-    bool prefersNewest(const ChoiceQuery &query, MonoTime now) const;
+    const ReportedLoad *freshReport(const Load &load, MonoTime now) const;
     double queueCost(const Load &load, MonoTime now) const;
     /// Engines that run the same weights, seen from one prompt.
     struct PromptGroup
@@ -164,7 +169,11 @@
     };
     using PromptGroups = std::map<std::int64_t, PromptGroup>; ///< by version of the weights
 
-    PromptGroups groupsOf(const ChoiceQuery &query, MonoTime now) const;
+    using Candidates = std::vector<const Load *>;
+
+    Candidates candidatesFor(const ChoiceQuery &query) const;
+    PromptGroups groupsOf(const Candidates &fit, const ChoiceQuery &query, MonoTime now) const;
+    bool prefersNewest(const Candidates &fit, const ChoiceQuery &query, MonoTime now) const;
     void addPromptCost(const Load &load, const ChoiceQuery &query, const PromptGroup &group,
                        MonoTime now, Choice &choice) const;
     double fetchFactor(const Load &from, const Load &to) const;
--- a/src/forward/loadwatch.cpp
+++ b/src/forward/loadwatch.cpp
@@ -3,12 +3,13 @@
 #include "base/digest.h"
 #include "base/log.h"
 
+#include <array>
+
 namespace lavenderhall {
 
 namespace {
 
-constexpr Millis CallTimeout{500};
-constexpr Millis ConnectTimeout{300};
+constexpr EngineCallTimes CallTimes{Millis(300), Millis(500)};
 constexpr Millis TellInterval{200};
 // An engine is avoided for so long, unless told again.
 constexpr Millis UnreachableTime{1000};
@@ -18,62 +19,8 @@
 // The engines of a region are shared out in so many parts, to bound who tells whom.
 constexpr std::uint64_t Parts = 4;
 
-std::string taskFor(const RosterEntry &engine)
-{
-    return "ask for loads " + std::to_string(hash64(engine.id, 0) % Parts);
-}
-
-proto::EngineLoad loadOf(const RosterEntry &engine)
-{
-    proto::EngineLoad load;
-    load.set_endpoint(engine.id);
-    load.set_born_ms(engine.bornMillis);
-    return load;
-}
-
 } // namespace
 
-void learnWeights(LoadBook &loads, const RosterEntry &engine, const EngineReport &report,
-                  const EngineTelling &telling)
-{
-    const RosterEntry *known = loads.entryOf(engine.id);
-    if (!known || report.isBusy)
-        return;
-    const auto before = known->weights;
-    for (const auto &[model, version] : report.weights) {
-        const auto listed = before.find(model);
-        if (listed != before.end() && listed->second >= version)
-            continue;
-        loads.onWeightsLoaded(engine.id, model, version);
-        if (!telling.weights)
-            continue;
-        proto::WeightsNotice notice;
-        notice.set_endpoint(engine.id);
-        notice.set_born_ms(engine.bornMillis);
-        notice.set_model(model);
-        notice.set_version(version);
-        telling.weights(notice);
-    }
-}
-
-std::variant<EngineReport, ReportFailure> readEngineReport(const PlatformAdapter &adapter,
-                                                           const RosterEntry &engine,
-                                                           const http::Response &response)
-{
-    const auto read = attempt([&] { return adapter.readReport(response); });
-    if (const auto *report = std::get_if<EngineReport>(&read)) {
-        if (report->bornMillis.value_or(engine.bornMillis) == engine.bornMillis)
-            return *report;
-        return ReportFailure::OtherEndpoint;
-    }
-    const Error &error = std::get<Error>(read);
-    if (error.code == ErrorCode::NotFound)
-        return ReportFailure::OtherEndpoint;
-    logEvent(LogLevel::Warning, "report_malformed",
-             {{"endpoint", engine.id}, {"detail", error.detail}});
-    return ReportFailure::Malformed;
-}
-
 LoadWatch::LoadWatch(http::Loop &loop, const PlatformAdapter &adapter, LoadBook &loads,
                      DutyCheck isMine, EngineTelling telling)
     : adapter(adapter)
@@ -85,9 +32,12 @@
 
 void LoadWatch::onTick(const Roster &roster, MonoTime now)
 {
+    std::array<bool, Parts> isMine{};
+    for (std::uint64_t part = 0; part < Parts; ++part)
+        isMine.at(part) = this->isMine("ask for loads " + std::to_string(part));
     for (const auto &[id, engine] : roster.entries()) {
-        const bool isAsked = this->loads.isEngineHere(engine) && this->schedule.isDue(id, now)
-            && this->isMine(taskFor(engine));
+        const bool isAsked = isMine.at(hash64(id, 0) % Parts) && this->loads.isEngineHere(engine)
+            && this->schedule.isDue(id, now);
         if (!isAsked)
             continue;
         this->schedule.onAsked(id, now);
@@ -99,22 +49,14 @@
 
 void LoadWatch::ask(const RosterEntry &engine)
 {
-    http::CallRequest request = this->adapter.writeReportCall(engine);
-    request.to = engine.address;
-    request.headTimeout = CallTimeout;
-    request.connectTimeout = ConnectTimeout;
-    const auto onAnswer = [this, held = this->alive, engine](const http::Response *response,
-                                                             const http::CallFailure &failure) {
+    const auto onAnswer = [this, held = this->alive, engine](const auto &answer) {
         if (!*held)
             return;
-        if (!response)
-            return this->onFailure(engine, ReportFailure::NoAnswer, failure.maybeSent);
-        const auto report = readEngineReport(this->adapter, engine, *response);
-        if (const auto *why = std::get_if<ReportFailure>(&report))
-            return this->onFailure(engine, *why, true);
-        this->onReport(engine, std::get<EngineReport>(report));
+        if (const auto *why = std::get_if<ReportFailure>(&answer))
+            return this->onFailure(engine, *why);
+        this->onReport(engine, std::get<EngineReport>(answer));
     };
-    http::startWhole(this->client, std::move(request), onAnswer);
+    askReport(this->client, this->adapter, engine, CallTimes, onAnswer);
 }
 
 void LoadWatch::onReport(const RosterEntry &engine, const EngineReport &report)
@@ -124,7 +66,7 @@
     const bool isNews = this->schedule.onReport(engine.id, report, now);
     if (report.isBusy)
         return this->tellToAvoid(engine, LoadingTime, "loading");
-    proto::EngineLoad load = loadOf(engine);
+    auto load = messageAbout<proto::EngineLoad>(engine);
     load.set_running(report.running);
     load.set_waiting(report.waiting);
     this->take(load, now);
@@ -132,12 +74,13 @@
         *this->pending.add_loads() = std::move(load);
 }
 
-void LoadWatch::onFailure(const RosterEntry &engine, ReportFailure why, bool wasSent)
+void LoadWatch::onFailure(const RosterEntry &engine, ReportFailure why)
 {
     if (why == ReportFailure::Malformed)
         return;
     const bool isReplaced = why == ReportFailure::OtherEndpoint;
-    if (this->schedule.onFailure(engine.id, wasSent, monoNow()) || isReplaced)
+    if (this->schedule.onFailure(engine.id, why != ReportFailure::NotReached, monoNow())
+        || isReplaced)
         this->tellToAvoid(engine, isReplaced ? ReplacedTime : UnreachableTime,
                           isReplaced ? "replaced" : "unreachable");
 }
@@ -152,7 +95,7 @@
 {
     logEvent(LogLevel::Info, "endpoint_avoided",
              {{"endpoint", engine.id}, {"reason", reason}, {"for_ms", pause.count()}});
-    proto::EngineLoad load = loadOf(engine);
+    auto load = messageAbout<proto::EngineLoad>(engine);
     load.set_avoid_ms(pause.count());
     this->take(load, monoNow());
     *this->pending.add_loads() = std::move(load);
@@ -160,14 +103,22 @@
 
 void LoadWatch::take(const proto::EngineLoad &load, MonoTime now)
 {
-    const RosterEntry *entry = this->loads.entryOf(load.endpoint());
-    if (!entry || entry->bornMillis != load.born_ms())
+    if (!this->loads.knows(load.endpoint(), load.born_ms()))
         return;
     if (load.avoid_ms() > 0)
         return this->loads.avoid(load.endpoint(), now + Millis(load.avoid_ms()));
     this->loads.onLoad(load.endpoint(), {load.running(), load.waiting()}, now);
 }
 
+void LoadWatch::onNotice(const proto::WeightsNotice &notice, MonoTime now)
+{
+    if (!this->loads.knows(notice.endpoint(), notice.born_ms()))
+        return;
+    if (notice.version() > 0)
+        return this->loads.onWeightsLoaded(notice.endpoint(), notice.model(), notice.version());
+    this->loads.onWeightsChange(notice.endpoint(), now + Millis(notice.avoid_ms()));
+}
+
 void LoadWatch::onNews(const proto::LoadNews &news, MonoTime now)
 {
     for (const proto::EngineLoad &load : news.loads())
--- a/src/forward/loadwatch.h
+++ b/src/forward/loadwatch.h
@@ -1,34 +1,15 @@
 #pragma once
 
-#include "forward/adapter.h"
-#include "forward/loadbook.h"
+#include "forward/enginecalls.h"
 #include "forward/reportschedule.h"
-#include "proto/peer.pb.h"
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <variant>
 
 /// Asks the engines that fall to this instance how loaded they are, and tells all others.
 namespace lavenderhall {
 
-/// How instances hear from each other about engines.
-struct EngineTelling
-{
-    std::function<void(const proto::LoadNews &news)> load;
-    std::function<void(const proto::WeightsNotice &notice)> weights;
-};
-
-/// Takes in the weights that \a engine reports, and tells of those that are news.
-void learnWeights(LoadBook &loads, const RosterEntry &engine, const EngineReport &report,
-                  const EngineTelling &telling);
-
-/// Reads an engine's answer. An answer of another one, which has the address now, is none.
-std::variant<EngineReport, ReportFailure> readEngineReport(const PlatformAdapter &adapter,
-                                                           const RosterEntry &engine,
-                                                           const http::Response &response);
-
 class LoadWatch
 {
 public:
@@ -42,13 +23,15 @@
     void onTick(const Roster &roster, MonoTime now);
     /// An endpoint's address belongs to another one, as the answer to a request told.
     void onReplaced(const std::string &endpointId);
-    /// Another instance has asked.
+    /// Another instance tells that an engine is about to change its weights, or has.
+    void onNotice(const proto::WeightsNotice &notice, MonoTime now);
+    /// Another instance tells how loaded engines are.
     void onNews(const proto::LoadNews &news, MonoTime now);
 
 private:
     void ask(const RosterEntry &engine);
     void onReport(const RosterEntry &engine, const EngineReport &report);
-    void onFailure(const RosterEntry &engine, ReportFailure why, bool wasSent);
+    void onFailure(const RosterEntry &engine, ReportFailure why);
     void tellToAvoid(const RosterEntry &engine, Millis pause, const char *reason);
     void take(const proto::EngineLoad &load, MonoTime now);
     void flush(MonoTime now);
--- a/src/forward/rollout.cpp
+++ b/src/forward/rollout.cpp
@@ -7,18 +7,8 @@
 namespace {
 
 constexpr const char *LeaseName = "weights";
-constexpr Millis CallTimeout{800};
-constexpr Millis ConnectTimeout{400};
 constexpr Millis AnnounceTime{1800}; ///< an engine is avoided for so long from its order on
 
-proto::WeightsNotice noticeAbout(const RosterEntry &engine)
-{
-    proto::WeightsNotice notice;
-    notice.set_endpoint(engine.id);
-    notice.set_born_ms(engine.bornMillis);
-    return notice;
-}
-
 } // namespace
 
 Rollout::Rollout(http::Loop &loop, const PlatformAdapter &adapter, ObjectClient &store,
@@ -74,7 +64,7 @@
     case RolloutAction::Kind::Announce:
         this->loads.onWeightsChange(action.engine.id, monoNow() + AnnounceTime);
         if (this->telling.weights) {
-            proto::WeightsNotice notice = noticeAbout(action.engine);
+            auto notice = messageAbout<proto::WeightsNotice>(action.engine);
             notice.set_avoid_ms(AnnounceTime.count());
             this->telling.weights(notice);
         }
@@ -86,34 +76,16 @@
     }
 }
 
-namespace {
-
-/// Sends \a request to an engine, within the time that orders and reports may take.
-void callEngine(http::Client &client, http::CallRequest request, const RosterEntry &engine,
-                const http::WholeHandler &onAnswer)
-{
-    request.to = engine.address;
-    request.headTimeout = CallTimeout;
-    request.connectTimeout = ConnectTimeout;
-    http::startWhole(client, std::move(request), onAnswer);
-}
-
-} // namespace
-
 void Rollout::askReport(const RosterEntry &engine)
 {
-    const auto onAnswer = [this, held = this->alive, engine](const http::Response *response,
-                                                             const http::CallFailure &) {
+    const auto onAnswer = [this, held = this->alive, engine](const auto &answer) {
         if (!*held)
             return;
-        if (!response)
-            return this->planner.onReportFailed(engine.id, ReportFailure::NoAnswer, monoNow());
-        const auto report = readEngineReport(this->adapter, engine, *response);
-        if (const auto *why = std::get_if<ReportFailure>(&report))
+        if (const auto *why = std::get_if<ReportFailure>(&answer))
             return this->planner.onReportFailed(engine.id, *why, monoNow());
-        this->onReport(engine, std::get<EngineReport>(report));
+        this->onReport(engine, std::get<EngineReport>(answer));
     };
-    callEngine(this->client, this->adapter.writeReportCall(engine), engine, onAnswer);
+    lavenderhall::askReport(this->client, this->adapter, engine, EngineCallTimes{}, onAnswer);
 }
 
 void Rollout::onReport(const RosterEntry &engine, const EngineReport &report)
@@ -147,7 +119,8 @@
             this->lease.onFenced(now);
         this->planner.onOrderAnswer(engine.id, answer, now);
     };
-    callEngine(this->client, this->adapter.writeOrder(engine, order), engine, onAnswer);
+    callEngine(this->client, this->adapter.writeOrder(engine, order), engine, EngineCallTimes{},
+               onAnswer);
 }
 
 } // namespace lavenderhall
--- a/src/forward/rollout.h
+++ b/src/forward/rollout.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "forward/adapter.h"
-#include "forward/loadbook.h"
-#include "forward/loadwatch.h"
-#include "proto/peer.pb.h"
+#include "forward/enginecalls.h"
 #include "rollout/lease.h"
 #include "rollout/planner.h"
 
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -1,6 +1,7 @@
 #include "http/loop.h"
 
 #include <csignal>
+#include <utility>
 #include <uv.h>
 
 namespace lavenderhall::http {
@@ -86,6 +87,17 @@
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
 }
 
+void Loop::drainOnSignals(const std::function<void()> &drain)
+{
+    const auto onStop = [this, drain, isFirst = std::make_shared<bool>(true)] {
+        if (!std::exchange(*isFirst, false))
+            return this->stop();
+        drain();
+    };
+    this->onSignal(SIGTERM, onStop);
+    this->onSignal(SIGINT, onStop);
+}
+
 void Loop::onSignal(int signal, std::function<void()> work)
 {
     auto watch = std::make_unique<SignalWatch>();
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -54,6 +54,8 @@
 
     /// Calls \a work on the loop's thread each time the process gets \a signal.
     void onSignal(int signal, std::function<void()> work);
+    /// The first SIGTERM or SIGINT calls \a drain, a further one stops the loop.
+    void drainOnSignals(const std::function<void()> &drain);
 
     uv_loop_s *handle() { return this->uvLoop.get(); }
 
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -204,7 +204,7 @@
     }
 }
 
-void Members::probeDead(MonoTime now, std::vector<MemberAction> &actions)
+void Members::probeDead(std::vector<MemberAction> &actions)
 {
     std::vector<Entry *> dead;
     for (auto &[name, entry] : this->table) {
@@ -218,7 +218,6 @@
     MemberAction action = this->ping(addressIn(entry->member), this->nextNumber++);
     *action.message.mutable_ping()->add_rumours() = entry->member;
     actions.push_back(std::move(action));
-    static_cast<void>(now);
 }
 
 void Members::probeSeed(MonoTime now, std::vector<MemberAction> &actions)
@@ -252,7 +251,7 @@
     }
     if (now >= this->nextDeadPing) {
         this->nextDeadPing = now + this->timings.deadPingInterval;
-        this->probeDead(now, actions);
+        this->probeDead(actions);
     }
     return actions;
 }
@@ -414,7 +413,6 @@
     probe.sentAt = now;
     probe.onBehalfOf = asker;
     probe.askersNumber = request.number();
-    probe.asker = message.from();
     const Address target{request.host(), static_cast<std::uint16_t>(request.port())};
     actions.push_back(this->ping(target, probe.number));
     this->probes.push_back(std::move(probe));
@@ -425,28 +423,17 @@
     this->own.set_leaving(true);
     this->own.set_sequence(this->own.sequence() + 1);
     this->ownRumoursLeft = this->rumourBudget();
-    return this->tellSome();
+    return this->pingSome(MaxRumours);
 }
 
 std::vector<MemberAction> Members::leave()
 {
     this->own.set_state(proto::LEFT);
     this->own.set_sequence(this->own.sequence() + 1);
-    return this->tellSome();
+    return this->pingSome(MaxRumours);
 }
 
-std::vector<MemberAction> Members::tellSome()
-{
-    std::vector<MemberAction> actions;
-    std::vector<std::string> names = this->usableNames();
-    std::shuffle(names.begin(), names.end(), this->random);
-    names.resize(std::min(names.size(), MaxRumours));
-    for (const std::string &name : names)
-        actions.push_back(this->ping(addressIn(this->table.at(name).member), this->nextNumber++));
-    return actions;
-}
-
-std::vector<MemberAction> Members::pingSome(std::size_t count, MonoTime)
+std::vector<MemberAction> Members::pingSome(std::size_t count)
 {
     std::vector<MemberAction> actions;
     std::vector<std::string> names = this->usableNames();
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -54,7 +54,7 @@
     /// Tells the others that this process leaves.
     std::vector<MemberAction> leave();
     /// Pings \a count random members at once, to spread a new configuration version.
-    std::vector<MemberAction> pingSome(std::size_t count, MonoTime now);
+    std::vector<MemberAction> pingSome(std::size_t count);
 
     /// Adds addresses to be asked for as long as no member is known there.
     void addSeeds(const std::vector<Address> &more);
@@ -103,7 +103,6 @@
         bool askedOthers = false;
         std::optional<Address> onBehalfOf; ///< who is to get the answer
         std::uint64_t askersNumber = 0;
-        proto::ProcessId asker;
     };
 
     bool isUsable(const Entry &entry) const;
@@ -114,7 +113,7 @@
     MemberAction ping(const Address &to, std::uint64_t number);
     void probe(Entry &entry, MonoTime now, std::vector<MemberAction> &actions);
     void probeNext(MonoTime now, std::vector<MemberAction> &actions);
-    void probeDead(MonoTime now, std::vector<MemberAction> &actions);
+    void probeDead(std::vector<MemberAction> &actions);
     void probeSeed(MonoTime now, std::vector<MemberAction> &actions);
     void checkProbes(MonoTime now, std::vector<MemberAction> &actions);
     void checkStates(MonoTime now);
@@ -124,7 +123,6 @@
     void hearConfig(const proto::ProcessId &from, std::int64_t version);
     template <typename Message>
     void hearRevisions(const proto::ProcessId &from, const Message &message);
-    std::vector<MemberAction> tellSome();
     int rumourBudget() const;
     std::vector<std::string> usableNames() const;
 
--- a/src/rollout/order.h
+++ b/src/rollout/order.h
@@ -23,6 +23,7 @@
 
 /// Why there is no report.
 enum class ReportFailure {
+    NotReached, ///< not even a connection came about
     NoAnswer,
     OtherEndpoint, ///< the address belongs to another endpoint now
     Malformed,
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -77,7 +77,6 @@
         MonoTime since{}; ///< of the step
         MonoTime nextReport{};
         std::int64_t ordersTaken = 0;
-        bool isReportDue = false;
         bool isWaiting = false; ///< for an answer to a call
         bool isOrdered = false; ///< an order is on its way
         bool isLoaded = false;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -2,8 +2,6 @@
 
 #include "base/digest.h"
 
-#include <csignal>
-
 namespace lavenderhall {
 
 namespace {
@@ -117,14 +115,7 @@
 
 int Daemon::run()
 {
-    int signals = 0;
-    const auto onStop = [this, &signals] {
-        if (++signals > 1)
-            return this->loop.stop();
-        this->drain();
-    };
-    this->loop.onSignal(SIGTERM, onStop);
-    this->loop.onSignal(SIGINT, onStop);
+    this->loop.drainOnSignals([this] { this->drain(); });
     this->start();
     this->loop.run();
     this->timeline.add(EventKind::ProcessStopped, "", "");
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -105,7 +105,7 @@
     this->borrower->setRegions(std::move(ownFirst));
     if (this->configs)
         this->members->setConfigVersion(version);
-    this->carryOut(this->members->pingSome(ConfigFanOut, now));
+    this->carryOut(this->members->pingSome(ConfigFanOut));
 }
 
 void Fleet::tick()
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -2,7 +2,6 @@
 
 #include "base/json.h"
 
-#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -29,17 +28,10 @@
 Address readAddressText(ObjectReader &reader, const std::string &name)
 {
     const std::string text = reader.text(name);
-    const std::size_t colon = text.rfind(':');
-    Address address;
-    address.host = text.substr(0, colon);
-    const char *from = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
-    const char *end = text.data() + text.size();
-    const auto read = std::from_chars(from, end, address.port);
-    const bool isGood = read.ec == std::errc{} && read.ptr == end && address.port > 0
-        && isIpAddress(address.host);
-    if (reader.isGood() && !isGood)
+    const auto address = parseAddress(text);
+    if (reader.isGood() && !address)
         reader.complain(name, "\"" + text + "\"", "a text \"IP:PORT\"");
-    return address;
+    return address.value_or(Address{});
 }
 
 Millis readMillis(ObjectReader &reader, const std::string &name, Millis fallback)
--- a/src/streams/eventcutter.cpp
+++ b/src/streams/eventcutter.cpp
@@ -1,6 +1,6 @@
 #include "streams/eventcutter.h"
 
-#include <charconv>
+#include "base/number.h"
 
 namespace lavenderhall {
 
@@ -12,11 +12,7 @@
 
 std::optional<std::int64_t> eventNumber(std::string_view text)
 {
-    std::int64_t number = 0;
-    const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
-        return std::nullopt;
-    return number;
+    return wholeNumber(text);
 }
 
 std::vector<RawEvent> EventCutter::feed(std::string_view bytes)
--- a/src/streams/relay.cpp
+++ b/src/streams/relay.cpp
@@ -1,6 +1,6 @@
 #include "streams/relay.h"
 
-#include <charconv>
+#include "base/number.h"
 
 namespace lavenderhall {
 
@@ -12,10 +12,7 @@
     if (!id.starts_with(requestId) || id.size() <= requestId.size() + 1
         || id[requestId.size()] != ':')
         return -1;
-    const std::string_view digits = id.substr(requestId.size() + 1);
-    std::int64_t number = -1;
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
-    return error == std::errc{} && end == digits.data() + digits.size() ? number : -1;
+    return wholeNumber(id.substr(requestId.size() + 1)).value_or(-1);
 }
 
 RelayAction interrupted(std::string reason)
