--- a/src/limits/seatrecord.cpp
+++ b/src/limits/seatrecord.cpp
@@ -83,4 +83,11 @@
     return id;
 }
 
+proto::Envelope envelopeOf(const proto::ProcessId &from)
+{
+    proto::Envelope envelope;
+    *envelope.mutable_from() = from;
+    return envelope;
+}
+
 } // namespace lavenderhall
--- a/src/limits/seatrecord.h
+++ b/src/limits/seatrecord.h
@@ -23,4 +23,7 @@
 bool isSame(const proto::ProcessId &one, const proto::ProcessId &other);
 proto::ProcessId processId(std::string name, std::uint64_t incarnation);
 
+/// Returns an empty message of \a from.
+proto::Envelope envelopeOf(const proto::ProcessId &from);
+
 } // namespace lavenderhall
