--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -184,11 +184,14 @@
     return metadata;
 }
 
-void ForwardCall::logChoice() const
+void ForwardCall::logChoice(const ChoiceQuery &query, MonoTime now) const
 {
     const auto named = this->context.namedWeights.find(this->request.model);
     const bool hasNamedWeights = named != this->context.namedWeights.end();
-    const auto waited = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
+    const auto waited = std::chrono::duration_cast<Millis>(now - this->arrivedAt);
+    const std::string startLimitMillis = this->choice.startLimit
+        ? std::to_string(std::chrono::duration_cast<Millis>(*this->choice.startLimit - now).count())
+        : std::string();
     const PromptChain::Link *shared = this->chain.lastSharedLink();
     logEvent(LogLevel::Info, "endpoint_chosen",
              {{"request", this->request.id},
@@ -205,18 +208,23 @@
               {"in_flight", this->context.selector.inFlight(this->choice.endpointId)},
               {"candidates", this->choice.candidates},
               {"weights", this->choice.weightsVersion},
+              {"required_weights", this->choice.requiredWeights},
               {"named_weights", hasNamedWeights ? named->second.newest() : 0},
+              {"oldest_weights", query.minWeights},
+              {"start_limit_ms", startLimitMillis},
+              {"resumes_after", this->lastEventId},
               {"table", this->table->version()}});
 }
 
 void ForwardCall::startAttempt()
 {
     const MonoTime now = monoNow();
-    const auto chosen = this->context.selector.choose(this->query(), now);
+    const ChoiceQuery query = this->query();
+    const auto chosen = this->context.selector.choose(query, now);
     if (!chosen)
         return this->refuse(this->noEndpointRefusal("no_endpoint"));
     this->choice = *chosen;
-    this->logChoice();
+    this->logChoice(query, now);
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen->endpointId);
     this->triedEndpoints.push_back(chosen->endpointId);
     this->head = {};
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -84,7 +84,7 @@
     void recordNotices();
     ForwardRefusal noEndpointRefusal(const char *reason) const;
     void startAttempt();
-    void logChoice() const;
+    void logChoice(const ChoiceQuery &query, MonoTime now) const;
     AttemptMetadata metadataFor(const Choice &choice) const;
     ChoiceQuery query() const;
     RetryConditions retryConditions();
