--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -251,6 +251,27 @@
     cr_assert(fixture.second.exchanges.empty());
 }
 
+// The engine of a stream crashes after the time of its weights is over. Guards against the rest of
+// the stream beginning on such weights elsewhere.
+Test(forwarder, a_stream_does_not_resume_on_weights_whose_time_is_over)
+{
+    OldWeightsFixture fixture(Millis(400));
+    TestEndpoint third(fixture.loop, "third", 18134);
+    fixture.join(third, "models", 1);
+    http::Timer crash;
+    fixture.first.onRequest = [&](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"weight-versions", "1"});
+        exchange->begin(200, headers);
+        exchange->write("id: 1\ndata: x\n\n");
+        crash = fixture.loop.after(Millis(600), [exchange] { exchange->abort(); });
+    };
+    const auto result = fixture.call("stream");
+    cr_assert(not(result.ok));
+    cr_assert(third.exchanges.empty());
+    cr_assert(fixture.second.exchanges.empty());
+}
+
 // An engine that has just joined, is slow or is cut off reports nothing, so its queue is not known.
 Test(forwarder, an_engine_without_a_report_gets_no_request_near_the_limit_of_its_weights)
 {
