Forward: a stream does not resume on weights whose time is over

What callers saw: the rest of a stream that began after its engine's crash on weights that were replaced over 10 s before. Cause: the choice of an endpoint compared the weights with the version that the stream requires, and only otherwise with the oldest version that is allowed. The resumption was exempt from the limit that holds for a first attempt. Change: both conditions hold. If no engine is left, the caller's stream breaks off, and the caller may resume it itself. endpointselector/no_request_begins_on_weights_after_their_timeout stated the exemption in its last check, which was the fault; that check is replaced by a_stream_resumes_on_old_weights_only_until_their_timeout, with both sides of the limit.

--- a/src/forward/endpointselector.cpp
+++ b/src/forward/endpointselector.cpp
@@ -101,8 +101,8 @@
         != query.triedEndpoints.end())
         return false;
     const std::int64_t version = versionIn(endpoint.entry, query.model);
-    if (query.requiredWeights)
-        return version == *query.requiredWeights;
+    if (query.requiredWeights && version != *query.requiredWeights)
+        return false;
     // An engine whose version is not known may have new weights.
     return version == 0 || version >= query.minWeights;
 }
--- a/src/forward/endpointselector_test.cpp
+++ b/src/forward/endpointselector_test.cpp
@@ -358,9 +358,22 @@
     engines.selector.onWeightsLoaded("engine-b", "loom", 2);
     engines.selector.avoid("engine-b", Start + Millis(500));
     cr_assert(engines.choose(query).endpointId == "engine-b");
-    // A stream that has begun on these weights may still resume on them.
+}
+
+// A stream resumes on the weights that it began on, but not longer than other requests may begin
+// on them: the rest of it is a new run.
+Test(endpointselector, a_stream_resumes_on_old_weights_only_until_their_timeout)
+{
+    ThreeEngines engines;
+    ChoiceQuery query = ThreeEngines::query("p");
+    query.newestWeights = 3;
     query.requiredWeights = 1;
-    cr_assert(engines.choose(query).endpointId != "engine-b");
+    query.minWeights = 1;
+    cr_assert(engines.choose(query).weightsVersion == 1);
+    query.minWeights = 2;
+    cr_assert(not(engines.selector.choose(query, Start).has_value()));
+    engines.selector.onWeightsLoaded("engine-b", "loom", 2);
+    cr_assert(not(engines.selector.choose(query, Start).has_value()));
 }
 
 // The weights of an engine are not known, and old ones are no longer allowed: only the engine can
