Forward: a resumed stream of unknown weights requires allowed ones

The resumption of a stream whose engine had not stated its weights required none, so an engine with weights that are too old could run the rest. Change: it requires the version that the choice of the engine demands, as a first attempt does. Measured: with the former forwardcall.cpp 10 of 11 in forwarder_test (the new test fails: no version required), 11 of 11 now.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -171,8 +171,9 @@
     // The cache salt contains the version of the weights, and only an engine that runs this version
     // may execute the attempt, so no request reuses cached parts of other weights. Where the
     // version is not known, a salt of its own keeps the request from sharing cached parts.
-    const std::int64_t version
-        = this->isStreaming ? this->streamWeights.value_or(0) : chosen.requiredWeights;
+    const std::int64_t version = this->isStreaming
+        ? this->streamWeights.value_or(chosen.requiredWeights)
+        : chosen.requiredWeights;
     if (version == 0) {
         metadata.cacheSalt = this->cacheScope + "/request/" + this->request.id;
         return metadata;
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -272,6 +272,31 @@
     cr_assert(fixture.second.exchanges.empty());
 }
 
+// An engine that does not state its weights breaks off a stream after the time of the old ones is
+// over. Guards against a resumption that lets any weights run it.
+Test(forwarder, a_stream_of_unknown_weights_resumes_only_on_allowed_ones)
+{
+    OldWeightsFixture fixture(Millis(400));
+    TestEndpoint third(fixture.loop, "third", 18134);
+    fixture.selector.onLeaving("second", 1, monoNow());
+    fixture.join(third, "models", 0);
+    fixture.selector.avoid("third", monoNow() + Millis(500));
+    http::Timer crash;
+    fixture.first.onRequest = [&](const http::ExchangePtr &exchange) {
+        exchange->begin(200, sealedHeaders(exchange));
+        exchange->write("id: 1\ndata: x\n\n");
+        crash = fixture.loop.after(Millis(600), [exchange] { exchange->abort(); });
+    };
+    std::string required;
+    third.onRequest = [&](const http::ExchangePtr &exchange) {
+        required = http::findHeader(exchange->request().headers, "expected-version");
+        answerStream(exchange);
+    };
+    fixture.call("stream");
+    cr_assert(third.exchanges.size() == 1U);
+    cr_assert(required == "2");
+}
+
 // An engine that has just joined, is slow or is cut off reports nothing, so its queue is not known.
 Test(forwarder, an_engine_without_a_report_gets_no_request_near_the_limit_of_its_weights)
 {
