Log: whether a lost attempt had begun, and its shared parts

Cause: attempt_failed could not tell a request that crashes its engine from the requests that it takes along. No functional change.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -25,6 +25,17 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns the ids of the parts of a prompt that other requests may share.
+std::string sharedPartNames(const std::vector<PromptPart> &parts)
+{
+    std::string names;
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+        names += names.empty() ? "" : ",";
+        names += parts[index].id;
+    }
+    return names;
+}
+
 } // namespace
 
 void ForwardCall::onHead(int status, const http::Headers &headers)
@@ -79,14 +90,22 @@
         && this->head.isSealed && !this->isForeign;
     if (isStream)
         return this->onStreamData(data);
+    if (isSuccess(this->head.status) && this->head.isSealed)
+        this->onAnswerBegun();
     if (this->body.size() + data.size() > MaxBufferedBytes)
         return this->giveUpAttempt("answer_too_large");
     this->body.append(data);
 }
 
+void ForwardCall::onAnswerBegun()
+{
+    this->hasBegun = true;
+}
+
 void ForwardCall::onStreamData(std::string_view data)
 {
     for (RawEvent &event : this->splitter.feed(data)) {
+        this->onAnswerBegun();
         const auto number = parseEventNumber(event.id);
         // A resumed stream may repeat events that the caller has received.
         if (number && *number <= this->lastEvent)
@@ -192,6 +211,8 @@
                   {"endpoint", endpoint},
                   {"end", toString(outcome)},
                   {"reason", reason},
+                  {"begun", this->hasBegun ? 1 : 0},
+                  {"shared_parts", sharedPartNames(this->request.parts)},
                   {"table", this->table->version()}});
     }
     if (this->isStreaming && outcome != AttemptOutcome::Succeeded)
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -232,6 +232,7 @@
     this->body.clear();
     this->splitter.reset();
     this->isForeign = false;
+    this->hasBegun = false;
     this->isPrefillDone = false;
     this->uncachedTokens
         = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -91,6 +91,8 @@
     void onHead(int status, const http::Headers &headers);
     void onData(std::string_view data);
     void onStreamData(std::string_view data);
+    /// The endpoint has begun to answer successfully.
+    void onAnswerBegun();
     void onAnswerEnd();
     void onCallFailed(const http::CallFailure &failure);
     void endAttempt(AttemptOutcome outcome, const std::string &reason);
@@ -133,6 +135,7 @@
     bool hasExpectedWeights = false; ///< whether the attempt states which weights it requires
     bool isPrefillDone = false;
     bool isForeign = false; ///< the answer of this attempt belongs to another request
+    bool hasBegun = false; ///< this attempt has sent a part of a successful answer
     AnswerHead head;
     std::string body;
     std::vector<std::string> triedEndpoints;
