--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -139,8 +139,9 @@
         this->selector.onChange({EndpointChange::Kind::Joined, endpoint.entry(service, weights)});
     }
 
-    /// Sends a request on \a routeName and waits for the end of its answer.
-    http::SyncResult call(const std::string &routeName)
+    /// Sends a request on \a routeName, whose prompt has \a parts if it has one, and waits for the
+    /// end of its answer.
+    http::SyncResult call(const std::string &routeName, const std::string &parts = "a1:80,b2:20")
     {
         http::CallRequest request;
         request.to = RouterAddress;
@@ -153,7 +154,7 @@
         if (isPrompt) {
             request.headers.push_back({"model", Model});
             request.headers.push_back({"token-count", "100,10"});
-            request.headers.push_back({"prefix-hash", "a1:80,b2:20"});
+            request.headers.push_back({"prefix-hash", parts});
         }
         http::SyncResult result;
         const auto onAnswer
@@ -428,3 +429,32 @@
     cr_assert(result.response.body == "done", "%d %s", result.response.status,
               result.response.body.c_str());
 }
+
+// One part of the prompts crashes each engine that begins to answer. Guards against requests with
+// this part being sent on to engines that are still alive, and against sound ones being refused.
+Test(forwarder, a_part_that_crashes_engines_is_not_sent_to_them_again)
+{
+    constexpr int Crashes = 5;
+    Fixture fixture;
+    fixture.join(fixture.first, "models", 1);
+    fixture.first.onRequest = [](const http::ExchangePtr &exchange) {
+        const std::string parts(http::findHeader(exchange->request().headers, "prefix-hash"));
+        return parts.find("dead:") == std::string::npos ? answerStream(exchange)
+                                                        : exchange->abort();
+    };
+    RegisteredEndpoint restarted = fixture.first.entry("models", 1);
+    for (int crash = 1; crash <= Crashes; ++crash) {
+        fixture.call("once", "a1:80,dead:10,own" + std::to_string(crash) + ":20");
+        ++restarted.startMillis;
+        fixture.selector.onChange({EndpointChange::Kind::Restarted, restarted});
+        fixture.loop.runFor(Millis(300));
+        cr_assert(fixture.call("once", "a1:80,c3:10,own:20").response.status == 200);
+    }
+    fixture.loop.runFor(Millis(1200));
+    const std::size_t reached = fixture.first.exchanges.size();
+    const auto refused = fixture.call("once", "a1:80,dead:10,own:20");
+    cr_assert(fixture.first.exchanges.size() == reached);
+    cr_assert(refused.response.status == 503);
+    cr_assert(not(http::findHeader(refused.response.headers, "retry-after").empty()));
+    cr_assert(fixture.call("once", "a1:80,c3:10,own:21").response.status == 200);
+}
