Forward: prompt parts that crash engines are found and not sent on

Cause: each crash was handled as the failure of one engine; the request was repeated on the next, and no instance knew what the lost requests had in common. The class: a fault that travels with the request, treated as a fault of the endpoint. Ruled out: repeats alone (with two attempts a request, most crashes came from requests that were new). Change: CrashAttribution (pure, routing/) suspects the shared parts of requests whose engine ended before their answers began, clears a part as soon as any engine begins an answer to it, and blocks it after crashes of three engines at different times. CrashMonitor shares crashes, blocks and cleared parts among all instances. Requests with a blocked part get 503 and the time of the next trial, at once; one request a minute finds out whether the part still crashes engines. Those that wait at an engine with it are ended.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -25,15 +25,14 @@
     return status >= 200 && status < 300;
 }
 
-/// Returns the ids of the parts of a prompt that other requests may share.
-std::string sharedPartNames(const std::vector<PromptPart> &parts)
+std::string joined(const std::vector<PartId> &parts)
 {
-    std::string names;
-    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
-        names += names.empty() ? "" : ",";
-        names += parts[index].id;
+    std::string text;
+    for (const PartId &part : parts) {
+        text += text.empty() ? "" : ",";
+        text += part;
     }
-    return names;
+    return text;
 }
 
 } // namespace
@@ -99,7 +98,9 @@
 
 void ForwardCall::onAnswerBegun()
 {
-    this->hasBegun = true;
+    if (std::exchange(this->hasBegun, true))
+        return;
+    this->context.crashMonitor.onAnswerBegun(this->engine, this->sharedParts, monoNow());
 }
 
 void ForwardCall::onStreamData(std::string_view data)
@@ -166,6 +167,8 @@
     this->call = nullptr;
     if (this->isFinished)
         return;
+    if (failure.mayHaveBeenSent && failure.connectionLost && !this->hasBegun)
+        this->context.crashMonitor.onAttemptLost(this->engine, this->sharedParts, monoNow());
     if (!failure.mayHaveBeenSent)
         return this->endAttempt(AttemptOutcome::NeverSent, failure.reason);
     this->endAttempt(AttemptOutcome::Broken, failure.reason);
@@ -199,22 +202,25 @@
     this->choice.endpointId.clear();
 }
 
+void ForwardCall::logFailedAttempt(AttemptOutcome outcome, const std::string &reason) const
+{
+    this->context.metrics.countAttemptFailure(toString(outcome));
+    logEvent(LogLevel::Info, "attempt_failed",
+             {{"request", this->request.id},
+              {"endpoint", this->choice.endpointId},
+              {"end", toString(outcome)},
+              {"reason", reason},
+              {"begun", this->hasBegun ? 1 : 0},
+              {"shared_parts", joined(this->sharedParts)},
+              {"table", this->table->version()}});
+}
+
 void ForwardCall::endAttempt(AttemptOutcome outcome, const std::string &reason)
 {
-    const std::string endpoint = this->choice.endpointId;
+    if (outcome != AttemptOutcome::Succeeded)
+        this->logFailedAttempt(outcome, reason);
     this->avoidEndpoint(outcome);
     this->releaseAttempt();
-    if (outcome != AttemptOutcome::Succeeded) {
-        this->context.metrics.countAttemptFailure(toString(outcome));
-        logEvent(LogLevel::Info, "attempt_failed",
-                 {{"request", this->request.id},
-                  {"endpoint", endpoint},
-                  {"end", toString(outcome)},
-                  {"reason", reason},
-                  {"begun", this->hasBegun ? 1 : 0},
-                  {"shared_parts", sharedPartNames(this->request.parts)},
-                  {"table", this->table->version()}});
-    }
     if (this->isStreaming && outcome != AttemptOutcome::Succeeded)
         return this->resumeOrAbortStream(reason);
     switch (this->retryState.onAttemptEnd(outcome, this->retryConditions())) {
@@ -227,10 +233,19 @@
     case RetryDecision::Refuse:
         return this->refuse(this->noEndpointRefusal("endpoints_refuse"));
     case RetryDecision::Fail:
-        this->exchange->respond(
-            this->context.adapter.writeRefusal({502, reason, {}}, this->request.id));
-        return this->finish(502, "unknown");
+        return this->fail(reason);
+    }
+}
+
+void ForwardCall::fail(const std::string &reason)
+{
+    if (this->isStreaming) {
+        this->exchange->abort();
+        return this->finish(0, "broken_stream");
     }
+    this->exchange->respond(
+        this->context.adapter.writeRefusal({502, reason, {}}, this->request.id));
+    this->finish(502, "unknown");
 }
 
 // The caller has received part of the stream and keeps it, so another attempt may only continue
@@ -244,8 +259,7 @@
                  {{"request", this->request.id}, {"after", this->lastEventId}, {"reason", reason}});
         return this->startAttempt();
     }
-    this->exchange->abort();
-    this->finish(0, "broken_stream");
+    this->fail(reason);
 }
 
 void ForwardCall::forwardAnswer()
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -47,6 +47,10 @@
         return this->refuse({503, "no_configuration", NoConfigurationRetryAfter});
     if (!this->findRoute() || !this->authenticate())
         return;
+    if (!this->request.model.empty())
+        this->sharedParts = sharedPartIds(this->request.parts);
+    if (this->refuseBlockedPrompt())
+        return;
     const Millis callerTimeout = this->request.callerTimeout.value_or(DefaultCallerTimeout);
     const Millis bound = std::min(callerTimeout - AnswerMargin, this->route->timeout);
     this->deadline = this->arrivedAt + bound;
@@ -85,6 +89,18 @@
     return false;
 }
 
+bool ForwardCall::refuseBlockedPrompt()
+{
+    const MonoTime now = monoNow();
+    const auto until = this->context.crashMonitor.refusedUntil(this->sharedParts, now);
+    if (!until)
+        return false;
+    ForwardRefusal refusal{503, "crashing_part", std::chrono::ceil<Millis>(*until - now)};
+    refusal.isRetryHopelessBefore = true;
+    this->refuse(std::move(refusal));
+    return true;
+}
+
 void ForwardCall::admit()
 {
     if (!this->organisation || this->organisation->tokensPerSecond <= 0)
@@ -145,7 +161,8 @@
     const MonoTime now = monoNow();
     RetryConditions conditions;
     conditions.hasBudget = this->context.budget.allowsRetry(this->service, now);
-    conditions.hasCandidate = this->context.selector.hasCandidate(this->query(), now);
+    conditions.hasCandidate = !this->context.crashMonitor.isBlocked(this->sharedParts)
+        && this->context.selector.hasCandidate(this->query(), now);
     conditions.hasTime = this->deadline - now > MinRetryTime;
     return conditions;
 }
@@ -227,6 +244,7 @@
     this->choice = *chosen;
     this->logChoice(query, now);
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen->endpointId);
+    this->engine = {endpoint->id, endpoint->startMillis};
     this->triedEndpoints.push_back(chosen->endpointId);
     this->head = {};
     this->body.clear();
@@ -279,6 +297,17 @@
     this->finish(504, "unknown");
 }
 
+void ForwardCall::onPartsBlocked()
+{
+    if (this->isFinished || !this->call || this->hasBegun
+        || !this->context.crashMonitor.isBlocked(this->sharedParts))
+        return;
+    this->logFailedAttempt(AttemptOutcome::Broken, "crashing_part");
+    this->cancelAttempt();
+    this->retryState.onAttemptEnd(AttemptOutcome::Broken, {});
+    this->fail("crashing_part");
+}
+
 void ForwardCall::onCallerGone()
 {
     if (this->isFinished)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/adapter.h"
+#include "forward/crashmonitor.h"
 #include "forward/endpointselector.h"
 #include "http/server.h"
 #include "router/metrics.h"
@@ -48,6 +49,7 @@
     Metrics &metrics;
     EndpointSelector &selector;
     RetryBudget &budget;
+    CrashMonitor &crashMonitor;
     http::Client client;
     TokenAdmission admission;
     RoutingTablePtr table; ///< nullptr until a configuration is known
@@ -72,10 +74,15 @@
 
     /// Begins to process the request.
     void start();
+    /// Parts of prompts were blocked: ends the attempt in progress if it has one of them and its
+    /// answer has not begun.
+    void onPartsBlocked();
 
 private:
     void refuse(ForwardRefusal refusal);
     bool findRoute();
+    /// Refuses the request if its prompt has a part that crashes engines.
+    bool refuseBlockedPrompt();
     bool authenticate();
     void admit();
     void onAdmitted();
@@ -97,6 +104,9 @@
     void onCallFailed(const http::CallFailure &failure);
     void endAttempt(AttemptOutcome outcome, const std::string &reason);
     void resumeOrAbortStream(const std::string &reason);
+    void logFailedAttempt(AttemptOutcome outcome, const std::string &reason) const;
+    /// Ends a request that may have run without a complete answer.
+    void fail(const std::string &reason);
     void avoidEndpoint(AttemptOutcome outcome);
     void releaseAttempt();
     /// Ends the attempt in progress without an answer, for \a reason.
@@ -119,6 +129,7 @@
     std::string service;
     std::string cacheScope; ///< start of the cache salt: who shares cached parts, and the model
     PromptChain chain;
+    std::vector<PartId> sharedParts; ///< of the prompt
     RetryState retryState{false, 1}; ///< replaced in start()
     double randomDraw = 0; ///< see ChoiceQuery
     MonoTime arrivedAt{};
@@ -130,6 +141,7 @@
 
     http::CallPtr call;
     Choice choice;
+    Incarnation engine; ///< that the attempt was sent to
     std::int64_t uncachedTokens = 0;
     http::Timer startLimitTimer; ///< runs until the attempt has begun, see Choice::startLimit
     bool hasExpectedWeights = false; ///< whether the attempt states which weights it requires
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -25,6 +25,10 @@
 // One instance of each region tells the others when weights were named, this often.
 constexpr const char *NamedWeightsTask = "tell when weights were named";
 constexpr Millis NamedWeightsInterval{1000};
+// One instance of each region tells the others which parts of prompts are blocked. One instance of
+// the fleet sends the requests that find out whether a part still crashes engines.
+constexpr const char *BlockedPartsTask = "tell which parts are blocked";
+const std::string PartTrialTask = "try part ";
 // Two instances of the fleet try to acquire the lease of the rollout, each of which reads it
 // several times a second. Two others in each region do so only if there is no progress for a while,
 // and all others only after a longer while.
@@ -78,12 +82,14 @@
     , timeline(this->settings.instance, TimelineCapacity)
     , store(loop, this->settings.store, adapter.objects)
     , selector({this->settings.zone, this->settings.regionOfZone}, {})
+    , crashMonitor(this->crashMonitorHooks())
     , context{
           loop,
           adapter,
           this->metrics,
           this->selector,
           this->budget,
+          this->crashMonitor,
           http::Client(loop),
           {},
           nullptr,
@@ -132,10 +138,9 @@
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
         this->loadMonitor.onWeightsNotice(notice, monoNow());
     };
-    engineUpdates.onLoadNews = [this](const proto::LoadNews &loadNews) {
-        this->loadMonitor.onLoadNews(loadNews, monoNow());
-        this->applyNamedTimes(loadNews);
-    };
+    engineUpdates.onLoadNews = [this](const proto::LoadNews &news) { this->applyLoadNews(news); };
+    engineUpdates.onCrashNews
+        = [this](const proto::CrashNews &news) { this->crashMonitor.onNews(news, monoNow()); };
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
     this->context.admission = this->rateLimiter.admission();
     this->rollout.setBroadcast(this->engineBroadcast());
@@ -197,6 +202,18 @@
     return broadcast;
 }
 
+CrashMonitorHooks ForwardDaemon::crashMonitorHooks()
+{
+    CrashMonitorHooks hooks;
+    hooks.broadcast = [this](const proto::CrashNews &news) { this->fleet.broadcast(news); };
+    hooks.isTeller = [this] { return this->fleet.isAssigned(BlockedPartsTask, 1); };
+    hooks.isTrialInstance = [this](const PartId &part) {
+        return this->fleet.isAssigned(PartTrialTask + part, 1, TaskScope::Fleet);
+    };
+    hooks.onPartsBlocked = [this] { this->forwarder.onPartsBlocked(); };
+    return hooks;
+}
+
 StoreReplicaHandlers ForwardDaemon::storeReplicaHandlers()
 {
     StoreReplicaHandlers handlers;
@@ -314,6 +331,17 @@
     this->rollout.setNamedWeights(this->context.namedWeights);
 }
 
+void ForwardDaemon::applyLoadNews(const proto::LoadNews &news)
+{
+    const MonoTime now = monoNow();
+    this->loadMonitor.onLoadNews(news, now);
+    for (const proto::EngineLoad &load : news.loads()) {
+        if (load.avoid_ms() == 0)
+            this->crashMonitor.onEngineAlive({load.endpoint(), load.born_ms()}, now);
+    }
+    this->applyNamedTimes(news);
+}
+
 void ForwardDaemon::applyNamedTimes(const proto::LoadNews &news)
 {
     if (news.named().empty())
@@ -360,6 +388,7 @@
 {
     const MonoTime now = monoNow();
     this->tellNamedTimes(now);
+    this->crashMonitor.onTick(now);
     this->directory.onTick(now);
     this->applyDirectoryChanges();
     this->rollout.setTakeoverDelay(this->takeoverJitter + this->rolloutTakeoverDelay());
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/crashmonitor.h"
 #include "forward/forwarder.h"
 #include "forward/loadmonitor.h"
 #include "forward/ratelimiter.h"
@@ -34,6 +35,9 @@
 private:
     StoreReplicaHandlers storeReplicaHandlers();
     EngineBroadcast engineBroadcast();
+    CrashMonitorHooks crashMonitorHooks();
+    /// Handles loads that other instances have requested, and what comes with them.
+    void applyLoadNews(const proto::LoadNews &news);
     void applyEvent(ObjectKind kind, const ObjectEvent &event);
     void applyTable(const Json &content, std::int64_t revision);
     void applyEndpoint(const StoredObject &object);
@@ -62,6 +66,7 @@
     EndpointDirectory directory;
     EndpointSelector selector;
     RetryBudget budget;
+    CrashMonitor crashMonitor;
     ForwardContext context;
     Forwarder forwarder;
     RolloutController rollout;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -38,4 +38,12 @@
     call->start();
 }
 
+void Forwarder::onPartsBlocked()
+{
+    // Requests that end leave the set.
+    const std::set<std::shared_ptr<ForwardCall>> open = this->calls;
+    for (const std::shared_ptr<ForwardCall> &call : open)
+        call->onPartsBlocked();
+}
+
 } // namespace lavenderhall
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -93,6 +93,9 @@
     Metrics metrics;
     EndpointSelector selector{{Zone, {{Zone, "ra"}}}, {}};
     RetryBudget budget{RetryBudgetSettings{0.2, 50, Millis(10'000), 1}};
+    CrashMonitor crashMonitor{{[](const proto::CrashNews &) {}, [] { return false; },
+                               [](const PartId &) { return true; },
+                               [this] { this->forwarder.onPartsBlocked(); }}};
     std::vector<std::string> replaced;
     std::vector<std::string> leaving;
     ForwardContext context{this->loop,
@@ -100,6 +103,7 @@
                            this->metrics,
                            this->selector,
                            this->budget,
+                           this->crashMonitor,
                            http::Client(this->loop),
                            {},
                            nullptr,
@@ -451,6 +455,7 @@
         cr_assert(fixture.call("once", "a1:80,c3:10,own:20").response.status == 200);
     }
     fixture.loop.runFor(Millis(1200));
+    fixture.crashMonitor.onTick(monoNow());
     const std::size_t reached = fixture.first.exchanges.size();
     const auto refused = fixture.call("once", "a1:80,dead:10,own:20");
     cr_assert(fixture.first.exchanges.size() == reached);
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -320,6 +320,10 @@
         if (this->engineUpdateHandlers.onLoadNews)
             this->engineUpdateHandlers.onLoadNews(message.load_news());
         return;
+    case proto::Envelope::kCrashNews:
+        if (this->engineUpdateHandlers.onCrashNews)
+            this->engineUpdateHandlers.onCrashNews(message.crash_news());
+        return;
     case proto::Envelope::kSeatHints:
         if (message.seat_hints().wants_all()) {
             proto::Envelope answer;
@@ -461,6 +465,13 @@
     this->broadcast(message);
 }
 
+void Fleet::broadcast(const proto::CrashNews &news)
+{
+    proto::Envelope message;
+    *message.mutable_crash_news() = news;
+    this->broadcast(message);
+}
+
 void Fleet::broadcast(const proto::Envelope &message)
 {
     for (const proto::Member &member : this->members->alive())
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -41,6 +41,7 @@
 {
     std::function<void(const proto::WeightsNotice &notice)> onWeightsNotice;
     std::function<void(const proto::LoadNews &news)> onLoadNews;
+    std::function<void(const proto::CrashNews &news)> onCrashNews;
 };
 
 /// Access to the stored seat records. A seat is the right to decide on a part of the limits.
@@ -92,6 +93,7 @@
     /// Sends the message to all other live instances.
     void broadcast(const proto::WeightsNotice &notice);
     void broadcast(const proto::LoadNews &news);
+    void broadcast(const proto::CrashNews &news);
     /// Adds addresses at which members may be found.
     void addSeeds(const std::vector<Address> &seeds) { this->members->addSeeds(seeds); }
 
--- /dev/null
+++ b/src/routing/crashattribution.cpp
@@ -0,0 +1,187 @@
+#include "routing/crashattribution.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lavenderhall {
+
+namespace {
+
+// Sound parts that few requests have may by chance be at one or two engines that crash.
+constexpr std::size_t CrashesToBlock = 3;
+// Engines that crash together, as a rack does, have a common cause that is no request.
+constexpr Millis MinTimeBetweenCrashes{250};
+// A connection that ended is a crash only if the engine then shows no sign of life. Reports of
+// engines reach all instances within this time.
+constexpr Millis ConfirmationTime{1000};
+// A sign of life that another instance tells of may be this old.
+constexpr Millis MaxNewsDelay{500};
+// At most one request in this time finds out whether a blocked part still crashes engines.
+constexpr Millis TrialInterval = std::chrono::minutes(1);
+constexpr Millis SuspicionLifetime = std::chrono::minutes(10);
+// News of a crash arrive within this time.
+constexpr Millis BegunLifetime = std::chrono::seconds(5);
+constexpr Millis ForgetInterval = std::chrono::seconds(1);
+
+/// Returns how many confirmed \a crashes were not together with an earlier one.
+std::size_t distinctCrashes(const std::map<Incarnation, MonoTime> &crashes, MonoTime now)
+{
+    std::vector<MonoTime> times;
+    for (const auto &[engine, at] : crashes) {
+        if (now - at >= ConfirmationTime)
+            times.push_back(at);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    std::optional<MonoTime> last;
+    for (const MonoTime at : times) {
+        if (last && at - *last < MinTimeBetweenCrashes)
+            continue;
+        last = at;
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+// News of a crash may arrive after an answer has begun that followed the crash.
+void CrashAttribution::onCrash(const EngineCrash &crash)
+{
+    for (const PartId &part : crash.parts) {
+        const auto begun = this->begunAt.find(part);
+        if (begun != this->begunAt.end() && begun->second >= crash.at)
+            continue;
+        const auto blockedPart = this->blocked.find(part);
+        if (blockedPart != this->blocked.end()) {
+            blockedPart->second = std::max(blockedPart->second, crash.at);
+            continue;
+        }
+        this->suspects[part].emplace(crash.engine, crash.at);
+    }
+}
+
+bool CrashAttribution::clear(const PartId &part)
+{
+    const bool wasSuspect = this->suspects.erase(part) > 0;
+    const bool wasBlocked = this->blocked.erase(part) > 0;
+    return wasSuspect || wasBlocked;
+}
+
+std::vector<PartId> CrashAttribution::onAnswerBegun(const std::vector<PartId> &parts, MonoTime now)
+{
+    std::vector<PartId> cleared;
+    for (const PartId &part : parts) {
+        MonoTime &begun = this->begunAt[part];
+        begun = std::max(begun, now);
+        if (this->clear(part))
+            cleared.push_back(part);
+    }
+    return cleared;
+}
+
+void CrashAttribution::onEngineAlive(const Incarnation &engine, MonoTime at)
+{
+    for (auto &[part, crashes] : this->suspects) {
+        const auto found = crashes.find(engine);
+        if (found != crashes.end() && found->second + MaxNewsDelay < at)
+            crashes.erase(found);
+    }
+    std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
+}
+
+bool CrashAttribution::onBlocked(const BlockedPart &news)
+{
+    const auto begun = this->begunAt.find(news.part);
+    if (begun != this->begunAt.end() && begun->second >= news.blockedAt)
+        return false;
+    const auto [found, isNew] = this->blocked.emplace(news.part, news.blockedAt);
+    found->second = std::max(found->second, news.blockedAt);
+    this->suspects.erase(news.part);
+    return isNew;
+}
+
+std::vector<PartId> CrashAttribution::mostSuspected(MonoTime now) const
+{
+    std::size_t most = CrashesToBlock;
+    std::vector<PartId> found;
+    for (const auto &[part, crashes] : this->suspects) {
+        const std::size_t count = distinctCrashes(crashes, now);
+        if (count < most)
+            continue;
+        if (count > most)
+            found.clear();
+        most = count;
+        found.push_back(part);
+    }
+    return found;
+}
+
+// A part that is blocked explains the crashes under it: other parts, which were at the same engines
+// by chance, are no longer suspected for them.
+std::vector<BlockedPart> CrashAttribution::blockNewParts(MonoTime now)
+{
+    this->forgetOld(now);
+    std::vector<BlockedPart> newlyBlocked;
+    std::set<Incarnation> explained;
+    for (const PartId &part : this->mostSuspected(now)) {
+        for (const auto &[engine, at] : this->suspects[part])
+            explained.insert(engine);
+        this->suspects.erase(part);
+        this->blocked[part] = now;
+        newlyBlocked.push_back({part, now});
+    }
+    if (explained.empty())
+        return newlyBlocked;
+    for (auto &[part, crashes] : this->suspects)
+        std::erase_if(crashes, [&](const auto &crash) { return explained.contains(crash.first); });
+    std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
+    return newlyBlocked;
+}
+
+std::optional<BlockedPart> CrashAttribution::findBlocked(const std::vector<PartId> &parts) const
+{
+    for (const PartId &part : parts) {
+        const auto found = this->blocked.find(part);
+        if (found != this->blocked.end())
+            return BlockedPart{part, found->second};
+    }
+    return std::nullopt;
+}
+
+MonoTime CrashAttribution::nextTrial(const BlockedPart &blocked)
+{
+    return blocked.blockedAt + TrialInterval;
+}
+
+void CrashAttribution::onTrial(const PartId &part, MonoTime now)
+{
+    const auto found = this->blocked.find(part);
+    if (found != this->blocked.end())
+        found->second = now;
+}
+
+std::vector<BlockedPart> CrashAttribution::blockedParts() const
+{
+    std::vector<BlockedPart> found;
+    for (const auto &[part, blockedAt] : this->blocked)
+        found.push_back({part, blockedAt});
+    return found;
+}
+
+void CrashAttribution::forgetOld(MonoTime now)
+{
+    if (now - this->forgottenAt < ForgetInterval)
+        return;
+    this->forgottenAt = now;
+    for (auto &[part, crashes] : this->suspects)
+        std::erase_if(crashes,
+                      [now](const auto &crash) { return now - crash.second > SuspicionLifetime; });
+    std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
+    std::erase_if(this->begunAt,
+                  [now](const auto &begun) { return now - begun.second > BegunLifetime; });
+    std::erase_if(this->blocked,
+                  [now](const auto &part) { return now - part.second > SuspicionLifetime; });
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/routing/crashattribution.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/clock.h"
+#include "routing/endpointnotices.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// Finds the parts of prompts that crash engines. A few requests in a hundred share a part under
+/// which each engine ends that begins to answer; every one of them may come to another instance,
+/// and each crash takes sound requests along that share all other parts.
+namespace lavenderhall {
+
+/// Identifies a part of a prompt, whatever stands before it.
+using PartId = std::string;
+
+/// An engine that ended while requests waited there for the beginning of their answers.
+struct EngineCrash
+{
+    Incarnation engine;
+    std::vector<PartId> parts; ///< shared parts of the prompts of these requests
+    MonoTime at{};
+
+    auto operator<=>(const EngineCrash &) const = default;
+};
+
+/// A part that is not to be sent to engines.
+struct BlockedPart
+{
+    PartId part;
+    MonoTime blockedAt{};
+
+    auto operator<=>(const BlockedPart &) const = default;
+};
+
+/// Suspects a part once engines have crashed under it, and clears it as soon as any engine begins
+/// an answer to a prompt that has it. A part is blocked if several engines have crashed under it
+/// at different times and none has begun an answer in between.
+class CrashAttribution
+{
+public:
+    /// Records a crash that this or another instance has seen.
+    void onCrash(const EngineCrash &crash);
+    /// An answer to a prompt with \a parts has begun, so none of them crashes engines. Returns
+    /// those that were suspected or blocked.
+    std::vector<PartId> onAnswerBegun(const std::vector<PartId> &parts, MonoTime now);
+    /// The engine was alive at \a at: what was taken for its crash before then was none.
+    void onEngineAlive(const Incarnation &engine, MonoTime at);
+    /// Another instance has blocked the part. Returns whether this is news.
+    bool onBlocked(const BlockedPart &blocked);
+    /// Blocks the parts whose crashes suffice, and returns them.
+    std::vector<BlockedPart> blockNewParts(MonoTime now);
+
+    /// Returns the first of \a parts that is blocked, or nothing.
+    std::optional<BlockedPart> findBlocked(const std::vector<PartId> &parts) const;
+    /// Returns when one request with the part may be sent to find out whether it still crashes
+    /// engines.
+    static MonoTime nextTrial(const BlockedPart &blocked);
+    /// A request with the blocked part is sent as a trial; the next one may follow later.
+    void onTrial(const PartId &part, MonoTime now);
+    /// Returns all blocked parts.
+    std::vector<BlockedPart> blockedParts() const;
+
+    bool operator==(const CrashAttribution &) const = default;
+
+private:
+    /// The engines that have crashed under one part since an answer to it began, and when.
+    using Crashes = std::map<Incarnation, MonoTime>;
+
+    bool clear(const PartId &part);
+    /// Returns the parts under which engines have crashed at the most different times.
+    std::vector<PartId> mostSuspected(MonoTime now) const;
+    void forgetOld(MonoTime now);
+
+    std::unordered_map<PartId, Crashes> suspects;
+    std::map<PartId, MonoTime> blocked; ///< when last blocked, or last tried
+    std::unordered_map<PartId, MonoTime> begunAt; ///< when an answer to the part last began
+    MonoTime forgottenAt{};
+};
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/routing/crashattribution_test.cpp
@@ -0,0 +1,132 @@
+#include "routing/crashattribution.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace lavenderhall;
+
+namespace {
+
+constexpr MonoTime Start{std::chrono::seconds(1000)};
+constexpr Millis Confirmed{1000};
+
+Incarnation engine(int number)
+{
+    return {"engine-" + std::to_string(number), 1};
+}
+
+/// Crashes of engines, each of its own, at the given times after the start.
+void crashAt(CrashAttribution &attribution, const std::vector<PartId> &parts,
+             const std::vector<Millis> &times)
+{
+    int number = 0;
+    for (const Millis time : times)
+        attribution.onCrash({engine(++number), parts, Start + time});
+}
+
+bool isBlocked(const CrashAttribution &attribution, const PartId &part)
+{
+    return attribution.findBlocked({part}).has_value();
+}
+
+} // namespace
+
+// The load pattern: requests share the route's first part, one in twenty has the deadly part, and
+// each crash takes sound requests along.
+Test(crashattribution, the_part_under_which_engines_crash_is_blocked_and_no_other)
+{
+    CrashAttribution attribution;
+    MonoTime now = Start;
+    for (int crash = 1; crash <= 5; ++crash) {
+        now += Millis(400);
+        const PartId bystander = "bystander-" + std::to_string(crash);
+        attribution.onCrash({engine(crash), {"route", "deadly", bystander}, now});
+        attribution.onAnswerBegun({"route", "sound"}, now + Millis(30));
+        attribution.blockNewParts(now + Millis(100));
+    }
+    attribution.blockNewParts(now + Confirmed);
+    cr_assert(isBlocked(attribution, "deadly"));
+    cr_assert(not(isBlocked(attribution, "route")));
+    cr_assert(not(isBlocked(attribution, "bystander-5")));
+    cr_assert(attribution.blockedParts().size() == 1U);
+}
+
+Test(crashattribution, two_crashes_block_nothing)
+{
+    CrashAttribution attribution;
+    crashAt(attribution, {"part"}, {Millis(0), Millis(400)});
+    cr_assert(attribution.blockNewParts(Start + Millis(5000)).empty());
+}
+
+// A rack of engines ends at once. Guards against the part that all requests share being blocked
+// while no engine is left to begin an answer.
+Test(crashattribution, engines_that_crash_together_block_nothing)
+{
+    CrashAttribution attribution;
+    crashAt(attribution, {"route"},
+            {Millis(0), Millis(10), Millis(60), Millis(120), Millis(180), Millis(240)});
+    cr_assert(attribution.blockNewParts(Start + Millis(5000)).empty());
+}
+
+Test(crashattribution, one_engine_that_loses_connections_blocks_nothing)
+{
+    CrashAttribution attribution;
+    for (int loss = 0; loss < 10; ++loss)
+        attribution.onCrash({engine(1), {"part"}, Start + Millis(400) * loss});
+    cr_assert(attribution.blockNewParts(Start + Millis(9000)).empty());
+}
+
+// Engines that reset some connections and go on are not crashed.
+Test(crashattribution, an_engine_that_lives_on_has_not_crashed)
+{
+    CrashAttribution attribution;
+    crashAt(attribution, {"part"}, {Millis(0), Millis(400), Millis(800)});
+    attribution.onEngineAlive(engine(2), Start + Millis(1500));
+    cr_assert(attribution.blockNewParts(Start + Millis(5000)).empty());
+    // News of a report from before the crash, told afterwards, says nothing.
+    crashAt(attribution, {"other"}, {Millis(0), Millis(400), Millis(800)});
+    attribution.onEngineAlive(engine(2), Start + Millis(600));
+    cr_assert(attribution.blockNewParts(Start + Millis(5000)).size() == 1U);
+}
+
+// The beginning of an answer counts from its own time, in whichever order the news arrive.
+Test(crashattribution, an_answer_that_began_after_a_crash_clears_the_part)
+{
+    CrashAttribution attribution;
+    attribution.onAnswerBegun({"part"}, Start + Millis(900));
+    crashAt(attribution, {"part"}, {Millis(0), Millis(400), Millis(800)});
+    cr_assert(attribution.blockNewParts(Start + Millis(5000)).empty());
+    crashAt(attribution, {"part"}, {Millis(1000), Millis(1400), Millis(1800)});
+    cr_assert(attribution.blockNewParts(Start + Millis(5000)).size() == 1U);
+    cr_assert(attribution.onAnswerBegun({"part"}, Start + Millis(6000)).size() == 1U);
+    cr_assert(not(isBlocked(attribution, "part")));
+    // Instances that have not heard of it tell of the block once more.
+    cr_assert(not(attribution.onBlocked({"part", Start + Millis(5000)})));
+}
+
+// A part that was at each engine by chance has the same crashes as the deadly one, less one.
+Test(crashattribution, a_blocked_part_explains_its_crashes)
+{
+    CrashAttribution attribution;
+    crashAt(attribution, {"deadly"}, {Millis(0), Millis(400), Millis(800), Millis(1200)});
+    crashAt(attribution, {"unlucky"}, {Millis(0), Millis(400), Millis(800)});
+    const auto blocked = attribution.blockNewParts(Start + Millis(3000));
+    cr_assert(blocked.size() == 1U);
+    cr_assert(blocked.front().part == "deadly");
+    cr_assert(attribution.blockNewParts(Start + Millis(3000)).empty());
+}
+
+// Guards against requests with the part reaching engines again and again while they still come.
+Test(crashattribution, a_blocked_part_is_tried_once_a_minute)
+{
+    CrashAttribution attribution;
+    crashAt(attribution, {"part"}, {Millis(0), Millis(400), Millis(800)});
+    attribution.blockNewParts(Start + Millis(2000));
+    const MonoTime trial = CrashAttribution::nextTrial(*attribution.findBlocked({"part"}));
+    cr_assert(trial == Start + Millis(62'000));
+    attribution.onTrial("part", trial);
+    attribution.onCrash({engine(9), {"part"}, trial + Millis(300)});
+    const auto blocked = attribution.findBlocked({"part"});
+    cr_assert(blocked.has_value());
+    cr_assert(CrashAttribution::nextTrial(*blocked) == trial + Millis(60'300));
+}
