Forward: of parts that come together, the one that was never answered is blocked

What callers saw: sound requests could be refused that share with the deadly ones a part that stands before the deadly one. Cause: both parts have the same crashes, and both were blocked. Change: instances remember for two minutes under which parts answers have begun, tell it once of a part that is at an engine that crashed, and block such parts only if no other part explains the crashes.

--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -51,12 +51,18 @@
     return ids;
 }
 
+void CrashMonitor::recordCrash(const EngineCrash &crash, MonoTime now)
+{
+    for (const BegunPart &begun : this->attribution.onCrash(crash))
+        *this->pendingNews.add_begun() = partNews(begun.part, ageOf(begun.begunAt, now));
+}
+
 void CrashMonitor::onAttemptLost(const Incarnation &engine, const std::vector<PartId> &parts,
                                  MonoTime now)
 {
     if (parts.empty())
         return;
-    this->attribution.onCrash({engine, parts, now});
+    this->recordCrash({engine, parts, now}, now);
     EngineCrash &crash
         = this->pendingCrashes.try_emplace(engine, EngineCrash{engine, {}, now}).first->second;
     for (const PartId &part : parts) {
@@ -83,11 +89,12 @@
 void CrashMonitor::onNews(const proto::CrashNews &news, MonoTime now)
 {
     for (const proto::EngineCrash &crash : news.crashes())
-        this->attribution.onCrash({{crash.endpoint(), crash.born_ms()},
-                                   {crash.parts().begin(), crash.parts().end()},
-                                   now - Millis(crash.age_ms())});
+        this->recordCrash({{crash.endpoint(), crash.born_ms()},
+                           {crash.parts().begin(), crash.parts().end()},
+                           now - Millis(crash.age_ms())},
+                          now);
     for (const proto::PartNews &begun : news.begun())
-        this->attribution.onAnswerBegun({begun.part()}, timeOf(begun, now));
+        this->attribution.onBegunElsewhere({begun.part(), timeOf(begun, now)});
     bool isAnyNew = false;
     for (const proto::PartNews &told : news.blocked()) {
         const BlockedPart blocked{told.part(), timeOf(told, now)};
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -56,6 +56,7 @@
     std::optional<MonoTime> refusedUntil(const std::vector<PartId> &parts, MonoTime now);
 
 private:
+    void recordCrash(const EngineCrash &crash, MonoTime now);
     void block(MonoTime now);
     void collectBlocked(const BlockedPart &blocked, MonoTime now);
     void flush(MonoTime now);
--- a/src/routing/crashattribution.cpp
+++ b/src/routing/crashattribution.cpp
@@ -19,8 +19,7 @@
 // At most one request in this time finds out whether a blocked part still crashes engines.
 constexpr Millis TrialInterval = std::chrono::minutes(1);
 constexpr Millis SuspicionLifetime = std::chrono::minutes(10);
-// News of a crash arrive within this time.
-constexpr Millis BegunLifetime = std::chrono::seconds(5);
+constexpr Millis BegunLifetime = std::chrono::minutes(2);
 constexpr Millis ForgetInterval = std::chrono::seconds(1);
 
 /// Returns how many confirmed \a crashes were not together with an earlier one.
@@ -46,12 +45,20 @@
 } // namespace
 
 // News of a crash may arrive after an answer has begun that followed the crash.
-void CrashAttribution::onCrash(const EngineCrash &crash)
+std::vector<BegunPart> CrashAttribution::onCrash(const EngineCrash &crash)
 {
+    std::vector<BegunPart> begunBefore;
     for (const PartId &part : crash.parts) {
-        const auto begun = this->begunAt.find(part);
-        if (begun != this->begunAt.end() && begun->second >= crash.at)
-            continue;
+        const auto begun = this->begunParts.find(part);
+        if (begun != this->begunParts.end()) {
+            if (begun->second.at >= crash.at)
+                continue;
+            std::optional<MonoTime> &toldAt = begun->second.toldAt;
+            if (!toldAt || crash.at - *toldAt > BegunLifetime / 2) {
+                toldAt = crash.at;
+                begunBefore.push_back({part, begun->second.at});
+            }
+        }
         const auto blockedPart = this->blocked.find(part);
         if (blockedPart != this->blocked.end()) {
             blockedPart->second = std::max(blockedPart->second, crash.at);
@@ -59,27 +66,48 @@
         }
         this->suspects[part].emplace(crash.engine, crash.at);
     }
+    return begunBefore;
 }
 
-bool CrashAttribution::clear(const PartId &part)
+bool CrashAttribution::clear(const PartId &part, MonoTime begunAt)
 {
-    const bool wasSuspect = this->suspects.erase(part) > 0;
-    const bool wasBlocked = this->blocked.erase(part) > 0;
-    return wasSuspect || wasBlocked;
+    bool isCleared = false;
+    const auto suspect = this->suspects.find(part);
+    if (suspect != this->suspects.end()) {
+        isCleared = std::erase_if(suspect->second,
+                                  [begunAt](const auto &crash) { return crash.second <= begunAt; })
+            > 0;
+        if (suspect->second.empty())
+            this->suspects.erase(suspect);
+    }
+    const auto blockedPart = this->blocked.find(part);
+    if (blockedPart != this->blocked.end() && blockedPart->second <= begunAt) {
+        this->blocked.erase(blockedPart);
+        isCleared = true;
+    }
+    return isCleared;
 }
 
 std::vector<PartId> CrashAttribution::onAnswerBegun(const std::vector<PartId> &parts, MonoTime now)
 {
     std::vector<PartId> cleared;
     for (const PartId &part : parts) {
-        MonoTime &begun = this->begunAt[part];
-        begun = std::max(begun, now);
-        if (this->clear(part))
+        Begun &begun = this->begunParts[part];
+        begun.at = std::max(begun.at, now);
+        if (this->clear(part, now))
             cleared.push_back(part);
     }
     return cleared;
 }
 
+void CrashAttribution::onBegunElsewhere(const BegunPart &news)
+{
+    Begun &begun = this->begunParts[news.part];
+    begun.at = std::max(begun.at, news.begunAt);
+    begun.toldAt = std::max(begun.toldAt.value_or(news.begunAt), news.begunAt);
+    this->clear(news.part, news.begunAt);
+}
+
 void CrashAttribution::onEngineAlive(const Incarnation &engine, MonoTime at)
 {
     for (auto &[part, crashes] : this->suspects) {
@@ -92,8 +120,8 @@
 
 bool CrashAttribution::onBlocked(const BlockedPart &news)
 {
-    const auto begun = this->begunAt.find(news.part);
-    if (begun != this->begunAt.end() && begun->second >= news.blockedAt)
+    const auto begun = this->begunParts.find(news.part);
+    if (begun != this->begunParts.end() && begun->second.at >= news.blockedAt)
         return false;
     const auto [found, isNew] = this->blocked.emplace(news.part, news.blockedAt);
     found->second = std::max(found->second, news.blockedAt);
@@ -101,17 +129,26 @@
     return isNew;
 }
 
+// Whichever instance sends them, most parts have been sent before: one under which no answer has
+// ever begun is the likelier cause.
 std::vector<PartId> CrashAttribution::mostSuspected(MonoTime now) const
 {
-    std::size_t most = CrashesToBlock;
+    struct Rank
+    {
+        bool hasNeverBegun = false;
+        std::size_t crashes = 0;
+
+        auto operator<=>(const Rank &) const = default;
+    };
+    Rank highest;
     std::vector<PartId> found;
     for (const auto &[part, crashes] : this->suspects) {
-        const std::size_t count = distinctCrashes(crashes, now);
-        if (count < most)
+        const Rank rank{!this->begunParts.contains(part), distinctCrashes(crashes, now)};
+        if (rank.crashes < CrashesToBlock || rank < highest)
             continue;
-        if (count > most)
+        if (rank > highest)
             found.clear();
-        most = count;
+        highest = rank;
         found.push_back(part);
     }
     return found;
@@ -178,8 +215,8 @@
         std::erase_if(crashes,
                       [now](const auto &crash) { return now - crash.second > SuspicionLifetime; });
     std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
-    std::erase_if(this->begunAt,
-                  [now](const auto &begun) { return now - begun.second > BegunLifetime; });
+    std::erase_if(this->begunParts,
+                  [now](const auto &begun) { return now - begun.second.at > BegunLifetime; });
     std::erase_if(this->blocked,
                   [now](const auto &part) { return now - part.second > SuspicionLifetime; });
 }
--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -36,17 +36,30 @@
     auto operator<=>(const BlockedPart &) const = default;
 };
 
+/// A part under which an engine has begun an answer.
+struct BegunPart
+{
+    PartId part;
+    MonoTime begunAt{};
+
+    auto operator<=>(const BegunPart &) const = default;
+};
+
 /// Suspects a part once engines have crashed under it, and clears it as soon as any engine begins
 /// an answer to a prompt that has it. A part is blocked if several engines have crashed under it
-/// at different times and none has begun an answer in between.
+/// at different times and none has begun an answer in between. Parts that come together have the
+/// same crashes: those under which answers had begun before are then not blocked.
 class CrashAttribution
 {
 public:
-    /// Records a crash that this or another instance has seen.
-    void onCrash(const EngineCrash &crash);
+    /// Records a crash that this or another instance has seen. Returns those of its parts under
+    /// which answers had begun before, if other instances have not been told.
+    std::vector<BegunPart> onCrash(const EngineCrash &crash);
     /// An answer to a prompt with \a parts has begun, so none of them crashes engines. Returns
     /// those that were suspected or blocked.
     std::vector<PartId> onAnswerBegun(const std::vector<PartId> &parts, MonoTime now);
+    /// Another instance has seen that an answer began. Later crashes still count.
+    void onBegunElsewhere(const BegunPart &begun);
     /// The engine was alive at \a at: what was taken for its crash before then was none.
     void onEngineAlive(const Incarnation &engine, MonoTime at);
     /// Another instance has blocked the part. Returns whether this is news.
@@ -70,14 +83,23 @@
     /// The engines that have crashed under one part since an answer to it began, and when.
     using Crashes = std::map<Incarnation, MonoTime>;
 
-    bool clear(const PartId &part);
-    /// Returns the parts under which engines have crashed at the most different times.
+    struct Begun
+    {
+        MonoTime at{}; ///< when an answer last began
+        std::optional<MonoTime> toldAt; ///< when an instance last told all others
+
+        bool operator==(const Begun &) const = default;
+    };
+
+    /// Forgets what was held against the part until \a begunAt. Returns whether that was anything.
+    bool clear(const PartId &part, MonoTime begunAt);
+    /// Returns the parts under which enough engines have crashed, and of these the most.
     std::vector<PartId> mostSuspected(MonoTime now) const;
     void forgetOld(MonoTime now);
 
     std::unordered_map<PartId, Crashes> suspects;
     std::map<PartId, MonoTime> blocked; ///< when last blocked, or last tried
-    std::unordered_map<PartId, MonoTime> begunAt; ///< when an answer to the part last began
+    std::unordered_map<PartId, Begun> begunParts;
     MonoTime forgottenAt{};
 };
 
--- a/src/routing/crashattribution_test.cpp
+++ b/src/routing/crashattribution_test.cpp
@@ -130,3 +130,34 @@
     cr_assert(blocked.has_value());
     cr_assert(CrashAttribution::nextTrial(*blocked) == trial + Millis(60'300));
 }
+
+// Parts that stand before the deadly one are in the same requests. Guards against sound requests
+// being refused that share only these.
+Test(crashattribution, of_parts_that_come_together_the_one_never_answered_is_blocked)
+{
+    CrashAttribution attribution;
+    attribution.onBegunElsewhere({"subject", Start - Millis(20'000)});
+    crashAt(attribution, {"subject", "deadly"}, {Millis(0), Millis(400), Millis(800)});
+    const auto blocked = attribution.blockNewParts(Start + Millis(3000));
+    cr_assert(blocked.size() == 1U);
+    cr_assert(blocked.front().part == "deadly");
+}
+
+Test(crashattribution, others_are_told_once_that_a_suspected_part_was_answered_before)
+{
+    CrashAttribution attribution;
+    attribution.onAnswerBegun({"subject"}, Start - Millis(20'000));
+    const auto told = attribution.onCrash({engine(1), {"subject", "deadly"}, Start});
+    cr_assert(told.size() == 1U);
+    cr_assert(told.front() == (BegunPart{"subject", Start - Millis(20'000)}));
+    cr_assert(attribution.onCrash({engine(2), {"subject"}, Start + Millis(400)}).empty());
+}
+
+// A part that was sound may come to crash engines later, as with other weights.
+Test(crashattribution, a_part_that_was_answered_before_is_blocked_if_no_other_explains_the_crashes)
+{
+    CrashAttribution attribution;
+    attribution.onAnswerBegun({"part"}, Start - Millis(20'000));
+    crashAt(attribution, {"part"}, {Millis(0), Millis(400), Millis(800)});
+    cr_assert(attribution.blockNewParts(Start + Millis(3000)).size() == 1U);
+}
