HTTP client: tests of answers that end with their connection

Cause: the users' pages say that an answer may have neither a length nor chunks and end with its connection, that one which is reset isn't complete, and that a cut answer must not look complete. Ruled out: that the client takes a reset for the end (at once, later, or while reading is paused), loses a rest after a pause, uses such a connection again, or completes an answer cut at any place of a length or of chunks. Change: five tests, in the raw server a delay before the end. The code is as it was.

No functional change.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -228,7 +228,9 @@
     uv_tcp_t *listener = new uv_tcp_t;
     std::string bytes;
     bool isResetting = false;
+    Millis endDelay{0}; ///< from the bytes until the end of the connection
     std::vector<Socket::Ptr> sockets;
+    std::vector<Timer> timers;
 
     RawServer(Loop &loop, std::uint16_t port, std::string bytes)
         : loop(loop)
@@ -258,26 +260,76 @@
         SocketHandlers handlers;
         handlers.onData = [this, index](std::string_view) {
             this->sockets[index]->write(this->bytes);
-            if (this->isResetting)
-                this->sockets[index]->reset();
-            else
-                this->sockets[index]->closeGracefully();
+            if (this->endDelay == Millis(0))
+                return this->end(index);
+            this->timers.push_back(
+                this->loop.after(this->endDelay, [this, index] { this->end(index); }));
         };
         this->sockets.push_back(Socket::accept(
             this->loop, reinterpret_cast<uv_stream_t *>(this->listener), std::move(handlers)));
     }
+
+    void end(std::size_t index)
+    {
+        if (this->isResetting)
+            this->sockets[index]->reset();
+        else
+            this->sockets[index]->closeGracefully();
+    }
 };
 
 constexpr std::uint16_t RawPort = 18103;
 
+const Address RawAddress{"127.0.0.1", RawPort};
+
 SyncResult callRaw(Fixture &fixture, Method method = Method::Get)
 {
     CallRequest call = request(method, "/raw");
     call.to.port = RawPort;
     call.headTimeout = Millis(500);
+    call.bodyTimeout = Millis(500);
     return fixture.call(call);
 }
 
+/// What a call reports whose handler pauses reading at the first part of the answer's body.
+struct PausedCall
+{
+    std::string body;
+    std::string failure;
+    bool isComplete = false;
+};
+
+/// Makes a call that pauses reading, lets the connection end meanwhile, and reads on.
+PausedCall callRawPaused(Fixture &fixture)
+{
+    constexpr Millis PauseTime{100};
+    PausedCall seen;
+    CallPtr call;
+    Timer resume;
+    CallHandlers handlers;
+    handlers.onData = [&](std::string_view data) {
+        seen.body.append(data);
+        if (resume.isActive())
+            return;
+        call->setReading(false);
+        resume = fixture.loop.after(PauseTime, [&] { call->setReading(true); });
+    };
+    handlers.onEnd = [&] {
+        seen.isComplete = true;
+        fixture.loop.stop();
+    };
+    handlers.onFailed = [&](const CallFailure &failure) {
+        seen.failure = failure.reason;
+        fixture.loop.stop();
+    };
+    CallRequest rawCall = request(Method::Get, "/raw");
+    rawCall.to = RawAddress;
+    call = fixture.client.start(std::move(rawCall), std::move(handlers));
+    fixture.loop.runFor(std::chrono::seconds(5));
+    call->cancel();
+    return seen;
+}
+
 } // namespace
 
 Test(http, targets_and_headers_are_kept_as_sent)
@@ -361,6 +413,103 @@
     cr_assert(result.failure.connectionLost);
 }
 
+// Guards against an end that is looked for only behind a part of the body.
+Test(http, an_answer_without_a_length_may_be_empty)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort, "HTTP/1.1 200 OK\r\nX-Extra: 1\r\n\r\n");
+    for (const Millis delay : {Millis(0), Millis(30)}) {
+        server.endDelay = delay;
+        const SyncResult whole = callRaw(fixture);
+        cr_assert(whole.ok);
+        cr_assert(whole.response.status == 200);
+        cr_assert(whole.response.body.empty());
+        cr_assert(findHeader(whole.response.headers, "x-extra") == "1");
+    }
+    server.isResetting = true;
+    for (const Millis delay : {Millis(0), Millis(30)}) {
+        server.endDelay = delay;
+        cr_assert(not(callRaw(fixture).ok));
+    }
+}
+
+// The reset arrives later than the body, when the call has read all of it.
+Test(http, an_answer_without_a_length_fails_after_a_late_reset)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort, "HTTP/1.1 200 OK\r\n\r\nhalf of");
+    server.isResetting = true;
+    server.endDelay = Millis(30);
+    const SyncResult result = callRaw(fixture);
+    cr_assert(not(result.ok));
+    cr_assert(result.response.body == "half of");
+    cr_assert(result.failure.connectionLost);
+}
+
+// More bytes than one read takes, so that the connection has ended before they are read. Guards
+// against a lost rest of the body, and against a reset that looks like a close after a pause.
+Test(http, the_end_of_an_answer_without_a_length_is_told_from_a_reset_after_a_pause)
+{
+    Fixture fixture;
+    const std::string body(200'000, 'x');
+    RawServer server(fixture.loop, RawPort, "HTTP/1.1 200 OK\r\n\r\n" + body);
+    const PausedCall whole = callRawPaused(fixture);
+    cr_assert(whole.isComplete, "%s", whole.failure.c_str());
+    cr_assert(whole.body == body);
+    server.isResetting = true;
+    const PausedCall cut = callRawPaused(fixture);
+    cr_assert(not(cut.isComplete));
+    cr_assert(not(cut.failure.empty()));
+}
+
+// The server allows another request, though the end of its answer is the end of the connection.
+Test(http, a_connection_that_ended_an_answer_is_not_used_again)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort,
+                     "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n"
+                     "Keep-Alive: timeout=9\r\n\r\nbody");
+    for (std::size_t round = 1; round <= 3; ++round) {
+        cr_assert(callRaw(fixture).ok);
+        cr_assert(fixture.client.connectionsTo(RawAddress) == 0U);
+        cr_assert(server.sockets.size() == round);
+    }
+}
+
+// Guards against a cut answer that the end of the connection completes.
+Test(http, an_answer_that_is_cut_inside_its_framing_fails)
+{
+    Fixture fixture;
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::string> cuts{"HTTP/1.1 2",
+                                        ok,
+                                        ok + "X-Extra: 1\r\n",
+                                        "HTTP/1.1 100 Continue\r\n\r\n",
+                                        ok + "Content-Length: 3\r\n\r\n",
+                                        ok + "Content-Length: 3\r\n\r\nab",
+                                        ok + "Connection: close\r\nContent-Length: 3\r\n\r\nab",
+                                        "HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nab",
+                                        chunked,
+                                        chunked + "3",
+                                        chunked + "3\r\n",
+                                        chunked + "3\r\nab",
+                                        chunked + "3\r\nabc",
+                                        chunked + "3\r\nabc\r\n",
+                                        chunked + "3\r\nabc\r\n0",
+                                        chunked + "3\r\nabc\r\n0\r\n"};
+    for (const std::string &cut : cuts) {
+        RawServer server(fixture.loop, RawPort, cut);
+        for (const bool isResetting : {false, true}) {
+            server.isResetting = isResetting;
+            const SyncResult result = callRaw(fixture);
+            cr_assert(not(result.ok), "%s", cut.c_str());
+            cr_assert(result.failure.connectionLost, "%s", cut.c_str());
+        }
+        cr_assert(fixture.client.connectionsTo(RawAddress) == 0U);
+    }
+}
+
 // Guards against an answer that is taken for the one to the next request on the connection.
 Test(http, a_connection_with_bytes_after_the_answer_is_closed)
 {
