HTTP parser: answers whose status has no body end with their head

Cause: http_parser waits for the body of a 204 or 304 whose head states a length or chunks, which a 304 may do for the body that a 200 would have. The call waited until its time was over. After an interim answer with a length, the head of the answer itself was read as that body. Ruled out: 204 and 304 without a length and chunks; they ended with their head before, too. Change: the parser tells the library that these answers have no body. Measured: before, an_answer_whose_status_has_no_body_ends_with_its_head failed ("the answer does not end": 304 with a length; in a trial of each head also 204 with a length and 304 with chunks), and an_interim_answer_has_no_body failed ("the answer is not HTTP/1.1").

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -221,13 +221,14 @@
 }
 
 /// Server that sends the same bytes on each connection, whatever the request, and then closes or
-/// resets it.
+/// resets it, or keeps it open.
 struct RawServer
 {
     Loop &loop;
     uv_tcp_t *listener = new uv_tcp_t;
     std::string bytes;
     bool isResetting = false;
+    bool isKeepingOpen = false;
     Millis endDelay{0}; ///< from the bytes until the end of the connection
     std::vector<Socket::Ptr> sockets;
     std::vector<Timer> timers;
@@ -273,7 +274,7 @@
     {
         if (this->isResetting)
             this->sockets[index]->reset();
-        else
+        else if (!this->isKeepingOpen)
             this->sockets[index]->closeGracefully();
     }
 };
@@ -476,6 +477,39 @@
     }
 }
 
+// Guards against calls that wait for the end of the connection, and against the next answer that is
+// taken for the body. An answer with one of these statuses may state a length that it doesn't have.
+Test(http, an_answer_whose_status_has_no_body_ends_with_its_head)
+{
+    Fixture fixture;
+    for (const char *head : {"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n\r\n",
+                             "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+                             "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+                             "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        RawServer server(fixture.loop, RawPort, head);
+        server.isKeepingOpen = true;
+        for (int round = 0; round < 2; ++round) {
+            const SyncResult result = callRaw(fixture);
+            cr_assert(result.ok, "%s %s", head, result.failure.reason.c_str());
+            cr_assert(result.response.body.empty());
+        }
+        cr_assert(server.sockets.size() == 1U);
+        fixture.client.closeIdleConnections(RawAddress);
+    }
+}
+
+// Guards against the head of the answer that is taken for the body of the interim one before it.
+Test(http, an_interim_answer_has_no_body)
+{
+    Fixture fixture;
+    RawServer server(fixture.loop, RawPort,
+                     "HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const SyncResult result = callRaw(fixture);
+    cr_assert(result.ok, "%s", result.failure.reason.c_str());
+    cr_assert(result.response.body == "ok");
+}
+
 // Guards against a cut answer that the end of the connection completes.
 Test(http, an_answer_that_is_cut_inside_its_framing_fails)
 {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int FirstFinalStatus = 200; ///< lower ones are interim answers, e.g. 100 Continue
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
 
 Method methodOf(unsigned method)
 {
@@ -68,8 +70,17 @@
         this->head.hasContentLength = (this->parser.flags & F_CONTENTLENGTH) != 0;
         this->head.contentLength = this->head.hasContentLength ? this->parser.content_length : 0;
         if (this->isInterim())
-            return 0;
-        return this->handlers.onHead && this->handlers.onHead(this->head) ? 1 : 0;
+            return 1;
+        const bool hasNoBody = this->handlers.onHead && this->handlers.onHead(this->head);
+        return hasNoBody || this->isWithoutBody() ? 1 : 0;
+    }
+
+    // Such an answer ends with its head. A length in it is that of the body which another status
+    // would have, but the library would wait for it.
+    bool isWithoutBody() const
+    {
+        return this->kind == MessageKind::Response
+            && (this->head.status == NoContent || this->head.status == NotModified);
     }
 
     bool isInterim() const
