Forwarder: a stream that ends with its connection before any event is broken

Cause: an engine that crashes before its first event closes its connection behind the head. Without a length and chunks this was a complete answer, so the caller got an empty stream as a success. A resumed stream whose second engine did so got a regular end without its rest. Ruled out: the same end by a reset, and inside the first event; both counted as broken before. Change: the call tells that its answer has ended with the connection. Such a stream without any byte of a body counts as broken, so it is repeated where its route allows it, and otherwise fails or breaks off visibly. An empty stream whose length or chunks end stays complete, as a resumed stream may have no rest.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -124,6 +124,7 @@
 
 void ForwardCall::onAnswerEnd()
 {
+    const bool hasEndedByClose = this->call && this->call->hasEndedByClose();
     this->call = nullptr;
     if (this->isFinished)
         return;
@@ -139,6 +140,10 @@
         return this->endAttempt(AttemptOutcome::Broken, "no_seal");
     if (!this->splitter.incompleteEvent().empty())
         return this->endAttempt(AttemptOutcome::Broken, "half_event");
+    // An engine that crashes before its first event ends its answer in the same way. The prefill
+    // counts as done from the first byte of a body on.
+    if (this->route->kind == RequestKind::Stream && hasEndedByClose && !this->isPrefillDone)
+        return this->endAttempt(AttemptOutcome::Broken, "no_event");
     this->endAttempt(AttemptOutcome::Succeeded, "");
 }
 
--- a/src/forward/unframedanswers_test.cpp
+++ b/src/forward/unframedanswers_test.cpp
@@ -425,6 +425,39 @@
     }
 }
 
+// An engine that crashes before its first event closes its connection in this way. Guards against
+// an empty stream that the caller takes for a complete one.
+Test(unframedanswers, a_stream_that_ends_with_its_connection_before_any_event_is_broken)
+{
+    for (const ConnectionEnd end : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+        for (const Millis delay : {Millis(0), LateEnd}) {
+            const RawAnswer empty{"", end, delay};
+            const Played repeated = play("stream", {empty, {BothEvents}});
+            cr_assert(repeated.received.isComplete);
+            cr_assert(repeated.received.status == 200);
+            cr_assert(repeated.received.body == BothEvents, "%s", repeated.received.body.c_str());
+            cr_assert(repeated.hasChangedEndpoint());
+            cr_assert(repeated.resumedAfter().empty());
+            const Played once = play("once", {empty});
+            cr_assert(once.received.status == 502);
+            cr_assert(once.attempts.size() == 1U);
+            const Played twice = play("stream", {empty, empty});
+            cr_assert(twice.received.status == 502);
+            cr_assert(twice.hasChangedEndpoint());
+        }
+    }
+}
+
+// The second engine crashes before the first event of the rest. Guards against a stream without its
+// rest that looks complete.
+Test(unframedanswers, a_resumed_stream_that_ends_with_its_connection_before_any_event_is_broken)
+{
+    const std::string first = FirstEvent;
+    const Played played = play("stream", {{first + "id: 2\n"}, {""}});
+    cr_assert(not(played.received.isComplete));
+    cr_assert(played.hasChangedEndpoint());
+}
+
 // An engine may have no event behind the last one, and says so by a length or chunks. Guards
 // against whole streams that are broken off at the caller.
 Test(unframedanswers, an_empty_rest_of_a_stream_is_complete_if_its_framing_ends)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -214,8 +214,10 @@
         if (!this->call)
             return this->close();
         const bool isComplete = end == SocketEnd::Eof && this->parser.finishAtEof();
-        if (isComplete && this->call)
+        if (isComplete && this->call) {
+            this->call->endedByClose = true;
             return this->complete(false);
+        }
         if (!this->call)
             return;
         this->call->progress.connectionLost = this->isConnected;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -75,6 +75,9 @@
     void setReading(bool on);
     /// Returns whether the call has ended, failed or been cancelled.
     bool isFinished() const { return this->finished; }
+    /// Returns whether the answer has ended with its connection, as it had neither a length nor
+    /// chunks. A server that crashes may end an answer in this way, too.
+    bool hasEndedByClose() const { return this->endedByClose; }
 
 private:
     friend class Client;
@@ -87,6 +90,7 @@
     Timer timer;
     CallFailure progress; ///< passed to onFailed if the call fails
     bool finished = false;
+    bool endedByClose = false;
 };
 
 using CallPtr = std::shared_ptr<Call>;
