--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -160,10 +160,11 @@
         return this->endAttempt(AttemptOutcome::Broken, "no_seal");
     if (!this->splitter.incompleteEvent().empty())
         return this->endAttempt(AttemptOutcome::Broken, "half_event");
-    // An engine that crashes before its first event ends its answer in the same way. The prefill
-    // counts as done from the first byte of a body on.
-    if (this->route->kind == RequestKind::Stream && hasEndedByClose && !this->isPrefillDone)
+    // An engine that crashes before its first event ends its answer in the same way.
+    if (this->route->kind == RequestKind::Stream && hasEndedByClose && !this->hasBegun) {
+        this->context.crashMonitor.onAttemptLost(this->engine, this->sharedParts, monoNow());
         return this->endAttempt(AttemptOutcome::Broken, "no_event");
+    }
     this->endAttempt(AttemptOutcome::Succeeded, "");
 }
 
--- a/src/forward/unframedanswers_test.cpp
+++ b/src/forward/unframedanswers_test.cpp
@@ -197,11 +197,14 @@
     Metrics metrics;
     EndpointSelector selector{{Zone, {{Zone, "ra"}}}, {}};
     RetryBudget budget{RetryBudgetSettings{0.2, 50, Millis(10'000), 1}};
+    CrashMonitor crashMonitor{{[](const proto::CrashNews &) {}, [] { return false; },
+                               [](const PartId &) { return true; }, [] {}}};
     ForwardContext context{this->loop,
                            platform::adapter(),
                            this->metrics,
                            this->selector,
                            this->budget,
+                           this->crashMonitor,
                            http::Client(this->loop),
                            {},
                            nullptr,
