Forward: a request that may have run is never refused as not run

The retry was decided and the engine chosen at two readings of the clock; if the limit of old weights passed in between, no engine was left and the request was refused as not run, and a stream that had begun stayed open without an end. Change: if the request may have run, it fails instead, and a stream breaks off. No test: the window is microseconds wide. No functional change otherwise.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -239,6 +239,8 @@
     const MonoTime now = monoNow();
     const ChoiceQuery query = this->query();
     const auto chosen = this->context.selector.choose(query, now);
+    if (!chosen && this->retryState.mayHaveRun())
+        return this->fail("no_endpoint");
     if (!chosen)
         return this->refuse(this->noEndpointRefusal("no_endpoint"));
     this->choice = *chosen;
