Forward: weights named while a request waits limit it too

A request sent while its engine's weights were the newest had no limit, so one that waited there for over ten seconds could begin long after newer ones were named. Change: the limits of attempts that have not begun are looked up again when versions are named or told. No functional change otherwise.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -44,8 +44,10 @@
     this->isForeign = !isOwnAnswer && !this->head.isNotRun;
     if (this->head.weightsVersion && !this->isStreaming)
         this->streamWeights = this->head.weightsVersion;
-    if (!this->isForeign)
+    if (!this->isForeign) {
         this->startLimitTimer.cancel();
+        this->isStartLimitMet = true;
+    }
     this->recordWeights();
     this->recordNotices();
 }
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -136,6 +136,11 @@
     this->startAttempt();
 }
 
+Millis ForwardCall::oldWeightsTime() const
+{
+    return this->context.oldWeightsTimeout - StartLimitMargin;
+}
+
 ChoiceQuery ForwardCall::query() const
 {
     ChoiceQuery query;
@@ -147,9 +152,8 @@
     const auto named = this->context.namedWeights.find(this->request.model);
     if (named != this->context.namedWeights.end()) {
         query.newestWeights = named->second.newest();
-        const Millis allowedTime = this->context.oldWeightsTimeout - StartLimitMargin;
-        query.minWeights = named->second.oldestAllowed(monoNow(), allowedTime);
-        query.oldWeightsLimits = named->second.limits(allowedTime);
+        query.minWeights = named->second.oldestAllowed(monoNow(), this->oldWeightsTime());
+        query.oldWeightsLimits = named->second.limits(this->oldWeightsTime());
     }
     if (this->isStreaming)
         query.requiredWeights = this->streamWeights;
@@ -253,6 +257,7 @@
     this->splitter.reset();
     this->isForeign = false;
     this->hasBegun = false;
+    this->isStartLimitMet = false;
     this->isPrefillDone = false;
     this->uncachedTokens
         = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
@@ -275,11 +280,27 @@
     handlers.onEnd = [self] { self->onAnswerEnd(); };
     handlers.onFailed = [self](const http::CallFailure &failure) { self->onCallFailed(failure); };
     this->call = this->context.client.start(std::move(outgoing), std::move(handlers));
-    if (!chosen->startLimit)
+    this->armStartLimit();
+}
+
+// The limit is looked up again whenever versions become known: the attempt may have been sent while
+// its weights were the newest.
+void ForwardCall::armStartLimit()
+{
+    this->startLimitTimer.cancel();
+    if (!this->call || this->isStartLimitMet)
+        return;
+    const auto named = this->context.namedWeights.find(this->request.model);
+    if (named == this->context.namedWeights.end())
+        return;
+    const auto limit
+        = named->second.limits(this->oldWeightsTime()).limitOf(this->choice.requiredWeights);
+    if (!limit)
         return;
-    const auto timeLeft = std::chrono::duration_cast<Millis>(*chosen->startLimit - now);
+    const auto timeLeft = std::chrono::duration_cast<Millis>(*limit - monoNow());
     this->startLimitTimer = this->context.loop.after(
-        std::max(Millis(1), timeLeft), [self] { self->giveUpAttempt("old_weights"); });
+        std::max(Millis(1), timeLeft),
+        [self = this->shared_from_this()] { self->giveUpAttempt("old_weights"); });
 }
 
 void ForwardCall::onTimeUp()
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -77,6 +77,9 @@
     /// Parts of prompts were blocked: ends the attempt in progress if it has one of them and its
     /// answer has not begun.
     void onPartsBlocked();
+    /// Versions of weights were named, or it became known when: an attempt that has not begun may
+    /// have another limit.
+    void onWeightsNamed() { this->armStartLimit(); }
 
 private:
     void refuse(ForwardRefusal refusal);
@@ -91,6 +94,9 @@
     void recordNotices();
     ForwardRefusal noEndpointRefusal(const char *reason) const;
     void startAttempt();
+    /// Returns how long attempts may begin on weights after newer ones were named.
+    Millis oldWeightsTime() const;
+    void armStartLimit();
     void logChoice(const ChoiceQuery &query, MonoTime now) const;
     AttemptMetadata metadataFor(const Choice &choice) const;
     ChoiceQuery query() const;
@@ -143,7 +149,8 @@
     Choice choice;
     Incarnation engine; ///< that the attempt was sent to
     std::int64_t uncachedTokens = 0;
-    http::Timer startLimitTimer; ///< runs until the attempt has begun, see Choice::startLimit
+    http::Timer startLimitTimer; ///< runs until the attempt has begun
+    bool isStartLimitMet = false; ///< this attempt has begun, so its start limit is over
     bool hasExpectedWeights = false; ///< whether the attempt states which weights it requires
     bool isPrefillDone = false;
     bool isForeign = false; ///< the answer of this attempt belongs to another request
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -329,6 +329,7 @@
               {"version", weights->version},
               {"revision", counterOf(object.revision)}});
     this->rollout.setNamedWeights(this->context.namedWeights);
+    this->forwarder.onWeightsNamed();
 }
 
 void ForwardDaemon::applyLoadNews(const proto::LoadNews &news)
@@ -352,6 +353,7 @@
             history->second.onTimeKnown(named.version(), monoNow() - Millis(named.age_ms()));
     }
     this->rollout.setNamedWeights(this->context.namedWeights);
+    this->forwarder.onWeightsNamed();
 }
 
 void ForwardDaemon::tellNamedTimes(MonoTime now)
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -38,6 +38,12 @@
     call->start();
 }
 
+void Forwarder::onWeightsNamed()
+{
+    for (const std::shared_ptr<ForwardCall> &call : this->calls)
+        call->onWeightsNamed();
+}
+
 void Forwarder::onPartsBlocked()
 {
     // Requests that end leave the set.
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -20,6 +20,8 @@
     void onRequest(const http::ExchangePtr &exchange);
     /// Returns the number of requests in progress.
     std::size_t openCalls() const { return this->calls.size(); }
+    /// Versions of weights were named, or it became known when.
+    void onWeightsNamed();
     /// Parts of prompts were blocked: ends the requests that wait at engines with one of them.
     void onPartsBlocked();
     /// Refuses new requests from now on, so that callers send them to another instance.
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -256,6 +256,28 @@
     cr_assert(fixture.second.exchanges.empty());
 }
 
+// The queue of an engine stands still. Guards against a request that was sent while the engine's
+// weights were the newest, and begins there after their time is over.
+Test(forwarder, weights_that_are_named_while_a_request_waits_limit_it)
+{
+    Fixture fixture;
+    fixture.context.oldWeightsTimeout = Millis(1500);
+    WeightsVersionHistory &history = fixture.context.namedWeights[Model];
+    history.onNamed(1, monoNow(), Millis(60'000));
+    fixture.join(fixture.first, "models", 1);
+    fixture.second.onRequest = answerStream;
+    const http::Timer naming = fixture.loop.after(Millis(100), [&] {
+        history.onNamed(2, monoNow(), Millis(400));
+        fixture.forwarder.onWeightsNamed();
+        fixture.join(fixture.second, "models", 2);
+    });
+    const auto result = fixture.call("stream");
+    cr_assert(result.response.status == 200);
+    cr_assert(fixture.first.exchanges.size() == 1U);
+    cr_assert(fixture.second.exchanges.size() == 1U);
+    cr_assert(fixture.first.exchanges.front()->isClosed());
+}
+
 // The engine of a stream crashes after the time of its weights is over. Guards against the rest of
 // the stream beginning on such weights elsewhere.
 Test(forwarder, a_stream_does_not_resume_on_weights_whose_time_is_over)
