Forward: the head of an answer does not end the limit of old weights

The head alone stopped the timer, although a run begins with its first token. Change: the first bytes of the body stop it. No functional change where heads come with the first event.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -44,10 +44,6 @@
     this->isForeign = !isOwnAnswer && !this->head.isNotRun;
     if (this->head.weightsVersion && !this->isStreaming)
         this->streamWeights = this->head.weightsVersion;
-    if (!this->isForeign) {
-        this->startLimitTimer.cancel();
-        this->isStartLimitMet = true;
-    }
     this->recordWeights();
     this->recordNotices();
 }
@@ -85,6 +81,7 @@
         return this->giveUpAttempt("foreign_answer");
     if (!this->isPrefillDone) {
         this->isPrefillDone = true;
+        this->startLimitTimer.cancel();
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
     }
     const bool isStream = this->route->kind == RequestKind::Stream && isSuccess(this->head.status)
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -257,7 +257,6 @@
     this->splitter.reset();
     this->isForeign = false;
     this->hasBegun = false;
-    this->isStartLimitMet = false;
     this->isPrefillDone = false;
     this->uncachedTokens
         = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
@@ -283,12 +282,13 @@
     this->armStartLimit();
 }
 
-// The limit is looked up again whenever versions become known: the attempt may have been sent while
-// its weights were the newest.
+// Only the first bytes of a body show that an attempt has begun: an engine may send the head while
+// the request waits. The limit is looked up again whenever versions become known: the attempt may
+// have been sent while its weights were the newest.
 void ForwardCall::armStartLimit()
 {
     this->startLimitTimer.cancel();
-    if (!this->call || this->isStartLimitMet)
+    if (!this->call || this->isPrefillDone)
         return;
     const auto named = this->context.namedWeights.find(this->request.model);
     if (named == this->context.namedWeights.end())
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -150,7 +150,6 @@
     Incarnation engine; ///< that the attempt was sent to
     std::int64_t uncachedTokens = 0;
     http::Timer startLimitTimer; ///< runs until the attempt has begun
-    bool isStartLimitMet = false; ///< this attempt has begun, so its start limit is over
     bool hasExpectedWeights = false; ///< whether the attempt states which weights it requires
     bool isPrefillDone = false;
     bool isForeign = false; ///< the answer of this attempt belongs to another request
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -278,6 +278,22 @@
     cr_assert(fixture.first.exchanges.front()->isClosed());
 }
 
+// An engine sends the head of its answer when it accepts a request, and begins later. Guards
+// against taking the head for the beginning.
+Test(forwarder, a_head_without_data_does_not_end_the_limit_of_old_weights)
+{
+    OldWeightsFixture fixture(Millis(400));
+    fixture.first.onRequest = [](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"weight-versions", "1"});
+        exchange->begin(200, headers);
+    };
+    const auto result = fixture.call("stream");
+    cr_assert(result.response.status == 200);
+    cr_assert(http::findHeader(result.response.headers, "weight-versions") == "2");
+    cr_assert(fixture.first.exchanges.front()->isClosed());
+}
+
 // The engine of a stream crashes after the time of its weights is over. Guards against the rest of
 // the stream beginning on such weights elsewhere.
 Test(forwarder, a_stream_does_not_resume_on_weights_whose_time_is_over)
