Forward: a stream's weights are those of the attempt that began it

The weights that a resumption requires were taken from any head, also that of a refusal, and were unknown if the engine did not state them although the attempt had required them. The rest of a stream could then come from other weights, or from none. Change: they come from the head of the successful answer, else from what its attempt required. a_stream_of_unknown_weights_resumes_only_on_allowed_ones took a required version for an unknown one; it now has truly unknown weights, and checks the first attempt and the event after which the stream goes on. No functional change where engines state their weights.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -42,8 +42,9 @@
     this->head = this->context.adapter.readAnswerHead(status, headers);
     const bool isOwnAnswer = this->head.requestId == this->request.id;
     this->isForeign = !isOwnAnswer && !this->head.isNotRun;
-    if (this->head.weightsVersion && !this->isStreaming)
-        this->streamWeights = this->head.weightsVersion;
+    if (!this->isStreaming && !this->isForeign && isSuccess(status))
+        this->streamWeights
+            = this->head.weightsVersion ? this->head.weightsVersion : this->expectedWeights;
     this->recordWeights();
     this->recordNotices();
 }
@@ -55,7 +56,7 @@
     if (this->request.model.empty() || this->isForeign)
         return;
     const std::string &id = this->choice.endpointId;
-    if (this->head.status == MisdirectedRequest && this->hasExpectedWeights)
+    if (this->head.status == MisdirectedRequest && this->expectedWeights)
         return this->context.selector.onWeightsUnknown(id, this->request.model);
     if (this->head.weightsVersion)
         this->context.selector.onWeightsLoaded(id, this->request.model, *this->head.weightsVersion);
@@ -186,7 +187,7 @@
     // If the attempt required no weights, the refusal means that the address belongs to another
     // endpoint.
     const bool isEndpointReplaced
-        = this->head.status == MisdirectedRequest && !this->hasExpectedWeights;
+        = this->head.status == MisdirectedRequest && !this->expectedWeights;
     if (outcome == AttemptOutcome::Refused && isEndpointReplaced)
         return this->context.onEndpointReplaced(this->choice.endpointId);
     if (outcome == AttemptOutcome::Refused)
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -261,7 +261,7 @@
     this->uncachedTokens
         = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
     const AttemptMetadata metadata = this->metadataFor(*chosen);
-    this->hasExpectedWeights = metadata.weightsVersion.has_value();
+    this->expectedWeights = metadata.weightsVersion;
     http::CallRequest outgoing = this->context.adapter.writeAttempt(this->request, metadata);
     outgoing.to = endpoint->address;
     outgoing.connectTimeout = ConnectTimeout;
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -150,7 +150,7 @@
     Incarnation engine; ///< that the attempt was sent to
     std::int64_t uncachedTokens = 0;
     http::Timer startLimitTimer; ///< runs until the attempt has begun
-    bool hasExpectedWeights = false; ///< whether the attempt states which weights it requires
+    std::optional<std::int64_t> expectedWeights; ///< that the attempt requires
     bool isPrefillDone = false;
     bool isForeign = false; ///< the answer of this attempt belongs to another request
     bool hasBegun = false; ///< this attempt has sent a part of a successful answer
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -319,25 +319,65 @@
 // over. Guards against a resumption that lets any weights run it.
 Test(forwarder, a_stream_of_unknown_weights_resumes_only_on_allowed_ones)
 {
-    OldWeightsFixture fixture(Millis(400));
-    TestEndpoint third(fixture.loop, "third", 18134);
-    fixture.selector.onLeaving("second", 1, monoNow());
-    fixture.join(third, "models", 0);
-    fixture.selector.avoid("third", monoNow() + Millis(500));
+    Fixture fixture;
+    fixture.context.oldWeightsTimeout = Millis(1500);
+    fixture.context.namedWeights[Model].onNamed(2, monoNow(), Millis(400));
+    fixture.join(fixture.first, "models", 0);
+    fixture.join(fixture.second, "models", 0);
+    fixture.selector.avoid("second", monoNow() + Millis(500));
     http::Timer crash;
     fixture.first.onRequest = [&](const http::ExchangePtr &exchange) {
         exchange->begin(200, sealedHeaders(exchange));
         exchange->write("id: 1\ndata: x\n\n");
         crash = fixture.loop.after(Millis(600), [exchange] { exchange->abort(); });
     };
-    std::string required;
-    third.onRequest = [&](const http::ExchangePtr &exchange) {
-        required = http::findHeader(exchange->request().headers, "expected-version");
+    http::Headers resumed;
+    fixture.second.onRequest = [&](const http::ExchangePtr &exchange) {
+        resumed = exchange->request().headers;
         answerStream(exchange);
     };
     fixture.call("stream");
-    cr_assert(third.exchanges.size() == 1U);
-    cr_assert(required == "2");
+    cr_assert(fixture.first.exchanges.size() == 1U);
+    const http::Headers &begun = fixture.first.exchanges.front()->request().headers;
+    cr_assert(http::findHeader(begun, "expected-version").empty());
+    cr_assert(fixture.second.exchanges.size() == 1U);
+    cr_assert(http::findHeader(resumed, "last-event-id") == "1");
+    cr_assert(http::findHeader(resumed, "expected-version") == "2");
+}
+
+// The engine does not state the weights that the attempt required of it, and another refused it
+// with weights of its own. Guards against a stream that resumes on others than it began on.
+Test(forwarder, a_stream_resumes_on_the_weights_that_its_attempt_required)
+{
+    Fixture fixture;
+    TestEndpoint third(fixture.loop, "third", 18134);
+    fixture.context.namedWeights[Model].onNamed(2, monoNow(), Millis(100));
+    for (const TestEndpoint *endpoint : {&fixture.first, &fixture.second, &third}) {
+        fixture.join(*endpoint, "models", 2);
+        fixture.selector.avoid(endpoint->id, monoNow() + MaxTestTime);
+    }
+    std::vector<std::string> required;
+    http::Timer crashTimer;
+    const auto onRequest = [&](const http::ExchangePtr &exchange) {
+        const http::Headers &asked = exchange->request().headers;
+        required.emplace_back(http::findHeader(asked, "expected-version"));
+        http::Headers headers = sealedHeaders(exchange);
+        if (required.size() == 1) {
+            headers.push_back({"not-executed", "1"});
+            headers.push_back({"weight-versions", "7"});
+            return exchange->respond({503, headers, ""});
+        }
+        if (required.size() == 3)
+            return answerStream(exchange);
+        exchange->begin(200, headers);
+        exchange->write("id: 1\ndata: x\n\n");
+        crashTimer = fixture.loop.after(Millis(50), [exchange] { exchange->abort(); });
+    };
+    fixture.first.onRequest = onRequest;
+    fixture.second.onRequest = onRequest;
+    third.onRequest = onRequest;
+    fixture.call("stream");
+    cr_assert(required == (std::vector<std::string>{"2", "2", "2"}));
 }
 
 // An engine that has just joined, is slow or is cut off reports nothing, so its queue is not known.
