One copy of the lease's checks and of the settings that both dialects read

Cause: two tests of the lease held the same checks of holders and fencing numbers, and both dialects read name, location and addresses of an instance in the same order. Ruled out, since the logic differs or only the shape is alike: ModelCall and ServiceCall (only the admission is the same), the getters of ObjectReader, the readers of the store's answers, lists of enumerators' names, metrics. Change: LeaseAuditor in rollout_test, with the same checks and one more (a holder has a fencing number above 0); readCommonSettings() in settings.cpp, which takes the reader of an address.

--- a/src/rollout/rollout_test.cpp
+++ b/src/rollout/rollout_test.cpp
@@ -188,6 +188,46 @@
     }
 };
 
+/// Checks at each moment that there is at most one holder of a lease, that the fencing number never
+/// decreases and that each number has only one holder.
+class LeaseAuditor
+{
+public:
+    explicit LeaseAuditor(unsigned seed)
+        : seed(seed)
+    { }
+
+    /// The contender with number \a index is about to act at \a now.
+    void check(std::size_t index, const Lease &lease, MonoTime now)
+    {
+        if (!lease.isHeld(now))
+            return;
+        ++this->holders;
+        const std::int64_t fence = lease.fence();
+        cr_assert(fence > 0, "seed %u: held without a fencing number", this->seed);
+        cr_assert(fence >= this->highestFence, "seed %u: fencing number went back", this->seed);
+        this->highestFence = fence;
+        const auto entry = this->holderOfFence.emplace(fence, index).first;
+        cr_assert(entry->second == index, "seed %u: shared fencing number", this->seed);
+    }
+
+    /// All contenders have been checked for this moment.
+    void endMoment()
+    {
+        cr_assert(this->holders <= 1, "seed %u: %zu holders", this->seed, this->holders);
+        this->holders = 0;
+    }
+
+    /// Returns the number of fencing numbers with which the lease has been held.
+    std::size_t acquisitions() const { return this->holderOfFence.size(); }
+
+private:
+    unsigned seed;
+    std::size_t holders = 0; ///< at this moment, so far
+    std::int64_t highestFence = 0;
+    std::map<std::int64_t, std::size_t> holderOfFence;
+};
+
 } // namespace
 
 // Processes freeze at any moment, and the store loses answers and applies writes late. There must
@@ -201,8 +241,7 @@
         for (int index = 0; index < 3; ++index)
             contenders.push_back({Lease("node-" + std::to_string(index), 100U + index, {}), {}});
         std::vector<DelayedWrite> delayed;
-        std::map<std::int64_t, std::size_t> holderOfFence;
-        std::int64_t highestFence = 0;
+        LeaseAuditor auditor(seed);
         for (MonoTime now = Start; now < Start + Millis(60'000); now += Millis(50)) {
             for (const DelayedWrite &write : delayed) {
                 if (write.appliedAt <= now)
@@ -210,18 +249,9 @@
             }
             std::erase_if(delayed,
                           [&](const DelayedWrite &write) { return write.appliedAt <= now; });
-            std::size_t holders = 0;
             for (std::size_t index = 0; index < contenders.size(); ++index) {
                 Contender &contender = contenders[index];
-                if (contender.lease.isHeld(now)) {
-                    ++holders;
-                    const std::int64_t fence = contender.lease.fence();
-                    cr_assert(fence >= highestFence, "seed %u: fencing number went back", seed);
-                    highestFence = fence;
-                    const auto [entry, isNew] = holderOfFence.emplace(fence, index);
-                    cr_assert(isNew || entry->second == index, "seed %u: shared fencing number",
-                              seed);
-                }
+                auditor.check(index, contender.lease, now);
                 if (now < contender.frozenUntil)
                     continue;
                 if (random(200) == 0)
@@ -243,9 +273,9 @@
                     contender.lease.onReply(*action, store.apply(*action), now);
                 }
             }
-            cr_assert(holders <= 1, "seed %u: %zu holders", seed, holders);
+            auditor.endMoment();
         }
-        cr_assert(highestFence > 0, "seed %u: nobody ever held the lease", seed);
+        cr_assert(auditor.acquisitions() > 0, "seed %u: nobody ever held the lease", seed);
     }
 }
 
@@ -285,26 +315,15 @@
         std::vector<Contender> contenders;
         for (int index = 0; index < 3; ++index)
             contenders.push_back({Lease("node-" + std::to_string(index), 100U + index, {}), {}});
-        std::map<std::int64_t, std::size_t> holderOfFence;
-        std::int64_t highestFence = 0;
-        int acquisitions = 0;
+        LeaseAuditor auditor(seed);
         for (MonoTime now = Start; now < Start + Millis(120'000); now += Millis(50)) {
             if (random(60) == 0)
                 copy = store;
             if (random(150) == 0)
                 store.comeBack(copy);
-            std::size_t holders = 0;
             for (std::size_t index = 0; index < contenders.size(); ++index) {
                 Contender &contender = contenders[index];
-                if (contender.lease.isHeld(now)) {
-                    ++holders;
-                    const std::int64_t fence = contender.lease.fence();
-                    cr_assert(fence >= highestFence, "seed %u: fencing number went back", seed);
-                    highestFence = fence;
-                    const auto [entry, isNew] = holderOfFence.emplace(fence, index);
-                    acquisitions += isNew ? 1 : 0;
-                    cr_assert(entry->second == index, "seed %u: shared fencing number", seed);
-                }
+                auditor.check(index, contender.lease, now);
                 if (now < contender.frozenUntil)
                     continue;
                 if (random(200) == 0)
@@ -316,9 +335,10 @@
                 const ObjectReply reply = store.apply(*action);
                 contender.lease.onReply(*action, random(10) == 0 ? ObjectReply{} : reply, now);
             }
-            cr_assert(holders <= 1, "seed %u: %zu holders", seed, holders);
+            auditor.endMoment();
         }
-        cr_assert(acquisitions > 2, "seed %u: %d acquisitions", seed, acquisitions);
+        cr_assert(auditor.acquisitions() > 2, "seed %u: %zu acquisitions", seed,
+                  auditor.acquisitions());
     }
 }
 
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -85,18 +85,26 @@
     return bounds;
 }
 
-// The platform generates this file: addresses are strings, and most other settings have defaults.
-Settings readForwardSettings(ObjectReader &reader)
+/// Reads what both dialects have in common. \a readOne(reader, name) reads an address.
+template <typename ReadAddress>
+Settings readCommonSettings(ObjectReader &reader, Dialect dialect, ReadAddress &&readOne)
 {
     Settings settings;
-    settings.dialect = Dialect::Forward;
+    settings.dialect = dialect;
     settings.instance = reader.text("instance");
     settings.region = reader.text("region");
     settings.zone = reader.text("zone");
-    settings.listen = readAddressText(reader, "listen");
-    settings.admin = readAddressText(reader, "admin");
-    settings.peer = readAddressText(reader, "peer");
-    settings.store = readAddressText(reader, "store");
+    settings.listen = readOne(reader, "listen");
+    settings.admin = readOne(reader, "admin");
+    settings.peer = readOne(reader, "peer");
+    settings.store = readOne(reader, "store");
+    return settings;
+}
+
+// The platform generates this file: addresses are strings, and most other settings have defaults.
+Settings readForwardSettings(ObjectReader &reader)
+{
+    Settings settings = readCommonSettings(reader, Dialect::Forward, readAddressText);
     settings.metrics = readAddressText(reader, "metrics");
     for (const std::string &seed : reader.texts("seeds")) {
         const std::string host = seed.substr(0, seed.rfind(':'));
@@ -151,14 +159,7 @@
             return fail(ErrorCode::BadInput, "check settings", reader.firstError());
         return forward;
     }
-    Settings settings;
-    settings.instance = reader.text("instance");
-    settings.region = reader.text("region");
-    settings.zone = reader.text("zone");
-    settings.listen = readRequiredAddress(reader, "listen");
-    settings.admin = readRequiredAddress(reader, "admin");
-    settings.peer = readRequiredAddress(reader, "peer");
-    settings.store = readRequiredAddress(reader, "store");
+    Settings settings = readCommonSettings(reader, Dialect::OpenAi, readRequiredAddress);
     reader.objects("seeds",
                    [&](ObjectReader &entry) { settings.seeds.push_back(readAddress(entry)); });
     const bool hasKeys = reader.object("fleet_keys", [&](ObjectReader &entry) {
