Names in limits and rollout that needed explaining

Cause: carryOut() stood for four different things, and learn() did not say that an older record is ignored. Change: Fleet and the limits' tests execute() actions, ServiceCall has executeClaimStep(), the rollout's test runs a step with runStep(), and SeatKeeper::learn() is adoptIfNewer(). No functional change.

--- a/src/limits/limits_simulation.h
+++ b/src/limits/limits_simulation.h
@@ -318,8 +318,8 @@
                 members.push_back({other.id, other.region, ""});
         }
         instance.seats->setMembers(std::move(members), this->clockOf(instance));
-        this->carryOut(index, instance.seats->onTick(this->clockOf(instance)));
-        this->carryOut(index, instance.borrower->onTick(this->clockOf(instance)));
+        this->execute(index, instance.seats->onTick(this->clockOf(instance)));
+        this->execute(index, instance.borrower->onTick(this->clockOf(instance)));
     }
 
     bool isCut(const Instance &one, const Instance &other) const
@@ -347,12 +347,12 @@
         const double tokens = 1 + this->random(this->maxRequestTokens);
         const std::uint64_t id = ++this->lastRequest;
         instance.requests[id] = {name, tokens};
-        this->carryOut(
+        this->execute(
             index,
             instance.borrower->start(id, name, tokens, Millis(150), this->clockOf(instance)));
     }
 
-    void carryOut(int index, const std::vector<SeatAction> &actions)
+    void execute(int index, const std::vector<SeatAction> &actions)
     {
         for (const SeatAction &action : actions) {
             if (action.kind == SeatAction::Kind::Send)
@@ -365,7 +365,7 @@
             instance.lender->onSeatChange(change, this->clockOf(instance));
     }
 
-    void carryOut(int index, const BorrowStep &step)
+    void execute(int index, const BorrowStep &step)
     {
         Instance &instance = this->instances[index];
         for (const BorrowAction &action : step.actions) {
@@ -381,7 +381,7 @@
                 continue;
             const std::uint64_t loan = action.message.borrow().loan();
             this->runOnInstance(index, Micros(1), [this, index, loan](Instance &own) {
-                this->carryOut(index, own.borrower->onUnreachable(loan, this->clockOf(own)));
+                this->execute(index, own.borrower->onUnreachable(loan, this->clockOf(own)));
             });
         }
         for (const BorrowResult &result : step.results) {
@@ -400,19 +400,20 @@
             this->runOnInstance(
                 index, Millis(this->random(300)),
                 [this, index, id = result.request, unused](Instance &own) {
-                    this->carryOut(index, own.borrower->refund(id, unused, this->clockOf(own)));
+                    this->execute(index, own.borrower->refund(id, unused, this->clockOf(own)));
                 });
         }
     }
 
-    /// Lets the instance learn all records of the others, as SeatHints messages do in production.
+    /// Passes the records of all others to the instance, as SeatHints messages do in production.
     void exchangeSeatRecords(int index)
     {
         for (const Instance &other : this->instances) {
             if (&other == &this->instances[index] || this->isCut(other, this->instances[index]))
                 continue;
             for (const proto::SeatRecord &record : other.seats->allRecords())
-                this->instances[index].seats->learn(record, this->clockOf(this->instances[index]));
+                this->instances[index].seats->adoptIfNewer(record,
+                                                           this->clockOf(this->instances[index]));
         }
     }
 
@@ -454,14 +455,14 @@
         }
         if (message.has_loan()) {
             if (message.loan().not_holder())
-                instance.seats->learn(message.loan().holder(), clock);
-            return this->carryOut(index, instance.borrower->onLoan(message.loan(), clock));
+                instance.seats->adoptIfNewer(message.loan().holder(), clock);
+            return this->execute(index, instance.borrower->onLoan(message.loan(), clock));
         }
         if (message.has_settle())
             return instance.lender->settle(message.from(), message.settle(), clock);
         if (message.has_refund())
             return instance.lender->refund(message.from(), message.refund(), clock);
-        this->carryOut(index, instance.seats->onMessage(message, clock));
+        this->execute(index, instance.seats->onMessage(message, clock));
     }
 
     void callStore(int index, const SeatAction &action)
@@ -470,10 +471,10 @@
                                                  const StoreReply &answer) {
             this->runOnInstance(index, delay, [this, index, action, answer](Instance &instance) {
                 const MonoTime clock = this->clockOf(instance);
-                this->carryOut(index,
-                               action.kind == SeatAction::Kind::Read
-                                   ? instance.seats->onRead(action, answer, clock)
-                                   : instance.seats->onWritten(action, answer, clock));
+                this->execute(index,
+                              action.kind == SeatAction::Kind::Read
+                                  ? instance.seats->onRead(action, answer, clock)
+                                  : instance.seats->onWritten(action, answer, clock));
             });
         };
         if (this->store.mode == StoreMode::Down || !this->instances[index].canReachStore)
--- a/src/limits/limits_test.cpp
+++ b/src/limits/limits_test.cpp
@@ -465,7 +465,7 @@
             LocalProcess{id, "east", "host-" + std::to_string(index), 1, "boot"}, timings));
     }
     int calls = 0;
-    std::function<void(SeatKeeper &, const SeatAction &, MonoTime)> carryOut
+    std::function<void(SeatKeeper &, const SeatAction &, MonoTime)> execute
         = [&](SeatKeeper &keeper, const SeatAction &action, MonoTime now) {
               std::vector<SeatAction> next;
               SeatKeeper *actor = &keeper;
@@ -483,7 +483,7 @@
                       : keeper.onWritten(action, reply, now);
               }
               for (const SeatAction &nextAction : next)
-                  carryOut(*actor, nextAction, now);
+                  execute(*actor, nextAction, now);
           };
     for (int index = 0; index < Processes; ++index) {
         std::vector<SeatMember> others = members;
@@ -494,7 +494,7 @@
     for (int millis = 0; millis < 12'000; millis += 20) {
         for (const auto &keeper : keepers) {
             for (const SeatAction &action : keeper->onTick(at(millis)))
-                carryOut(*keeper, action, at(millis));
+                execute(*keeper, action, at(millis));
         }
     }
     std::size_t held = 0;
--- a/src/limits/seats.cpp
+++ b/src/limits/seats.cpp
@@ -201,7 +201,7 @@
     seat.nextRead = now + this->timings.readInterval;
 }
 
-void SeatKeeper::learn(const proto::SeatRecord &record, MonoTime now)
+void SeatKeeper::adoptIfNewer(const proto::SeatRecord &record, MonoTime now)
 {
     if (record.index() >= this->timings.seats || record.term() <= 0)
         return;
@@ -420,7 +420,7 @@
         this->onRenewAck(message, now);
     } else if (message.has_handover()) {
         const proto::Handover &handover = message.handover();
-        this->learn(handover.record(), now);
+        this->adoptIfNewer(handover.record(), now);
         if (handover.record().region() != this->self.region
             || handover.record().index() >= this->timings.seats)
             return actions;
@@ -434,7 +434,7 @@
         }
     } else if (message.has_seat_hints()) {
         for (const proto::SeatRecord &record : message.seat_hints().records())
-            this->learn(record, now);
+            this->adoptIfNewer(record, now);
     }
     return actions;
 }
@@ -446,7 +446,7 @@
     const proto::SeatRecord &record = renew.record();
     if (record.index() >= this->timings.seats || !isSameProcess(record.holder(), message.from()))
         return;
-    this->learn(record, now);
+    this->adoptIfNewer(record, now);
     SeatAction action;
     action.to = message.from();
     action.message = makeEnvelope(this->self.id);
@@ -487,7 +487,7 @@
     Seat &seat = this->seats.at(ack.index());
     if (ack.refused()) {
         if (ack.newer().region() == this->self.region)
-            this->learn(ack.newer(), now);
+            this->adoptIfNewer(ack.newer(), now);
         return;
     }
     if (!this->isHolder(seat) || ack.term() != seat.record.term()
--- a/src/limits/seats.h
+++ b/src/limits/seats.h
@@ -61,7 +61,7 @@
     std::string zone;
 };
 
-/// A message or a call to the store that the caller of a SeatKeeper must carry out.
+/// A message or a call to the store that the caller of a SeatKeeper must execute.
 struct SeatAction
 {
     enum class Kind { Send, Read, Write };
@@ -100,7 +100,7 @@
 
 /// Keeps the seats of one process: takes, renews and hands over seats of its own region, is witness
 /// for others, and knows the holders in all regions. It does no I/O: it returns the actions to
-/// carry out, and replies and messages are passed to it.
+/// execute, and replies and messages are passed to it.
 class SeatKeeper
 {
 public:
@@ -140,7 +140,7 @@
     /// Returns the newest known record of a seat of any region; nullptr if none is known.
     const proto::SeatRecord *recordOf(const std::string &region, std::uint32_t index) const;
     /// Takes over a record from another process if it is newer than the known one.
-    void learn(const proto::SeatRecord &record, MonoTime now);
+    void adoptIfNewer(const proto::SeatRecord &record, MonoTime now);
     /// Returns all known records, to be sent to a process that has just started.
     std::vector<proto::SeatRecord> allRecords() const;
     /// Returns the number of seats that this process holds under a valid lease.
--- a/src/rollout/rollout_test.cpp
+++ b/src/rollout/rollout_test.cpp
@@ -141,8 +141,8 @@
         return OrderAnswer::Accepted;
     }
 
-    /// Runs one time step: carries out the planner's actions and answers them immediately.
-    void carryOut(RolloutPlanner &planner, MonoTime now)
+    /// Runs one time step: executes the planner's actions and answers them immediately.
+    void runStep(RolloutPlanner &planner, MonoTime now)
     {
         this->tick(now);
         for (const RolloutAction &action : planner.onTick(this->directory, true, now)) {
@@ -368,7 +368,7 @@
             targetSince.try_emplace(version, now);
             histories["loom"].onNamed(version, now);
             planner.setNamedWeights(histories);
-            engines.carryOut(planner, now);
+            engines.runStep(planner, now);
             cr_assert(engines.loadingCount() <= maxLoading, "%d engines", count);
             for (const auto &[target, since] : targetSince) {
                 if (now - since > Bound)
@@ -387,7 +387,7 @@
     RolloutPlanner planner(timings);
     planner.setNamedWeights(namedAtStart(2));
     for (MonoTime now = Start; now < Start + Millis(40'000); now += Millis(50)) {
-        engines.carryOut(planner, now);
+        engines.runStep(planner, now);
         cr_assert(engines.loadingCount() <= 3U);
     }
     cr_assert(engines.oldestVersion() == 2);
@@ -464,7 +464,7 @@
     planner.setNamedWeights(histories);
     std::size_t mostLoading = 0;
     for (MonoTime now = Start; now < Start + Millis(3000); now += Millis(50)) {
-        engines.carryOut(planner, now);
+        engines.runStep(planner, now);
         mostLoading = std::max(mostLoading, engines.loadingCount());
     }
     cr_assert(mostLoading > 3U);
@@ -496,7 +496,7 @@
         }
         planner.setNamedWeights(namedAtStart(2));
         for (MonoTime now = Start; now < Start + Millis(9000); now += Millis(50))
-            engines.carryOut(planner, now);
+            engines.runStep(planner, now);
         int updatedCount = 0;
         for (const auto &[id, engine] : engines.engines)
             updatedCount += engine.version == 2 ? 1 : 0;
@@ -506,7 +506,7 @@
         for (auto &[id, engine] : engines.engines)
             engine.hasCrashed = engine.isReplaced = false;
         for (MonoTime now = Start + Millis(9000); now < Start + Millis(20'000); now += Millis(50))
-            engines.carryOut(planner, now);
+            engines.runStep(planner, now);
         cr_assert(engines.oldestVersion() == 2);
     }
 }
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -107,7 +107,7 @@
     this->borrower->setRegions(std::move(regionsOwnFirst));
     if (this->replicatedConfig)
         this->members->setConfigVersion(version);
-    this->carryOut(this->members->pingRandomMembers(ConfigFanOut));
+    this->execute(this->members->pingRandomMembers(ConfigFanOut));
 }
 
 void Fleet::tick()
@@ -115,7 +115,7 @@
     const MonoTime now = monoNow();
     if (this->replicator)
         this->members->setRevisions(this->replicator->revisions());
-    this->carryOut(this->members->onTick(now));
+    this->execute(this->members->onTick(now));
     this->reportMemberChanges();
     std::vector<SeatMember> alive;
     const auto members = this->members->alive();
@@ -126,8 +126,8 @@
     if (!members.empty() || this->store.outageDuration() == Millis(0))
         this->lastContact = now;
     this->seats->setMembers(std::move(alive), now);
-    this->carryOut(this->seats->onTick(now));
-    this->carryOut(this->borrower->onTick(now));
+    this->execute(this->seats->onTick(now));
+    this->execute(this->borrower->onTick(now));
     this->fleetSize.onAliveCount(members.size() + 1);
     this->requestNewerConfig();
     if (this->replicator)
@@ -193,13 +193,13 @@
         this->sendTo(*address, std::move(message));
 }
 
-void Fleet::carryOut(const std::vector<PeerMessage> &actions)
+void Fleet::execute(const std::vector<PeerMessage> &actions)
 {
     for (const PeerMessage &action : actions)
         this->sendTo(action.to, action.message);
 }
 
-void Fleet::carryOut(const std::vector<SeatAction> &actions)
+void Fleet::execute(const std::vector<SeatAction> &actions)
 {
     for (const SeatAction &action : actions) {
         if (action.kind == SeatAction::Kind::Send)
@@ -217,9 +217,9 @@
         if (!*isAlive)
             return;
         const MonoTime now = monoNow();
-        this->carryOut(action.kind == SeatAction::Kind::Read
-                           ? this->seats->onRead(action, reply, now)
-                           : this->seats->onWritten(action, reply, now));
+        this->execute(action.kind == SeatAction::Kind::Read
+                          ? this->seats->onRead(action, reply, now)
+                          : this->seats->onWritten(action, reply, now));
     };
     if (action.kind == SeatAction::Kind::Read)
         this->store.read(object, onReply);
@@ -227,7 +227,7 @@
         this->store.write(object, toText(action.record), action.expected, onReply);
 }
 
-void Fleet::carryOut(const BorrowAction &action)
+void Fleet::execute(const BorrowAction &action)
 {
     const proto::SeatRecord *record = this->seats->recordOf(action.region, action.seat);
     const bool isReachable = record
@@ -241,14 +241,14 @@
     const std::uint64_t loanId = action.message.borrow().loan();
     this->loop.post([this, isAlive = this->isAlive, loanId] {
         if (*isAlive)
-            this->carryOut(this->borrower->onUnreachable(loanId, monoNow()));
+            this->execute(this->borrower->onUnreachable(loanId, monoNow()));
     });
 }
 
-void Fleet::carryOut(const BorrowStep &step)
+void Fleet::execute(const BorrowStep &step)
 {
     for (const BorrowAction &action : step.actions)
-        this->carryOut(action);
+        this->execute(action);
     for (const BorrowResult &result : step.results) {
         const auto found = this->pendingTokenRequests.find(result.request);
         if (found == this->pendingTokenRequests.end())
@@ -264,21 +264,21 @@
 {
     const std::uint64_t request = this->nextTokenRequestId++;
     this->pendingTokenRequests.emplace(request, std::move(handler));
-    this->carryOut(this->borrower->start(request, organisation, tokens, timeout, monoNow()));
+    this->execute(this->borrower->start(request, organisation, tokens, timeout, monoNow()));
     return request;
 }
 
 void Fleet::cancelTokenRequest(std::uint64_t request)
 {
     this->pendingTokenRequests.erase(request);
-    this->carryOut(this->borrower->cancel(request, monoNow()));
+    this->execute(this->borrower->cancel(request, monoNow()));
 }
 
 void Fleet::returnTokens(std::uint64_t request, double unused)
 {
     if (unused <= 0)
         return this->borrower->forget(request);
-    this->carryOut(this->borrower->refund(request, unused, monoNow()));
+    this->execute(this->borrower->refund(request, unused, monoNow()));
 }
 
 void Fleet::receive(const proto::Envelope &message)
@@ -289,15 +289,15 @@
     case proto::Envelope::kPing:
     case proto::Envelope::kAck:
     case proto::Envelope::kPingRequest:
-        this->carryOut(this->members->onMessage(message, now));
+        this->execute(this->members->onMessage(message, now));
         this->reportMemberChanges();
         return this->requestNewerConfig();
     case proto::Envelope::kBorrow:
         return this->receiveBorrow(message);
     case proto::Envelope::kLoan:
         if (message.loan().not_holder() && message.loan().has_holder())
-            this->seats->learn(message.loan().holder(), now);
-        return this->carryOut(this->borrower->onLoan(message.loan(), now));
+            this->seats->adoptIfNewer(message.loan().holder(), now);
+        return this->execute(this->borrower->onLoan(message.loan(), now));
     case proto::Envelope::kSettle:
         return this->lender->settle(message.from(), message.settle(), now);
     case proto::Envelope::kRefund:
@@ -328,9 +328,9 @@
             answer.mutable_seat_hints(); // so that an answer without records has a payload too
             this->send(message.from(), std::move(answer));
         }
-        return this->carryOut(this->seats->onMessage(message, now));
+        return this->execute(this->seats->onMessage(message, now));
     default:
-        return this->carryOut(this->seats->onMessage(message, now));
+        return this->execute(this->seats->onMessage(message, now));
     }
 }
 
@@ -470,9 +470,9 @@
 void Fleet::leave()
 {
     this->isLeaving = true;
-    this->carryOut(this->members->beginLeaving());
+    this->execute(this->members->beginLeaving());
     this->seats->leave();
-    this->carryOut(this->seats->onTick(monoNow()));
+    this->execute(this->seats->onTick(monoNow()));
 }
 
 bool Fleet::hasLeft() const
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -122,10 +122,10 @@
     void receive(const proto::Envelope &message);
     void receiveBorrow(const proto::Envelope &message);
     void receiveConfigRequest(const proto::Envelope &message);
-    void carryOut(const std::vector<PeerMessage> &actions);
-    void carryOut(const std::vector<SeatAction> &actions);
-    void carryOut(const BorrowStep &step);
-    void carryOut(const BorrowAction &action);
+    void execute(const std::vector<PeerMessage> &actions);
+    void execute(const std::vector<SeatAction> &actions);
+    void execute(const BorrowStep &step);
+    void execute(const BorrowAction &action);
     void callStore(const SeatAction &action);
     void send(const proto::ProcessId &to, proto::Envelope message);
     void sendTo(const Address &to, proto::Envelope message);
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -76,10 +76,10 @@
     this->claim = std::make_shared<ClaimFlow>(
         claimObjectName(this->caller.organisation, this->caller.route.name, idempotencyKey),
         std::move(record));
-    this->carryOutClaimStep(this->claim->begin());
+    this->executeClaimStep(this->claim->begin());
 }
 
-void ServiceCall::carryOutClaimStep(ClaimStep step)
+void ServiceCall::executeClaimStep(ClaimStep step)
 {
     if (this->isFinished)
         return;
@@ -89,11 +89,11 @@
         return this->context.store.write(this->claim->object(), toText(this->claim->record()),
                                          this->claim->expectedVersion(),
                                          [self](const StoreReply &reply) {
-                                             self->carryOutClaimStep(self->claim->onWritten(reply));
+                                             self->executeClaimStep(self->claim->onWritten(reply));
                                          });
     case ClaimStep::Read:
         return this->context.store.read(this->claim->object(), [self](const StoreReply &reply) {
-            self->carryOutClaimStep(self->claim->onRead(reply));
+            self->executeClaimStep(self->claim->onRead(reply));
         });
     case ClaimStep::Send:
         this->context.timeline.add(EventKind::ClaimMade, this->caller.id, this->caller.organisation,
--- a/src/router/servicecall.h
+++ b/src/router/servicecall.h
@@ -37,7 +37,7 @@
 private:
     bool needsClaim() const;
     void beginClaim(const std::string &idempotencyKey);
-    void carryOutClaimStep(ClaimStep step);
+    void executeClaimStep(ClaimStep step);
     void refuseClaim(ClaimRefusal reason);
     void replay(const ClaimRecord &record);
     void recordOutcome(int answerStatus, RunOutcome outcome);
