--- a/src/limits/limits_simulation.h
+++ b/src/limits/limits_simulation.h
@@ -24,6 +24,39 @@
 inline constexpr std::uint32_t TokensPerSecond = 600; ///< of each organisation
 inline constexpr std::uint32_t BurstTokens = 300; ///< of each organisation
 inline constexpr double AuditTolerance = 1e-3; ///< tokens
+/// Of an instance's clock: the rates of two differ by at most SeatTimings::clockDrift.
+inline constexpr std::uint32_t MaxClockSkewPpm = 500;
+inline constexpr Millis AnswerTimeout{40}; ///< of a borrower
+inline constexpr Millis RetryInterval{20}; ///< of a borrower
+inline constexpr Millis MaxTokenWait{150}; ///< of a request
+inline constexpr std::uint32_t RefundedRequestPeriod = 3; ///< one request in so many is refunded
+inline constexpr std::uint32_t MaxRefundDelayMillis = 300;
+inline constexpr Millis TickInterval{15}; ///< of an instance, with a jitter
+inline constexpr std::uint32_t TickJitterMicros = 5000;
+inline constexpr Millis RestartDelay{400}; ///< after an instance has left
+
+// Messages.
+inline constexpr std::uint32_t PerMille = 1000;
+inline constexpr std::uint32_t MinDelayMicros = 200;
+inline constexpr std::uint32_t UsualMaxDelayMicros = 8000;
+inline constexpr std::uint32_t SlowMaxDelayMicros = 100'000;
+inline constexpr std::uint32_t UsualLossPerMille = 10; ///< after a fault of the network
+inline constexpr std::uint32_t HighLossPerMille = 300;
+
+// Calls to the store.
+inline constexpr std::uint32_t MinStoreMicros = 500; ///< to the store, and back
+inline constexpr std::uint32_t StoreJitterMicros = 4000;
+inline constexpr Millis RejectionDelay{2}; ///< of a store that is down
+inline constexpr Millis StoreCallTimeout{60};
+/// One in so many writes whose answer is lost never applies.
+inline constexpr std::uint32_t UnappliedWritePeriod = 3;
+inline constexpr std::uint32_t MaxLateWriteMillis = 500;
+
+// Faults.
+inline constexpr std::uint32_t FaultKinds = 10;
+inline constexpr std::uint32_t MinFaultMillis = 20; ///< duration, and time until the next fault
+inline constexpr std::uint32_t FaultJitterMillis = 600; ///< of the duration
+inline constexpr std::uint32_t FaultGapJitterMillis = 250; ///< of the time until the next fault
 
 /// Checks that no more than rate * t + burst tokens are spent in any interval t: a token bucket
 /// that starts full and from which all spent tokens are taken must never go below zero.
@@ -143,9 +176,8 @@
                                            static_cast<double>(organisation.burstTokens)));
         this->instances.resize(InstanceCount);
         for (int index = 0; index < InstanceCount; ++index) {
-            // The rates of two clocks differ by less than SeatTimings::clockDrift.
-            this->instances[index].clockRate
-                = 1 + (static_cast<double>(this->random(1000)) - 500) * 1e-6;
+            this->instances[index].clockRate = 1
+                + (static_cast<double>(this->random(2 * MaxClockSkewPpm)) - MaxClockSkewPpm) * 1e-6;
             this->instances[index].boot = std::to_string(index);
             this->start(index);
         }
@@ -170,7 +202,7 @@
     void crashAndRestart(int index, bool inPlace)
     {
         if (!inPlace)
-            this->instances[index].boot = std::to_string(++this->bootCount + 100);
+            this->instances[index].boot = std::to_string(++this->lastBoot);
         this->start(index);
     }
 
@@ -182,7 +214,7 @@
     {
         if (this->instances[index].seats)
             this->instances[index].seats->leave();
-        this->after(Millis(400), [this, index] { this->crashAndRestart(index, false); });
+        this->after(RestartDelay, [this, index] { this->crashAndRestart(index, false); });
     }
 
     /// Returns the largest excess over the limits of an organisation, in tokens.
@@ -265,8 +297,8 @@
         });
         BorrowerTimings timings;
         timings.loanValidity = testTimings().loanValidity;
-        timings.answerTimeout = Millis(40);
-        timings.retryInterval = Millis(20);
+        timings.answerTimeout = AnswerTimeout;
+        timings.retryInterval = RetryInterval;
         instance.borrower = std::make_unique<Borrower>(1, timings);
         instance.borrower->setRegions(instance.region == "east"
                                           ? std::vector<std::string>{"east", "west"}
@@ -306,7 +338,8 @@
     /// Runs the timers of the instance, and schedules itself again.
     void tick(int index)
     {
-        this->after(Millis(15) + Micros(this->random(5000)), [this, index] { this->tick(index); });
+        this->after(TickInterval + Micros(this->random(TickJitterMicros)),
+                    [this, index] { this->tick(index); });
         Instance &instance = this->instances[index];
         if (instance.pausedUntil > this->now)
             return;
@@ -333,10 +366,11 @@
     void startRequest()
     {
         const double meanTokens = (this->maxRequestTokens + 1) / 2.0;
+        constexpr double MicrosPerSecond = 1e6;
         const double requestsPerSecond
             = TokensPerSecond * OrganisationCount * this->loadFactor / meanTokens;
         // Twice the mean time between two requests, in microseconds.
-        const auto maxGap = static_cast<std::uint32_t>(2e6 / requestsPerSecond);
+        const auto maxGap = static_cast<std::uint32_t>(2 * MicrosPerSecond / requestsPerSecond);
         this->after(Micros(this->random(maxGap)), [this] { this->startRequest(); });
         const int index = static_cast<int>(this->random(InstanceCount));
         Instance &instance = this->instances[index];
@@ -349,7 +383,7 @@
         instance.requests[id] = {name, tokens};
         this->execute(
             index,
-            instance.borrower->start(id, name, tokens, Millis(150), this->clockOf(instance)));
+            instance.borrower->start(id, name, tokens, MaxTokenWait, this->clockOf(instance)));
     }
 
     void execute(int index, const std::vector<SeatAction> &actions)
@@ -391,14 +425,14 @@
             if (!result.isGranted)
                 continue;
             // Some answers use fewer tokens than were granted for them.
-            const double unused = this->random(3) == 0 ? tokens / 2 : 0;
+            const double unused = this->random(RefundedRequestPeriod) == 0 ? tokens / 2 : 0;
             this->auditors.at(name).spend(this->now, tokens - unused);
             if (unused == 0) {
                 instance.borrower->forget(result.request);
                 continue;
             }
             this->runOnInstance(
-                index, Millis(this->random(300)),
+                index, Millis(this->random(MaxRefundDelayMillis)),
                 [this, index, id = result.request, unused](Instance &own) {
                     this->execute(index, own.borrower->refund(id, unused, this->clockOf(own)));
                 });
@@ -423,12 +457,12 @@
             if (!isSameProcess(this->instances[index].id, to))
                 continue;
             if (this->isCut(this->instances[from], this->instances[index])
-                || this->random(1000) < this->lossPerMille)
+                || this->random(PerMille) < this->lossPerMille)
                 return;
-            const int copies = this->random(1000) < this->lossPerMille ? 2 : 1;
+            const int copies = this->random(PerMille) < this->lossPerMille ? 2 : 1;
             for (int copy = 0; copy < copies; ++copy)
                 this->runOnInstance(
-                    index, Micros(200 + this->random(this->maxDelayMicros)),
+                    index, Micros(MinDelayMicros + this->random(this->maxDelayMicros)),
                     [this, index, message](Instance &) { this->receive(index, message); });
             return;
         }
@@ -478,28 +512,33 @@
             });
         };
         if (this->store.mode == StoreMode::Down || !this->instances[index].canReachStore)
-            return reply(Millis(2), {StoreStatus::Down, 0, ""});
+            return reply(RejectionDelay, {StoreStatus::Down, 0, ""});
         const bool isLost
-            = this->store.mode == StoreMode::Hanging || this->random(1000) < this->lossPerMille;
+            = this->store.mode == StoreMode::Hanging || this->random(PerMille) < this->lossPerMille;
         if (!isLost) {
-            this->after(Micros(500 + this->random(4000)), [this, action, reply] {
-                reply(Micros(500 + this->random(4000)), this->store.apply(action));
+            this->after(this->storeDelay(), [this, action, reply] {
+                reply(this->storeDelay(), this->store.apply(action));
             });
             return;
         }
         // The reply is lost. The write may apply before the caller gives up, after that, or never.
-        reply(Millis(60), {StoreStatus::Unknown, 0, ""});
-        if (action.kind == SeatAction::Kind::Write && this->random(3) != 0)
-            this->after(Millis(this->random(500)), [this, action] { this->store.apply(action); });
+        reply(StoreCallTimeout, {StoreStatus::Unknown, 0, ""});
+        if (action.kind == SeatAction::Kind::Write && this->random(UnappliedWritePeriod) != 0)
+            this->after(Millis(this->random(MaxLateWriteMillis)),
+                        [this, action] { this->store.apply(action); });
     }
 
+    /// Returns the time that a call to the store, or its reply, is on its way.
+    Micros storeDelay() { return Micros(MinStoreMicros + this->random(StoreJitterMicros)); }
+
     /// Injects a random fault, and schedules the next one.
     void injectFault()
     {
-        this->after(Millis(20 + this->random(250)), [this] { this->injectFault(); });
+        this->after(Millis(MinFaultMillis + this->random(FaultGapJitterMillis)),
+                    [this] { this->injectFault(); });
         const int index = static_cast<int>(this->random(InstanceCount));
-        const Millis duration(20 + this->random(600));
-        switch (this->random(10)) {
+        const Millis duration(MinFaultMillis + this->random(FaultJitterMillis));
+        switch (this->random(FaultKinds)) {
         case 0:
             return this->crashAndRestart(index, true);
         case 1:
@@ -527,11 +566,11 @@
             return this->after(duration,
                                [this, index] { this->instances[index].canReachStore = true; });
         default:
-            this->lossPerMille = 300;
-            this->maxDelayMicros = 100'000;
+            this->lossPerMille = HighLossPerMille;
+            this->maxDelayMicros = SlowMaxDelayMicros;
             return this->after(duration, [this] {
-                this->lossPerMille = 10;
-                this->maxDelayMicros = 8000;
+                this->lossPerMille = UsualLossPerMille;
+                this->maxDelayMicros = UsualMaxDelayMicros;
             });
         }
     }
@@ -542,11 +581,11 @@
     std::uint64_t lastEventOrder = 0;
     std::uint64_t lastIncarnation = 0;
     std::uint64_t lastRequest = 0;
-    int bootCount = 0;
+    int lastBoot = 100; ///< higher than the boots at the start, which are the instances' numbers
     bool isRegionLinkCut = false;
     bool hasScheduledEvents = false;
     std::uint32_t lossPerMille = 0;
-    std::uint32_t maxDelayMicros = 8000;
+    std::uint32_t maxDelayMicros = UsualMaxDelayMicros;
     std::vector<Instance> instances;
     std::priority_queue<Event> events;
     std::map<std::string, Auditor> auditors;
