--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -14,6 +14,11 @@
 // A request that comes to an instance other than the one that sends trials is told to wait at
 // least this long.
 constexpr Millis MinRefusal{1000};
+constexpr Millis MaxAge = std::chrono::minutes(30);
+// After a longer pause between two ticks the process may have been frozen, and news that speak
+// against a crash wait to be read.
+constexpr Millis MaxTickGap{500};
+constexpr Millis CatchUpTime{1000};
 
 Millis ageOf(MonoTime time, MonoTime now)
 {
@@ -28,15 +33,26 @@
     return news;
 }
 
-MonoTime timeOf(const proto::PartNews &news, MonoTime now)
+/// Returns the time of \a ageMillis before \a now; ages that cannot be are limited.
+MonoTime timeOf(std::int64_t ageMillis, MonoTime now)
 {
-    return now - Millis(news.age_ms());
+    return now - Millis(std::clamp<std::int64_t>(ageMillis, 0, MaxAge.count()));
 }
 
-void logBlocked(const PartId &part, MonoTime retryAt, MonoTime now)
+BlockedPart blockedPart(const proto::BlockedPart &told, MonoTime now)
+{
+    const std::int64_t trialInMillis
+        = std::clamp<std::int64_t>(told.trial_in_ms(), 0, MaxAge.count());
+    return {told.part(), timeOf(told.age_ms(), now), now + Millis(trialInMillis),
+            std::max(0, told.trials())};
+}
+
+void logBlocked(const BlockedPart &blocked, MonoTime now)
 {
     logEvent(LogLevel::Warning, "part_blocked",
-             {{"part", part}, {"trial_in_ms", ageOf(now, retryAt).count()}});
+             {{"part", blocked.part},
+              {"crash_age_ms", ageOf(blocked.crashedAt, now).count()},
+              {"trial_in_ms", ageOf(now, blocked.trialAt).count()}});
 }
 
 } // namespace
@@ -74,7 +90,7 @@
 void CrashMonitor::onAnswerBegun(const Incarnation &engine, const std::vector<PartId> &parts,
                                  MonoTime now)
 {
-    this->attribution.onEngineAlive(engine, now);
+    this->onEngineAlive(engine, now);
     for (const PartId &part : this->attribution.onAnswerBegun(parts, now)) {
         *this->pendingNews.add_begun() = partNews(part, Millis(0));
         logEvent(LogLevel::Info, "part_cleared", {{"part", part}, {"endpoint", engine.endpointId}});
@@ -83,7 +99,11 @@
 
 void CrashMonitor::onEngineAlive(const Incarnation &engine, MonoTime now)
 {
-    this->attribution.onEngineAlive(engine, now);
+    if (!this->attribution.onEngineAlive(engine, now))
+        return;
+    proto::EngineIncarnation &alive = *this->pendingNews.add_alive();
+    alive.set_endpoint(engine.endpointId);
+    alive.set_born_ms(engine.startMillis);
 }
 
 void CrashMonitor::onNews(const proto::CrashNews &news, MonoTime now)
@@ -91,41 +111,52 @@
     for (const proto::EngineCrash &crash : news.crashes())
         this->recordCrash({{crash.endpoint(), crash.born_ms()},
                            {crash.parts().begin(), crash.parts().end()},
-                           now - Millis(crash.age_ms())},
+                           timeOf(crash.age_ms(), now)},
                           now);
     for (const proto::PartNews &begun : news.begun())
-        this->attribution.onBegunElsewhere({begun.part(), timeOf(begun, now)});
+        this->attribution.onBegunElsewhere({begun.part(), timeOf(begun.age_ms(), now)});
+    for (const proto::EngineIncarnation &alive : news.alive())
+        this->attribution.onEngineAlive({alive.endpoint(), alive.born_ms()}, now);
     bool isAnyNew = false;
-    for (const proto::PartNews &told : news.blocked()) {
-        const BlockedPart blocked{told.part(), timeOf(told, now)};
+    for (const proto::BlockedPart &told : news.blocked()) {
+        const BlockedPart blocked = blockedPart(told, now);
         if (!this->attribution.onBlocked(blocked))
             continue;
         isAnyNew = true;
-        logBlocked(blocked.part, CrashAttribution::nextTrial(blocked), now);
+        logBlocked(blocked, now);
     }
     if (isAnyNew)
         this->hooks.onPartsBlocked();
 }
 
-std::optional<MonoTime> CrashMonitor::refusedUntil(const std::vector<PartId> &parts, MonoTime now)
+std::optional<MonoTime> CrashMonitor::refusedUntil(const std::vector<PartId> &parts,
+                                                   MonoTime now) const
+{
+    std::optional<MonoTime> until;
+    for (const BlockedPart &blocked : this->attribution.findBlocked(parts)) {
+        if (now >= blocked.trialAt && this->hooks.isTrialInstance(blocked.part))
+            continue;
+        until = std::max({until.value_or(now), blocked.trialAt, now + MinRefusal});
+    }
+    return until;
+}
+
+void CrashMonitor::onSent(const std::vector<PartId> &parts, MonoTime now)
 {
-    const auto blocked = this->attribution.findBlocked(parts);
-    if (!blocked)
-        return std::nullopt;
-    const MonoTime trialAt = CrashAttribution::nextTrial(*blocked);
-    if (now < trialAt)
-        return trialAt;
-    if (!this->hooks.isTrialInstance(blocked->part))
-        return now + MinRefusal;
-    this->attribution.onTrial(blocked->part, now);
-    this->collectBlocked({blocked->part, now}, now);
-    logEvent(LogLevel::Info, "part_trial", {{"part", blocked->part}});
-    return std::nullopt;
+    for (const BlockedPart &blocked : this->attribution.findBlocked(parts)) {
+        if (const auto tried = this->attribution.onTrial(blocked.part, now))
+            this->collectBlocked(*tried, now);
+        logEvent(LogLevel::Info, "part_trial", {{"part", blocked.part}});
+    }
 }
 
 void CrashMonitor::onTick(MonoTime now)
 {
-    this->block(now);
+    if (now - this->tickedAt > MaxTickGap)
+        this->blockAfter = now + CatchUpTime;
+    this->tickedAt = now;
+    if (now >= this->blockAfter)
+        this->block(now);
     if (now - this->repeatedAt >= RepeatInterval) {
         this->repeatedAt = now;
         const auto blockedParts = this->attribution.blockedParts();
@@ -141,7 +172,7 @@
 {
     const auto newlyBlocked = this->attribution.blockNewParts(now);
     for (const BlockedPart &blocked : newlyBlocked) {
-        logBlocked(blocked.part, CrashAttribution::nextTrial(blocked), now);
+        logBlocked(blocked, now);
         this->collectBlocked(blocked, now);
     }
     if (!newlyBlocked.empty())
@@ -150,7 +181,11 @@
 
 void CrashMonitor::collectBlocked(const BlockedPart &blocked, MonoTime now)
 {
-    *this->pendingNews.add_blocked() = partNews(blocked.part, ageOf(blocked.blockedAt, now));
+    proto::BlockedPart &told = *this->pendingNews.add_blocked();
+    told.set_part(blocked.part);
+    told.set_age_ms(ageOf(blocked.crashedAt, now).count());
+    told.set_trial_in_ms(ageOf(now, blocked.trialAt).count());
+    told.set_trials(blocked.trials);
 }
 
 void CrashMonitor::flush(MonoTime now)
@@ -164,7 +199,9 @@
             told.add_parts(part);
     }
     const proto::CrashNews news = std::exchange(this->pendingNews, {});
-    if (news.crashes().empty() && news.blocked().empty() && news.begun().empty())
+    const bool isEmpty = news.crashes().empty() && news.blocked().empty() && news.begun().empty()
+        && news.alive().empty();
+    if (isEmpty)
         return;
     this->hooks.broadcast(news);
 }
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -39,7 +39,7 @@
     void onAttemptLost(const Incarnation &engine, const std::vector<PartId> &parts, MonoTime now);
     /// An answer to a prompt with \a parts has begun at \a engine.
     void onAnswerBegun(const Incarnation &engine, const std::vector<PartId> &parts, MonoTime now);
-    /// The engine has reported to this or another instance.
+    /// The engine has reported to this instance or, a moment ago, to another one.
     void onEngineAlive(const Incarnation &engine, MonoTime now);
     /// Handles what another instance has found.
     void onNews(const proto::CrashNews &news, MonoTime now);
@@ -49,11 +49,13 @@
     /// Whether a prompt with \a parts is not to be sent to engines.
     bool isBlocked(const std::vector<PartId> &parts) const
     {
-        return this->attribution.findBlocked(parts).has_value();
+        return !this->attribution.findBlocked(parts).empty();
     }
-    /// Decides on a request with \a parts that is about to be sent: returns until when such
-    /// requests are refused, or nothing if it may be sent, be it as a trial.
-    std::optional<MonoTime> refusedUntil(const std::vector<PartId> &parts, MonoTime now);
+    /// Decides on a new request with \a parts: returns until when such requests are refused, or
+    /// nothing if it may be sent, be it as a trial.
+    std::optional<MonoTime> refusedUntil(const std::vector<PartId> &parts, MonoTime now) const;
+    /// A new request with \a parts is sent to an engine.
+    void onSent(const std::vector<PartId> &parts, MonoTime now);
 
 private:
     void recordCrash(const EngineCrash &crash, MonoTime now);
@@ -66,6 +68,8 @@
     std::map<Incarnation, EngineCrash> pendingCrashes; ///< collected for the next broadcast
     proto::CrashNews pendingNews; ///< the rest of the next broadcast
     MonoTime repeatedAt{};
+    MonoTime tickedAt{};
+    MonoTime blockAfter{}; ///< no part is blocked earlier, as news may wait to be read
 };
 
 } // namespace lavenderhall
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -240,6 +240,9 @@
 
 void ForwardCall::startAttempt()
 {
+    // Tokens may have taken a moment.
+    if (this->retryState.attempts() == 0 && this->refuseBlockedPrompt())
+        return;
     const MonoTime now = monoNow();
     const ChoiceQuery query = this->query();
     const auto chosen = this->context.selector.choose(query, now);
@@ -251,6 +254,7 @@
     this->logChoice(query, now);
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen->endpointId);
     this->engine = {endpoint->id, endpoint->startMillis};
+    this->context.crashMonitor.onSent(this->sharedParts, now);
     this->triedEndpoints.push_back(chosen->endpointId);
     this->head = {};
     this->body.clear();
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -25,10 +25,13 @@
 // One instance of each region tells the others when weights were named, this often.
 constexpr const char *NamedWeightsTask = "tell when weights were named";
 constexpr Millis NamedWeightsInterval{1000};
-// One instance of each region tells the others which parts of prompts are blocked. One instance of
-// the fleet sends the requests that find out whether a part still crashes engines.
+// Two instances of each region tell the others which parts of prompts are blocked, as one may have
+// just started. One instance of the fleet sends the requests that find out whether a part still
+// crashes engines; another one takes its turn, as it may have no such requests.
 constexpr const char *BlockedPartsTask = "tell which parts are blocked";
+constexpr std::size_t BlockedPartsTellers = 2;
 const std::string PartTrialTask = "try part ";
+constexpr Millis PartTrialTurn = std::chrono::seconds(10);
 // Two instances of the fleet try to acquire the lease of the rollout, each of which reads it
 // several times a second. Two others in each region do so only if there is no progress for a while,
 // and all others only after a longer while.
@@ -112,7 +115,10 @@
     , loadMonitor(
           loop, adapter, this->selector,
           [this](const std::string &task) { return this->fleet.isAssigned(task, 1); },
-          this->engineBroadcast())
+          this->engineBroadcast(),
+          [this](const Incarnation &engine) {
+              this->crashMonitor.onEngineAlive(engine, monoNow());
+          })
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -206,9 +212,12 @@
 {
     CrashMonitorHooks hooks;
     hooks.broadcast = [this](const proto::CrashNews &news) { this->fleet.broadcast(news); };
-    hooks.isTeller = [this] { return this->fleet.isAssigned(BlockedPartsTask, 1); };
+    hooks.isTeller
+        = [this] { return this->fleet.isAssigned(BlockedPartsTask, BlockedPartsTellers); };
     hooks.isTrialInstance = [this](const PartId &part) {
-        return this->fleet.isAssigned(PartTrialTask + part, 1, TaskScope::Fleet);
+        const auto turn = wallMillis() / PartTrialTurn.count();
+        const std::string task = PartTrialTask + part + "/" + std::to_string(turn);
+        return this->fleet.isAssigned(task, 1, TaskScope::Fleet);
     };
     hooks.onPartsBlocked = [this] { this->forwarder.onPartsBlocked(); };
     return hooks;
--- a/src/forward/loadmonitor.cpp
+++ b/src/forward/loadmonitor.cpp
@@ -25,11 +25,12 @@
 
 LoadMonitor::LoadMonitor(http::Loop &loop, const PlatformAdapter &adapter,
                          EndpointSelector &selector, AssignmentCheck isAssigned,
-                         EngineBroadcast broadcast)
+                         EngineBroadcast broadcast, AliveHandler onAlive)
     : adapter(adapter)
     , selector(selector)
     , isAssigned(std::move(isAssigned))
     , broadcast(std::move(broadcast))
+    , onAlive(std::move(onAlive))
     , client(loop)
 { }
 
@@ -66,6 +67,7 @@
 void LoadMonitor::onReport(const RegisteredEndpoint &engine, const EngineReport &report)
 {
     const MonoTime now = monoNow();
+    this->onAlive({engine.id, engine.startMillis});
     applyReportedWeights(this->selector, engine, report, this->broadcast);
     const bool isNews = this->schedule.onReport(engine.id, report, now);
     if (report.isLeaving)
--- a/src/forward/loadmonitor.h
+++ b/src/forward/loadmonitor.h
@@ -16,9 +16,11 @@
 public:
     /// Returns whether the task of that name is assigned to this instance.
     using AssignmentCheck = std::function<bool(const std::string &task)>;
+    /// Called when an engine has reported.
+    using AliveHandler = std::function<void(const Incarnation &engine)>;
 
     LoadMonitor(http::Loop &loop, const PlatformAdapter &adapter, EndpointSelector &selector,
-                AssignmentCheck isAssigned, EngineBroadcast broadcast);
+                AssignmentCheck isAssigned, EngineBroadcast broadcast, AliveHandler onAlive);
     ~LoadMonitor() { *this->alive = false; }
 
     /// Sends the load requests and broadcasts that are due; to be called periodically.
@@ -47,6 +49,7 @@
     EndpointSelector &selector;
     AssignmentCheck isAssigned;
     EngineBroadcast broadcast;
+    AliveHandler onAlive;
     http::Client client;
     ReportSchedule schedule;
     proto::LoadNews pendingNews; ///< collected for the next broadcast
--- a/src/routing/crashattribution.cpp
+++ b/src/routing/crashattribution.cpp
@@ -16,9 +16,16 @@
 constexpr Millis ConfirmationTime{1000};
 // A sign of life that another instance tells of may be this old.
 constexpr Millis MaxNewsDelay{500};
-// At most one request in this time finds out whether a blocked part still crashes engines.
-constexpr Millis TrialInterval = std::chrono::minutes(1);
+// The first request that finds out whether a blocked part still crashes engines is sent after this
+// time. Each further one follows after twice the time.
+constexpr Millis FirstTrialInterval = std::chrono::minutes(1);
+constexpr int MaxTrialDoublings = 4;
+// What is told again of a part must be newer by this much to count, as each message takes time.
+constexpr Millis MinNewsProgress = MaxNewsDelay;
 constexpr Millis SuspicionLifetime = std::chrono::minutes(10);
+constexpr Millis BlockLifetime = std::chrono::minutes(30);
+// Of a part that answers keep beginning under, the others are told no more often.
+constexpr Millis BegunNewsInterval = std::chrono::seconds(1);
 constexpr Millis BegunLifetime = std::chrono::minutes(2);
 constexpr Millis ForgetInterval = std::chrono::seconds(1);
 
@@ -51,17 +58,19 @@
     for (const PartId &part : crash.parts) {
         const auto begun = this->begunParts.find(part);
         if (begun != this->begunParts.end()) {
-            if (begun->second.at >= crash.at)
-                continue;
+            const MonoTime begunAt = begun->second.at;
             std::optional<MonoTime> &toldAt = begun->second.toldAt;
-            if (!toldAt || crash.at - *toldAt > BegunLifetime / 2) {
-                toldAt = crash.at;
-                begunBefore.push_back({part, begun->second.at});
+            if (!toldAt || begunAt - *toldAt > BegunNewsInterval) {
+                toldAt = begunAt;
+                begunBefore.push_back({part, begunAt});
             }
+            if (begunAt >= crash.at)
+                continue;
         }
         const auto blockedPart = this->blocked.find(part);
         if (blockedPart != this->blocked.end()) {
-            blockedPart->second = std::max(blockedPart->second, crash.at);
+            MonoTime &crashedAt = blockedPart->second.crashedAt;
+            crashedAt = std::max(crashedAt, crash.at);
             continue;
         }
         this->suspects[part].emplace(crash.engine, crash.at);
@@ -81,7 +90,7 @@
             this->suspects.erase(suspect);
     }
     const auto blockedPart = this->blocked.find(part);
-    if (blockedPart != this->blocked.end() && blockedPart->second <= begunAt) {
+    if (blockedPart != this->blocked.end() && blockedPart->second.crashedAt <= begunAt) {
         this->blocked.erase(blockedPart);
         isCleared = true;
     }
@@ -108,24 +117,35 @@
     this->clear(news.part, news.begunAt);
 }
 
-void CrashAttribution::onEngineAlive(const Incarnation &engine, MonoTime at)
+bool CrashAttribution::onEngineAlive(const Incarnation &engine, MonoTime at)
 {
+    bool wasSuspected = false;
     for (auto &[part, crashes] : this->suspects) {
         const auto found = crashes.find(engine);
-        if (found != crashes.end() && found->second + MaxNewsDelay < at)
-            crashes.erase(found);
+        if (found == crashes.end() || found->second + MaxNewsDelay >= at)
+            continue;
+        crashes.erase(found);
+        wasSuspected = true;
     }
     std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
+    return wasSuspected;
 }
 
+// An instance that has seen an answer begin since knows better.
 bool CrashAttribution::onBlocked(const BlockedPart &news)
 {
     const auto begun = this->begunParts.find(news.part);
-    if (begun != this->begunParts.end() && begun->second.at >= news.blockedAt)
+    if (begun != this->begunParts.end() && begun->second.at >= news.crashedAt)
         return false;
-    const auto [found, isNew] = this->blocked.emplace(news.part, news.blockedAt);
-    found->second = std::max(found->second, news.blockedAt);
     this->suspects.erase(news.part);
+    const auto [found, isNew] = this->blocked.emplace(news.part, news);
+    BlockedPart &known = found->second;
+    if (news.crashedAt - known.crashedAt > MinNewsProgress)
+        known.crashedAt = news.crashedAt;
+    if (news.trialAt - known.trialAt > MinNewsProgress) {
+        known.trialAt = news.trialAt;
+        known.trials = std::max(known.trials, news.trials);
+    }
     return isNew;
 }
 
@@ -162,11 +182,14 @@
     std::vector<BlockedPart> newlyBlocked;
     std::set<Incarnation> explained;
     for (const PartId &part : this->mostSuspected(now)) {
-        for (const auto &[engine, at] : this->suspects[part])
+        BlockedPart block{part, {}, now + FirstTrialInterval, 0};
+        for (const auto &[engine, at] : this->suspects[part]) {
             explained.insert(engine);
+            block.crashedAt = std::max(block.crashedAt, at);
+        }
         this->suspects.erase(part);
-        this->blocked[part] = now;
-        newlyBlocked.push_back({part, now});
+        this->blocked.emplace(part, block);
+        newlyBlocked.push_back(std::move(block));
     }
     if (explained.empty())
         return newlyBlocked;
@@ -176,33 +199,33 @@
     return newlyBlocked;
 }
 
-std::optional<BlockedPart> CrashAttribution::findBlocked(const std::vector<PartId> &parts) const
+std::vector<BlockedPart> CrashAttribution::findBlocked(const std::vector<PartId> &parts) const
 {
+    std::vector<BlockedPart> found;
     for (const PartId &part : parts) {
-        const auto found = this->blocked.find(part);
-        if (found != this->blocked.end())
-            return BlockedPart{part, found->second};
+        const auto blockedPart = this->blocked.find(part);
+        if (blockedPart != this->blocked.end())
+            found.push_back(blockedPart->second);
     }
-    return std::nullopt;
-}
-
-MonoTime CrashAttribution::nextTrial(const BlockedPart &blocked)
-{
-    return blocked.blockedAt + TrialInterval;
+    return found;
 }
 
-void CrashAttribution::onTrial(const PartId &part, MonoTime now)
+std::optional<BlockedPart> CrashAttribution::onTrial(const PartId &part, MonoTime now)
 {
     const auto found = this->blocked.find(part);
-    if (found != this->blocked.end())
-        found->second = now;
+    if (found == this->blocked.end())
+        return std::nullopt;
+    BlockedPart &tried = found->second;
+    tried.trials = std::min(tried.trials + 1, MaxTrialDoublings);
+    tried.trialAt = now + FirstTrialInterval * (1 << tried.trials);
+    return tried;
 }
 
 std::vector<BlockedPart> CrashAttribution::blockedParts() const
 {
     std::vector<BlockedPart> found;
-    for (const auto &[part, blockedAt] : this->blocked)
-        found.push_back({part, blockedAt});
+    for (const auto &[part, blockedPart] : this->blocked)
+        found.push_back(blockedPart);
     return found;
 }
 
@@ -218,7 +241,7 @@
     std::erase_if(this->begunParts,
                   [now](const auto &begun) { return now - begun.second.at > BegunLifetime; });
     std::erase_if(this->blocked,
-                  [now](const auto &part) { return now - part.second > SuspicionLifetime; });
+                  [now](const auto &part) { return now - part.second.crashedAt > BlockLifetime; });
 }
 
 } // namespace lavenderhall
--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -31,7 +31,9 @@
 struct BlockedPart
 {
     PartId part;
-    MonoTime blockedAt{};
+    MonoTime crashedAt{}; ///< when the last engine crashed under it
+    MonoTime trialAt{}; ///< when one request may be sent to see whether it still crashes engines
+    int trials = 0; ///< so far
 
     auto operator<=>(const BlockedPart &) const = default;
 };
@@ -61,19 +63,18 @@
     /// Another instance has seen that an answer began. Later crashes still count.
     void onBegunElsewhere(const BegunPart &begun);
     /// The engine was alive at \a at: what was taken for its crash before then was none.
-    void onEngineAlive(const Incarnation &engine, MonoTime at);
+    /// Returns whether a part was suspected for it.
+    bool onEngineAlive(const Incarnation &engine, MonoTime at);
     /// Another instance has blocked the part. Returns whether this is news.
     bool onBlocked(const BlockedPart &blocked);
     /// Blocks the parts whose crashes suffice, and returns them.
     std::vector<BlockedPart> blockNewParts(MonoTime now);
 
-    /// Returns the first of \a parts that is blocked, or nothing.
-    std::optional<BlockedPart> findBlocked(const std::vector<PartId> &parts) const;
-    /// Returns when one request with the part may be sent to find out whether it still crashes
-    /// engines.
-    static MonoTime nextTrial(const BlockedPart &blocked);
-    /// A request with the blocked part is sent as a trial; the next one may follow later.
-    void onTrial(const PartId &part, MonoTime now);
+    /// Returns those of \a parts that are blocked.
+    std::vector<BlockedPart> findBlocked(const std::vector<PartId> &parts) const;
+    /// A request with the part is sent as a trial; the next one may follow much later. Returns the
+    /// part with its new times, or nothing if it is not blocked.
+    std::optional<BlockedPart> onTrial(const PartId &part, MonoTime now);
     /// Returns all blocked parts.
     std::vector<BlockedPart> blockedParts() const;
 
@@ -86,7 +87,7 @@
     struct Begun
     {
         MonoTime at{}; ///< when an answer last began
-        std::optional<MonoTime> toldAt; ///< when an instance last told all others
+        std::optional<MonoTime> toldAt; ///< the time that all instances know
 
         bool operator==(const Begun &) const = default;
     };
@@ -98,7 +99,7 @@
     void forgetOld(MonoTime now);
 
     std::unordered_map<PartId, Crashes> suspects;
-    std::map<PartId, MonoTime> blocked; ///< when last blocked, or last tried
+    std::map<PartId, BlockedPart> blocked;
     std::unordered_map<PartId, Begun> begunParts;
     MonoTime forgottenAt{};
 };
