--- a/src/routing/crashattribution.cpp
+++ b/src/routing/crashattribution.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t CrashesToBlock = 3;
 // Engines that crash together, as a rack does, have a common cause that is no request.
 constexpr Millis MinTimeBetweenCrashes{250};
+// All instances see the crash of an engine within this time. What is sent to it later, as behind a
+// proxy that still accepts connections, is lost too, but was not there when it crashed.
+constexpr Millis MaxTimeToSeeCrash{100};
 // A connection that ended is a crash only if the engine then shows no sign of life. Reports of
 // engines reach all instances within this time.
 constexpr Millis ConfirmationTime{1000};
@@ -51,10 +54,21 @@
 
 } // namespace
 
+std::optional<MonoTime> CrashAttribution::firstSeen(const EngineCrash &crash)
+{
+    const MonoTime first = this->crashedEngines.emplace(crash.engine, crash.at).first->second;
+    if (crash.at - first > MaxTimeToSeeCrash)
+        return std::nullopt;
+    return first;
+}
+
 // News of a crash may arrive after an answer has begun that followed the crash.
 std::vector<BegunPart> CrashAttribution::onCrash(const EngineCrash &crash)
 {
     std::vector<BegunPart> begunBefore;
+    const std::optional<MonoTime> crashedAt = this->firstSeen(crash);
+    if (!crashedAt)
+        return begunBefore;
     for (const PartId &part : crash.parts) {
         const auto begun = this->begunParts.find(part);
         if (begun != this->begunParts.end()) {
@@ -64,16 +78,16 @@
                 toldAt = begunAt;
                 begunBefore.push_back({part, begunAt});
             }
-            if (begunAt >= crash.at)
+            if (begunAt >= *crashedAt)
                 continue;
         }
         const auto blockedPart = this->blocked.find(part);
         if (blockedPart != this->blocked.end()) {
-            MonoTime &crashedAt = blockedPart->second.crashedAt;
-            crashedAt = std::max(crashedAt, crash.at);
+            MonoTime &lastCrash = blockedPart->second.crashedAt;
+            lastCrash = std::max(lastCrash, *crashedAt);
             continue;
         }
-        this->suspects[part].emplace(crash.engine, crash.at);
+        this->suspects[part].emplace(crash.engine, *crashedAt);
     }
     return begunBefore;
 }
@@ -119,10 +133,14 @@
 
 bool CrashAttribution::onEngineAlive(const Incarnation &engine, MonoTime at)
 {
+    const auto crashed = this->crashedEngines.find(engine);
+    if (crashed == this->crashedEngines.end() || crashed->second + MaxNewsDelay >= at)
+        return false;
+    this->crashedEngines.erase(crashed);
     bool wasSuspected = false;
     for (auto &[part, crashes] : this->suspects) {
         const auto found = crashes.find(engine);
-        if (found == crashes.end() || found->second + MaxNewsDelay >= at)
+        if (found == crashes.end())
             continue;
         crashes.erase(found);
         wasSuspected = true;
@@ -234,9 +252,10 @@
     if (now - this->forgottenAt < ForgetInterval)
         return;
     this->forgottenAt = now;
+    const auto isOld = [now](const auto &crash) { return now - crash.second > SuspicionLifetime; };
+    std::erase_if(this->crashedEngines, isOld);
     for (auto &[part, crashes] : this->suspects)
-        std::erase_if(crashes,
-                      [now](const auto &crash) { return now - crash.second > SuspicionLifetime; });
+        std::erase_if(crashes, isOld);
     std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
     std::erase_if(this->begunParts,
                   [now](const auto &begun) { return now - begun.second.at > BegunLifetime; });
--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -98,7 +98,12 @@
     std::vector<PartId> mostSuspected(MonoTime now) const;
     void forgetOld(MonoTime now);
 
+    /// Returns when the engine was first seen to crash, \a crash being the first time if none is
+    /// known; nothing if \a crash is only an aftermath.
+    std::optional<MonoTime> firstSeen(const EngineCrash &crash);
+
     std::unordered_map<PartId, Crashes> suspects;
+    Crashes crashedEngines; ///< when each was first seen to crash
     std::map<PartId, BlockedPart> blocked;
     std::unordered_map<PartId, Begun> begunParts;
     MonoTime forgottenAt{};
