Forward: a blocked part explains all crashes before it

Cause: the router that had sent requests with the deadly part was paused, so of three crashes the others knew only the sound victims; when the deadly part was blocked for other crashes, these were left, and blocked two sound parts. Ruled out: aftermath of crashed engines (the crashes are first sights, at different times). Change: once a part is blocked, all suspicions so far are dropped. A second deadly part has to crash three engines more.

--- a/src/routing/crashattribution.cpp
+++ b/src/routing/crashattribution.cpp
@@ -1,7 +1,6 @@
 #include "routing/crashattribution.h"
 
 #include <algorithm>
-#include <set>
 
 namespace lavenderhall {
 
@@ -155,8 +154,9 @@
     const auto begun = this->begunParts.find(news.part);
     if (begun != this->begunParts.end() && begun->second.at >= news.crashedAt)
         return false;
-    this->suspects.erase(news.part);
     const auto [found, isNew] = this->blocked.emplace(news.part, news);
+    if (isNew)
+        this->suspects.clear();
     BlockedPart &known = found->second;
     if (news.crashedAt - known.crashedAt > MinNewsProgress)
         known.crashedAt = news.crashedAt;
@@ -192,28 +192,22 @@
     return found;
 }
 
-// A part that is blocked explains the crashes under it: other parts, which were at the same engines
-// by chance, are no longer suspected for them.
+// A part that is blocked explains all crashes so far: other parts were at the same engines by
+// chance. Not every crash is known to have been under it, as the instance that sent the request may
+// be frozen or gone.
 std::vector<BlockedPart> CrashAttribution::blockNewParts(MonoTime now)
 {
     this->forgetOld(now);
     std::vector<BlockedPart> newlyBlocked;
-    std::set<Incarnation> explained;
     for (const PartId &part : this->mostSuspected(now)) {
         BlockedPart block{part, {}, now + FirstTrialInterval, 0};
-        for (const auto &[engine, at] : this->suspects[part]) {
-            explained.insert(engine);
+        for (const auto &[engine, at] : this->suspects[part])
             block.crashedAt = std::max(block.crashedAt, at);
-        }
-        this->suspects.erase(part);
         this->blocked.emplace(part, block);
         newlyBlocked.push_back(std::move(block));
     }
-    if (explained.empty())
-        return newlyBlocked;
-    for (auto &[part, crashes] : this->suspects)
-        std::erase_if(crashes, [&](const auto &crash) { return explained.contains(crash.first); });
-    std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
+    if (!newlyBlocked.empty())
+        this->suspects.clear();
     return newlyBlocked;
 }
 
--- a/src/routing/crashattribution_test.cpp
+++ b/src/routing/crashattribution_test.cpp
@@ -132,6 +132,20 @@
     cr_assert(attribution.blockNewParts(Start + Millis(3000)).empty());
 }
 
+// The instance that sent a request with the deadly part is frozen: of some crashes only the sound
+// requests are known.
+Test(crashattribution, a_blocked_part_explains_crashes_that_are_known_in_part)
+{
+    CrashAttribution attribution;
+    crashAt(attribution, {"unlucky"}, {Millis(100), Millis(500), Millis(900)}, 3);
+    crashAt(attribution, {"deadly"}, {Millis(0), Millis(400), Millis(800)});
+    attribution.onBegunElsewhere({"unlucky", Start - Millis(20'000)});
+    const auto blocked = attribution.blockNewParts(Start + Millis(3000));
+    cr_assert(blocked.size() == 1U);
+    cr_assert(blocked.front().part == "deadly");
+    cr_assert(attribution.blockNewParts(Start + Millis(3500)).empty());
+}
+
 // Guards against requests with the part reaching engines again and again while they still come.
 Test(crashattribution, a_blocked_part_is_tried_more_and_more_rarely)
 {
