--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -72,6 +72,12 @@
         this->context.onEndpointLeaving(id);
     if (this->head.pause)
         this->context.selector.onPauseRequested(id, *this->head.pause, monoNow());
+    if (this->head.limit.kind != LimitStatement::Kind::None)
+        logEvent(LogLevel::Info, "endpoint_limit",
+                 {{"endpoint", id},
+                  {"request", this->request.id},
+                  {"limit", this->head.limit.text},
+                  {"in_flight", this->context.selector.inFlight(id)}});
 }
 
 void ForwardCall::onData(std::string_view data)
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -57,6 +57,22 @@
     bool operator==(const AttemptMetadata &) const = default;
 };
 
+/// What an endpoint states in an answer about how many requests it accepts from all instances.
+struct LimitStatement
+{
+    enum class Kind {
+        None, ///< the answer names no limit
+        Named,
+        Malformed, ///< the answer names a limit that cannot be read
+    };
+
+    Kind kind = Kind::None;
+    double requestsPerSecond = 0; ///< if it is named
+    std::string text; ///< as received
+
+    bool operator==(const LimitStatement &) const = default;
+};
+
 /// Status and headers of an endpoint's answer.
 struct AnswerHead
 {
@@ -67,6 +83,7 @@
     bool isLeaving = false; ///< the endpoint states that it stops soon
     /// For this long the endpoint wants no requests from this instance; only with status 503.
     std::optional<Millis> pause;
+    LimitStatement limit;
     std::optional<std::int64_t> weightsVersion;
     http::Headers headers; ///< those that are forwarded unchanged
 
