Test: an endpoint gets more requests than the limit that it names (known red)

One instance and two endpoints, one of which names 2 requests a second: it gets 148 requests in 3 s, 14 are allowed.

No functional change.

--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -549,3 +549,29 @@
     cr_assert(not(http::findHeader(refused.response.headers, "retry-after").empty()));
     cr_assert(fixture.call("once", "a1:80,c3:10,own:21").response.status == 200);
 }
+
+// An endpoint in need names the requests a second that it accepts. Guards against requests beyond
+// that, against callers who are turned away for it, and against a limit that is not used.
+Test(forwarder, an_endpoint_gets_no_more_requests_than_the_limit_that_it_names)
+{
+    constexpr double Limit = 2;
+    constexpr int TestSeconds = 3;
+    constexpr double AllowedRequests = 1.5 * Limit * TestSeconds + 5;
+    Fixture fixture;
+    fixture.join(fixture.first, "desk");
+    fixture.join(fixture.second, "desk");
+    fixture.first.onRequest = [](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"server-limit", "2.0"});
+        exchange->respond({200, headers, "done"});
+    };
+    fixture.second.onRequest = answerPlain;
+    const MonoTime endsAt = monoNow() + std::chrono::seconds(TestSeconds);
+    while (monoNow() < endsAt) {
+        cr_assert(fixture.call("read").response.status == 200);
+        fixture.loop.runFor(Millis(20));
+    }
+    const auto arrived = static_cast<double>(fixture.first.exchanges.size());
+    cr_assert(arrived <= AllowedRequests, "%g requests", arrived);
+    cr_assert(arrived >= Limit * TestSeconds / 2, "%g requests", arrived);
+}
