Forward: all instances together keep the limit that an endpoint names

Callers saw nothing; endpoints in need got up to twice the requests that the rule allows (LIMIT in the users' record, 17 and 19 requests in 4 s of 14 and 13 allowed).

Cause: nothing read the limit. The class: a statement of an endpoint about itself is passed on to the caller and used by nobody, or only by the instance that received it. Ruled out: repeats (each of the 21 logged requests in the four seconds was a first attempt); a limit kept by each instance alone (it would have stopped nobody: the most of one instance were 7, all together may send 13).

Change: an instance that is told of a limit tells all others. A request to such an endpoint needs a permit; one instance, found by rendezvous hashing, issues all permits of the endpoint from a token bucket that starts empty. A refused instance does not choose the endpoint until another permit may be there, and refused ones return one after the other. A limit ends with the first successful answer without one to a request that was sent after it was last named, since answers overtake each other. Weighed: equal shares (a limit of 1.3 a second among 95 instances is one request in 73 s each, and unused by those with no traffic); telling all instances of each request (simultaneous requests go beyond the limit, and lost messages remove it).

--- a/src/forward/endpointselector.cpp
+++ b/src/forward/endpointselector.cpp
@@ -86,10 +86,18 @@
     return this->notices.pausedUntil({endpoint.entry.id, endpoint.entry.startMillis});
 }
 
+MonoTime EndpointSelector::closedUntil(const TrackedEndpoint &endpoint) const
+{
+    const Incarnation incarnation{endpoint.entry.id, endpoint.entry.startMillis};
+    return std::max(this->pausedUntil(endpoint), this->endpointLimits.closedUntil(incarnation));
+}
+
 bool EndpointSelector::isCandidate(const TrackedEndpoint &endpoint, const ChoiceQuery &query,
                                    MonoTime now) const
 {
-    return this->isSuitable(endpoint, query) && this->pausedUntil(endpoint) <= now;
+    const bool isPermitted = endpoint.entry.id == query.permittedEndpoint;
+    const MonoTime until = isPermitted ? this->pausedUntil(endpoint) : this->closedUntil(endpoint);
+    return this->isSuitable(endpoint, query) && until <= now;
 }
 
 bool EndpointSelector::isSuitable(const TrackedEndpoint &endpoint, const ChoiceQuery &query) const
@@ -321,8 +329,11 @@
 {
     Candidates found;
     for (const auto &[id, endpoint] : this->endpoints) {
-        if (this->isCandidate(endpoint, query, now))
-            found.push_back(&endpoint);
+        if (!this->isCandidate(endpoint, query, now))
+            continue;
+        if (id == query.permittedEndpoint)
+            return {&endpoint};
+        found.push_back(&endpoint);
     }
     return found;
 }
@@ -334,13 +345,13 @@
     });
 }
 
-std::optional<MonoTime> EndpointSelector::endOfPause(const ChoiceQuery &query, MonoTime now) const
+std::optional<MonoTime> EndpointSelector::opensAt(const ChoiceQuery &query, MonoTime now) const
 {
     std::optional<MonoTime> earliest;
     for (const auto &[id, endpoint] : this->endpoints) {
         if (!this->isSuitable(endpoint, query))
             continue;
-        const MonoTime until = this->pausedUntil(endpoint);
+        const MonoTime until = this->closedUntil(endpoint);
         if (until <= now)
             return std::nullopt;
         if (!earliest || until < *earliest)
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -2,6 +2,7 @@
 
 #include "forward/prefixcacheestimate.h"
 #include "routing/endpointdirectory.h"
+#include "routing/endpointlimits.h"
 #include "routing/endpointnotices.h"
 #include "routing/table.h"
 #include "routing/weightsversionhistory.h"
@@ -72,6 +73,7 @@
     /// Set if a stream is resumed: the version that it began on.
     std::optional<std::int64_t> requiredWeights;
     std::vector<std::string> triedEndpoints; ///< ids of endpoints that have failed the request
+    std::string permittedEndpoint; ///< if it is a candidate, it is chosen; "" for none
 };
 
 /// The chosen endpoint, with the estimates that decided the choice.
@@ -132,9 +134,9 @@
 
     /// Whether choose() would return an endpoint.
     bool hasCandidate(const ChoiceQuery &query, MonoTime now) const;
-    /// If all endpoints that could take the request have asked for a pause, returns when the first
-    /// of the pauses ends; otherwise nothing.
-    std::optional<MonoTime> endOfPause(const ChoiceQuery &query, MonoTime now) const;
+    /// If all endpoints that could take the request have asked for a pause, or their limits are
+    /// used up, returns when the first of them may get a request again; otherwise nothing.
+    std::optional<MonoTime> opensAt(const ChoiceQuery &query, MonoTime now) const;
 
     /// Records that a request is sent to the endpoint; \a uncachedTokens need a prefill there.
     void onSent(const std::string &endpointId, const PromptChain &chain,
@@ -154,6 +156,8 @@
     void onPauseRequested(const std::string &endpointId, Millis duration, MonoTime now);
     /// Whether the endpoint has asked for a pause that has not ended.
     bool isPaused(const std::string &endpointId, MonoTime now) const;
+    /// Returns the limits that endpoints have named.
+    EndpointLimits &limits() { return this->endpointLimits; }
     /// The endpoint is about to change its weights: avoids it, and drops the estimate of its cache.
     void onWeightsChange(const std::string &endpointId, MonoTime until);
 
@@ -224,9 +228,11 @@
     /// would read them; nullptr if there is none.
     const CacheStoreSpec *usableStore(const TrackedEndpoint &endpoint) const;
     bool isCandidate(const TrackedEndpoint &endpoint, const ChoiceQuery &query, MonoTime now) const;
-    /// Whether the endpoint would be a candidate if it had not asked for a pause.
+    /// Whether the endpoint would be a candidate if it were not closed for a while.
     bool isSuitable(const TrackedEndpoint &endpoint, const ChoiceQuery &query) const;
     MonoTime pausedUntil(const TrackedEndpoint &endpoint) const;
+    /// Returns until when the endpoint gets no requests, because of a pause or its limit.
+    MonoTime closedUntil(const TrackedEndpoint &endpoint) const;
     bool isSameRegion(const std::string &zone, const std::string &other) const;
     const Service &serviceOf(const std::string &name) const;
 
@@ -235,6 +241,7 @@
     std::size_t instanceCount = 1;
     std::map<std::string, TrackedEndpoint> endpoints;
     EndpointNotices notices;
+    EndpointLimits endpointLimits;
     std::vector<CacheStoreSpec> cacheStores;
     std::map<std::string, Service> services;
 };
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -72,12 +72,18 @@
         this->context.onEndpointLeaving(id);
     if (this->head.pause)
         this->context.selector.onPauseRequested(id, *this->head.pause, monoNow());
+    this->recordLimit();
+}
+
+// An endpoint may leave the limit out of an answer by which it refuses a request.
+void ForwardCall::recordLimit()
+{
+    LimitMonitor &monitor = this->context.limitMonitor;
+    const MonoTime now = monoNow();
     if (this->head.limit.kind != LimitStatement::Kind::None)
-        logEvent(LogLevel::Info, "endpoint_limit",
-                 {{"endpoint", id},
-                  {"request", this->request.id},
-                  {"limit", this->head.limit.text},
-                  {"in_flight", this->context.selector.inFlight(id)}});
+        monitor.onNamed(this->engine, this->head.limit, now);
+    else if (isSuccess(this->head.status) && this->head.isSealed)
+        monitor.onNoneNamed(this->engine, this->sentAt, now);
 }
 
 void ForwardCall::onData(std::string_view data)
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -148,6 +148,7 @@
     query.model = this->request.model;
     query.chain = this->chain;
     query.triedEndpoints = this->triedEndpoints;
+    query.permittedEndpoint = this->permittedEndpoint;
     query.randomDraw = this->randomDraw;
     const auto named = this->context.namedWeights.find(this->request.model);
     if (named != this->context.namedWeights.end()) {
@@ -250,12 +251,38 @@
         return this->fail("no_endpoint");
     if (!chosen)
         return this->refuse(this->noEndpointRefusal("no_endpoint"));
-    this->choice = *chosen;
-    this->logChoice(query, now);
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen->endpointId);
+    const Incarnation incarnation{endpoint->id, endpoint->startMillis};
+    const bool hasPermit = endpoint->id == this->permittedEndpoint;
+    if (!hasPermit && this->context.limitMonitor.isLimited(incarnation))
+        return this->requestPermit(incarnation);
+    this->permittedEndpoint.clear();
+    this->sendAttempt(query, *chosen);
+}
+
+// A refused permit closes the endpoint for a while, so that the next choice is another one.
+void ForwardCall::requestPermit(const Incarnation &endpoint)
+{
+    const auto onAnswer
+        = [self = this->shared_from_this(), id = endpoint.endpointId](bool isGranted) {
+              if (self->isFinished)
+                  return;
+              self->permittedEndpoint = isGranted ? id : std::string();
+              self->startAttempt();
+          };
+    this->context.limitMonitor.requestPermit(endpoint, onAnswer, monoNow());
+}
+
+void ForwardCall::sendAttempt(const ChoiceQuery &query, const Choice &chosen)
+{
+    const MonoTime now = monoNow();
+    this->choice = chosen;
+    this->logChoice(query, now);
+    const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen.endpointId);
     this->engine = {endpoint->id, endpoint->startMillis};
+    this->sentAt = now;
     this->context.crashMonitor.onSent(this->sharedParts, now);
-    this->triedEndpoints.push_back(chosen->endpointId);
+    this->triedEndpoints.push_back(chosen.endpointId);
     this->head = {};
     this->body.clear();
     this->splitter.reset();
@@ -263,8 +290,8 @@
     this->hasBegun = false;
     this->isPrefillDone = false;
     this->uncachedTokens
-        = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen->cachedTokens);
-    const AttemptMetadata metadata = this->metadataFor(*chosen);
+        = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen.cachedTokens);
+    const AttemptMetadata metadata = this->metadataFor(chosen);
     this->expectedWeights = metadata.weightsVersion;
     http::CallRequest outgoing = this->context.adapter.writeAttempt(this->request, metadata);
     outgoing.to = endpoint->address;
@@ -274,7 +301,7 @@
     outgoing.reuse = this->retryState.attempts() > 0 || !this->route->mayRepeat()
         ? http::Reuse::Recent
         : http::Reuse::Allowed;
-    this->context.selector.onSent(chosen->endpointId, this->chain, this->uncachedTokens, now);
+    this->context.selector.onSent(chosen.endpointId, this->chain, this->uncachedTokens, now);
     http::CallHandlers handlers;
     const auto self = this->shared_from_this();
     handlers.onHead
@@ -343,15 +370,16 @@
     this->finish(0, "caller_gone");
 }
 
-// While all endpoints have asked for a pause, an earlier retry is hopeless.
+// While all endpoints have asked for a pause or their limits are used up, an earlier retry is
+// hopeless.
 ForwardRefusal ForwardCall::noEndpointRefusal(const char *reason) const
 {
     const MonoTime now = monoNow();
     ChoiceQuery anyEndpoint = this->query();
     anyEndpoint.triedEndpoints.clear();
     ForwardRefusal refusal{503, reason, NoEndpointRetryAfter};
-    if (const auto endOfPause = this->context.selector.endOfPause(anyEndpoint, now)) {
-        refusal.retryAfter = std::chrono::ceil<Millis>(*endOfPause - now);
+    if (const auto opensAt = this->context.selector.opensAt(anyEndpoint, now)) {
+        refusal.retryAfter = std::chrono::ceil<Millis>(*opensAt - now);
         refusal.isRetryHopelessBefore = true;
     }
     return refusal;
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -3,6 +3,7 @@
 #include "forward/adapter.h"
 #include "forward/crashmonitor.h"
 #include "forward/endpointselector.h"
+#include "forward/limitmonitor.h"
 #include "http/server.h"
 #include "router/metrics.h"
 #include "routing/retrybudget.h"
@@ -50,6 +51,7 @@
     EndpointSelector &selector;
     RetryBudget &budget;
     CrashMonitor &crashMonitor;
+    LimitMonitor &limitMonitor;
     http::Client client;
     TokenAdmission admission;
     RoutingTablePtr table; ///< nullptr until a configuration is known
@@ -92,8 +94,13 @@
     void releaseTokens();
     void recordWeights();
     void recordNotices();
+    void recordLimit();
     ForwardRefusal noEndpointRefusal(const char *reason) const;
     void startAttempt();
+    /// Asks for a permit to send the request to \a endpoint, which has named a limit, and goes on
+    /// with startAttempt().
+    void requestPermit(const Incarnation &endpoint);
+    void sendAttempt(const ChoiceQuery &query, const Choice &chosen);
     /// Returns how long attempts may begin on weights after newer ones were named.
     Millis oldWeightsTime() const;
     void armStartLimit();
@@ -148,6 +155,8 @@
     http::CallPtr call;
     Choice choice;
     Incarnation engine; ///< that the attempt was sent to
+    MonoTime sentAt{}; ///< when the attempt was sent
+    std::string permittedEndpoint; ///< that a permit was granted for; "" for none
     std::int64_t uncachedTokens = 0;
     http::Timer startLimitTimer; ///< runs until the attempt has begun
     std::optional<std::int64_t> expectedWeights; ///< that the attempt requires
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t BlockedPartsTellers = 2;
 const std::string PartTrialTask = "try part ";
 constexpr Millis PartTrialTurn = std::chrono::seconds(10);
+// One instance of the fleet issues the permits for requests to an endpoint that has named a limit.
+const std::string PermitTask = "issue permits for ";
 // Two instances of the fleet try to acquire the lease of the rollout, each of which reads it
 // several times a second. Two others in each region do so only if there is no progress for a while,
 // and all others only after a longer while.
@@ -86,6 +88,7 @@
     , store(loop, this->settings.store, adapter.objects)
     , selector({this->settings.zone, this->settings.regionOfZone}, {})
     , crashMonitor(this->crashMonitorHooks())
+    , limitMonitor(this->selector.limits(), this->limitMonitorHooks())
     , context{
           loop,
           adapter,
@@ -93,6 +96,7 @@
           this->selector,
           this->budget,
           this->crashMonitor,
+          this->limitMonitor,
           http::Client(loop),
           {},
           nullptr,
@@ -148,6 +152,7 @@
     engineUpdates.onCrashNews
         = [this](const proto::CrashNews &news) { this->crashMonitor.onNews(news, monoNow()); };
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
+    this->fleet.handleLimits(this->limitMessageHandlers());
     this->context.admission = this->rateLimiter.admission();
     this->rollout.setBroadcast(this->engineBroadcast());
     this->applySettings();
@@ -223,6 +228,34 @@
     return hooks;
 }
 
+LimitMonitorHooks ForwardDaemon::limitMonitorHooks()
+{
+    LimitMonitorHooks hooks;
+    hooks.broadcast = [this](const proto::LimitNews &news) { this->fleet.broadcast(news); };
+    hooks.ask = [this](const Incarnation &endpoint, const proto::PermitRequest &request) {
+        this->fleet.sendToAssigned(PermitTask + endpoint.endpointId, request);
+    };
+    hooks.answer = [this](const proto::ProcessId &to, const proto::PermitAnswer &answer) {
+        this->fleet.send(to, answer);
+    };
+    return hooks;
+}
+
+LimitMessageHandlers ForwardDaemon::limitMessageHandlers()
+{
+    LimitMessageHandlers handlers;
+    handlers.onNews
+        = [this](const proto::LimitNews &news) { this->limitMonitor.onNews(news, monoNow()); };
+    handlers.onPermitRequest
+        = [this](const proto::ProcessId &from, const proto::PermitRequest &request) {
+              this->limitMonitor.onPermitRequest(from, request, monoNow());
+          };
+    handlers.onPermitAnswer = [this](const proto::PermitAnswer &answer) {
+        this->limitMonitor.onPermitAnswer(answer, monoNow());
+    };
+    return handlers;
+}
+
 StoreReplicaHandlers ForwardDaemon::storeReplicaHandlers()
 {
     StoreReplicaHandlers handlers;
@@ -400,6 +433,7 @@
     const MonoTime now = monoNow();
     this->tellNamedTimes(now);
     this->crashMonitor.onTick(now);
+    this->limitMonitor.onTick(now);
     this->directory.onTick(now);
     this->applyDirectoryChanges();
     this->rollout.setTakeoverDelay(this->takeoverJitter + this->rolloutTakeoverDelay());
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -36,6 +36,8 @@
     StoreReplicaHandlers storeReplicaHandlers();
     EngineBroadcast engineBroadcast();
     CrashMonitorHooks crashMonitorHooks();
+    LimitMonitorHooks limitMonitorHooks();
+    LimitMessageHandlers limitMessageHandlers();
     /// Handles loads that other instances have requested, and what comes with them.
     void applyLoadNews(const proto::LoadNews &news);
     void applyEvent(ObjectKind kind, const ObjectEvent &event);
@@ -67,6 +69,7 @@
     EndpointSelector selector;
     RetryBudget budget;
     CrashMonitor crashMonitor;
+    LimitMonitor limitMonitor;
     ForwardContext context;
     Forwarder forwarder;
     RolloutController rollout;
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -96,6 +96,7 @@
     CrashMonitor crashMonitor{{[](const proto::CrashNews &) {}, [] { return false; },
                                [](const PartId &) { return true; },
                                [this] { this->forwarder.onPartsBlocked(); }}};
+    LimitMonitor limitMonitor{this->selector.limits(), this->limitHooks()};
     std::vector<std::string> replaced;
     std::vector<std::string> leaving;
     ForwardContext context{this->loop,
@@ -104,6 +105,7 @@
                            this->selector,
                            this->budget,
                            this->crashMonitor,
+                           this->limitMonitor,
                            http::Client(this->loop),
                            {},
                            nullptr,
@@ -138,6 +140,20 @@
         this->selector.setEngines("models", engine);
     }
 
+    /// An instance that issues its own permits.
+    LimitMonitorHooks limitHooks()
+    {
+        LimitMonitorHooks hooks;
+        hooks.broadcast = [](const proto::LimitNews &) {};
+        hooks.ask = [this](const Incarnation &, const proto::PermitRequest &request) {
+            this->limitMonitor.onPermitRequest({}, request, monoNow());
+        };
+        hooks.answer = [this](const proto::ProcessId &, const proto::PermitAnswer &answer) {
+            this->limitMonitor.onPermitAnswer(answer, monoNow());
+        };
+        return hooks;
+    }
+
     void join(const TestEndpoint &endpoint, const std::string &service, std::int64_t weights = 0)
     {
         this->selector.onChange({EndpointChange::Kind::Joined, endpoint.entry(service, weights)});
--- a/src/forward/unframedanswers_test.cpp
+++ b/src/forward/unframedanswers_test.cpp
@@ -199,12 +199,14 @@
     RetryBudget budget{RetryBudgetSettings{0.2, 50, Millis(10'000), 1}};
     CrashMonitor crashMonitor{{[](const proto::CrashNews &) {}, [] { return false; },
                                [](const PartId &) { return true; }, [] {}}};
+    LimitMonitor limitMonitor{this->selector.limits(), {}}; // no endpoint names a limit
     ForwardContext context{this->loop,
                            platform::adapter(),
                            this->metrics,
                            this->selector,
                            this->budget,
                            this->crashMonitor,
+                           this->limitMonitor,
                            http::Client(this->loop),
                            {},
                            nullptr,
--- a/src/membership/taskassignment.h
+++ b/src/membership/taskassignment.h
@@ -14,4 +14,7 @@
 bool isAssigned(const std::string &self, const std::vector<std::string> &others,
                 std::string_view task, std::size_t count);
 
+/// Returns the one of \a names that \a task is assigned to; \a names must not be empty.
+const std::string &assignee(const std::vector<std::string> &names, std::string_view task);
+
 } // namespace lavenderhall
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -324,6 +324,10 @@
         if (this->engineUpdateHandlers.onCrashNews)
             this->engineUpdateHandlers.onCrashNews(message.crash_news());
         return;
+    case proto::Envelope::kLimitNews:
+    case proto::Envelope::kPermitRequest:
+    case proto::Envelope::kPermitAnswer:
+        return this->receiveLimits(message);
     case proto::Envelope::kSeatHints:
         if (message.seat_hints().wants_all()) {
             proto::Envelope answer;
@@ -472,6 +476,50 @@
     this->broadcast(message);
 }
 
+void Fleet::broadcast(const proto::LimitNews &news)
+{
+    proto::Envelope message;
+    *message.mutable_limit_news() = news;
+    this->broadcast(message);
+}
+
+void Fleet::sendToAssigned(std::string_view task, const proto::PermitRequest &request)
+{
+    std::vector<std::string> names;
+    std::map<std::string, proto::ProcessId> ids;
+    for (const proto::Member &member : this->members->alive()) {
+        if (member.leaving())
+            continue;
+        names.push_back(member.id().name());
+        ids[member.id().name()] = member.id();
+    }
+    if (!this->isLeaving || names.empty()) {
+        names.push_back(this->settings.instance);
+        ids[this->settings.instance] = this->self;
+    }
+    proto::Envelope message;
+    *message.mutable_permit_request() = request;
+    this->send(ids.at(assignee(names, task)), std::move(message));
+}
+
+void Fleet::send(const proto::ProcessId &to, const proto::PermitAnswer &answer)
+{
+    proto::Envelope message;
+    *message.mutable_permit_answer() = answer;
+    this->send(to, std::move(message));
+}
+
+void Fleet::receiveLimits(const proto::Envelope &message)
+{
+    if (!this->limitHandlers.onNews)
+        return;
+    if (message.has_permit_request())
+        return this->limitHandlers.onPermitRequest(message.from(), message.permit_request());
+    if (message.has_permit_answer())
+        return this->limitHandlers.onPermitAnswer(message.permit_answer());
+    this->limitHandlers.onNews(message.limit_news());
+}
+
 void Fleet::broadcast(const proto::Envelope &message)
 {
     for (const proto::Member &member : this->members->alive())
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -44,6 +44,15 @@
     std::function<void(const proto::CrashNews &news)> onCrashNews;
 };
 
+/// Handlers of the messages about limits that endpoints name.
+struct LimitMessageHandlers
+{
+    std::function<void(const proto::LimitNews &news)> onNews;
+    std::function<void(const proto::ProcessId &from, const proto::PermitRequest &request)>
+        onPermitRequest;
+    std::function<void(const proto::PermitAnswer &answer)> onPermitAnswer;
+};
+
 /// Access to the stored seat records. A seat is the right to decide on a part of the limits.
 struct SeatStore
 {
@@ -94,6 +103,12 @@
     void broadcast(const proto::WeightsNotice &notice);
     void broadcast(const proto::LoadNews &news);
     void broadcast(const proto::CrashNews &news);
+    void broadcast(const proto::LimitNews &news);
+    /// Sets the handlers of messages about limits.
+    void handleLimits(LimitMessageHandlers handlers) { this->limitHandlers = std::move(handlers); }
+    /// Sends the request to the one instance of the fleet that does \a task, possibly this one.
+    void sendToAssigned(std::string_view task, const proto::PermitRequest &request);
+    void send(const proto::ProcessId &to, const proto::PermitAnswer &answer);
     /// Adds addresses at which members may be found.
     void addSeeds(const std::vector<Address> &seeds) { this->members->addSeeds(seeds); }
 
@@ -137,6 +152,7 @@
     void requestNewerConfig();
     std::vector<proto::ProcessId> othersInRegion() const;
     void broadcast(const proto::Envelope &message);
+    void receiveLimits(const proto::Envelope &message);
     void receiveObjects(const proto::Envelope &message);
 
     http::Loop &loop;
@@ -145,6 +161,7 @@
     std::optional<ReplicatedConfig> replicatedConfig; ///< empty in the forward dialect
     std::optional<ObjectReplicator> replicator; ///< only in the forward dialect
     EngineUpdateHandlers engineUpdateHandlers;
+    LimitMessageHandlers limitHandlers;
     TimelineRing &timeline;
     Metrics &metrics;
     SeatTimings timings;
