Forward: log what lost requests have in common

The new field fingerprint stands for method, host, path, caller and body. It is computed only for attempts under which an endpoint may have crashed.

No functional change.

--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -57,16 +57,6 @@
 
 } // namespace
 
-std::vector<PartId> sharedPartIds(const std::vector<PromptPart> &parts)
-{
-    std::vector<PartId> ids;
-    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
-        if (std::find(ids.begin(), ids.end(), parts[index].id) == ids.end())
-            ids.push_back(parts[index].id);
-    }
-    return ids;
-}
-
 void CrashMonitor::recordCrash(const EngineCrash &crash, MonoTime now)
 {
     for (const BegunPart &begun : this->attribution.onCrash(crash))
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "forward/request.h"
 #include "proto/peer.pb.h"
 #include "routing/crashattribution.h"
 
@@ -13,9 +12,6 @@
 /// decides which requests are not sent because of them.
 namespace lavenderhall {
 
-/// Returns the ids of the parts that other requests may share, each once.
-std::vector<PartId> sharedPartIds(const std::vector<PromptPart> &parts);
-
 /// What a crash monitor needs of its instance.
 struct CrashMonitorHooks
 {
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -112,7 +112,8 @@
 {
     if (std::exchange(this->hasBegun, true))
         return;
-    this->context.crashMonitor.onAnswerBegun(this->engine, this->sharedParts, monoNow());
+    this->context.crashMonitor.onAnswerBegun(this->engine, this->signature.sharedParts(),
+                                             monoNow());
 }
 
 void ForwardCall::onStreamData(std::string_view data)
@@ -174,7 +175,8 @@
         return this->endAttempt(AttemptOutcome::Broken, "half_event");
     // An engine that crashes before its first event ends its answer in the same way.
     if (this->route->kind == RequestKind::Stream && hasEndedByClose && !this->hasBegun) {
-        this->context.crashMonitor.onAttemptLost(this->engine, this->sharedParts, monoNow());
+        this->context.crashMonitor.onAttemptLost(this->engine, this->signature.sharedParts(),
+                                                 monoNow());
         return this->endAttempt(AttemptOutcome::Broken, "no_event");
     }
     this->endAttempt(AttemptOutcome::Succeeded, "");
@@ -186,7 +188,8 @@
     if (this->isFinished)
         return;
     if (failure.mayHaveBeenSent && failure.connectionLost && !this->hasBegun)
-        this->context.crashMonitor.onAttemptLost(this->engine, this->sharedParts, monoNow());
+        this->context.crashMonitor.onAttemptLost(this->engine, this->signature.sharedParts(),
+                                                 monoNow());
     if (!failure.mayHaveBeenSent)
         return this->endAttempt(AttemptOutcome::NeverSent, failure.reason);
     this->endAttempt(AttemptOutcome::Broken, failure.reason);
@@ -223,13 +226,15 @@
 void ForwardCall::logFailedAttempt(AttemptOutcome outcome, const std::string &reason) const
 {
     this->context.metrics.countAttemptFailure(toString(outcome));
+    const bool mayHaveCrashed = outcome == AttemptOutcome::Broken && !this->hasBegun;
     logEvent(LogLevel::Info, "attempt_failed",
              {{"request", this->request.id},
               {"endpoint", this->choice.endpointId},
               {"end", toString(outcome)},
               {"reason", reason},
               {"begun", this->hasBegun ? 1 : 0},
-              {"shared_parts", joined(this->sharedParts)},
+              {"shared_parts", joined(this->signature.sharedParts())},
+              {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
               {"table", this->table->version()}});
 }
 
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -47,8 +47,8 @@
         return this->refuse({503, "no_configuration", NoConfigurationRetryAfter});
     if (!this->findRoute() || !this->authenticate())
         return;
-    if (!this->request.model.empty())
-        this->sharedParts = sharedPartIds(this->request.parts);
+    this->signature = RequestSignature(
+        this->request, this->organisation ? this->organisation->name : this->request.key);
     if (this->refuseBlockedPrompt())
         return;
     const Millis callerTimeout = this->request.callerTimeout.value_or(DefaultCallerTimeout);
@@ -92,7 +92,7 @@
 bool ForwardCall::refuseBlockedPrompt()
 {
     const MonoTime now = monoNow();
-    const auto until = this->context.crashMonitor.refusedUntil(this->sharedParts, now);
+    const auto until = this->context.crashMonitor.refusedUntil(this->signature.sharedParts(), now);
     if (!until)
         return false;
     ForwardRefusal refusal{503, "crashing_part", std::chrono::ceil<Millis>(*until - now)};
@@ -166,7 +166,7 @@
     const MonoTime now = monoNow();
     RetryConditions conditions;
     conditions.hasBudget = this->context.budget.allowsRetry(this->service, now);
-    conditions.hasCandidate = !this->context.crashMonitor.isBlocked(this->sharedParts)
+    conditions.hasCandidate = !this->context.crashMonitor.isBlocked(this->signature.sharedParts())
         && this->context.selector.hasCandidate(this->query(), now);
     conditions.hasTime = this->deadline - now > MinRetryTime;
     return conditions;
@@ -281,7 +281,7 @@
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen.endpointId);
     this->engine = {endpoint->id, endpoint->startMillis};
     this->sentAt = now;
-    this->context.crashMonitor.onSent(this->sharedParts, now);
+    this->context.crashMonitor.onSent(this->signature.sharedParts(), now);
     this->triedEndpoints.push_back(chosen.endpointId);
     this->head = {};
     this->body.clear();
@@ -354,7 +354,7 @@
 void ForwardCall::onPartsBlocked()
 {
     if (this->isFinished || !this->call || this->hasBegun
-        || !this->context.crashMonitor.isBlocked(this->sharedParts))
+        || !this->context.crashMonitor.isBlocked(this->signature.sharedParts()))
         return;
     this->logFailedAttempt(AttemptOutcome::Broken, "crashing_part");
     this->cancelAttempt();
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -4,6 +4,7 @@
 #include "forward/crashmonitor.h"
 #include "forward/endpointselector.h"
 #include "forward/limitmonitor.h"
+#include "forward/requestsignature.h"
 #include "http/server.h"
 #include "router/metrics.h"
 #include "routing/retrybudget.h"
@@ -142,7 +143,7 @@
     std::string service;
     std::string cacheScope; ///< start of the cache salt: who shares cached parts, and the model
     PromptChain chain;
-    std::vector<PartId> sharedParts; ///< of the prompt
+    RequestSignature signature;
     RetryState retryState{false, 1}; ///< replaced in start()
     double randomDraw = 0; ///< see ChoiceQuery
     MonoTime arrivedAt{};
