Test: a request that crashes endpoints reaches further ones (known red)

Two endpoints of a plain service end under a request each time. After six crashes and 1.2 s it comes five times more and reaches endpoints ten times more; three are allowed.

No functional change.

--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -161,12 +161,14 @@
 
     /// Sends a request on \a routeName, whose prompt has \a parts if it has one, and waits for the
     /// end of its answer.
-    http::SyncResult call(const std::string &routeName, const std::string &parts = "a1:80,b2:20")
+    http::SyncResult call(const std::string &routeName, const std::string &parts = "a1:80,b2:20",
+                          const std::string &body = {})
     {
         http::CallRequest request;
         request.to = RouterAddress;
         request.method = http::Method::Post;
         request.path = "/" + routeName + "/x";
+        request.body = body;
         request.headers = {{"host", "h.example"},
                            {"request-id", "r" + std::to_string(++this->requestCount)},
                            {"deadline-ms", "4000"}};
@@ -191,6 +193,14 @@
         return result;
     }
 
+    /// The endpoint has ended and starts again as a new incarnation.
+    void restart(const TestEndpoint &endpoint, const std::string &service)
+    {
+        RegisteredEndpoint entry = endpoint.entry(service, 0);
+        entry.startMillis = ++this->incarnations;
+        this->selector.onChange({EndpointChange::Kind::Restarted, entry});
+    }
+
     /// Writes \a bytes of an answer every millisecond until its connection is closed.
     void writeWithoutEnd(const http::ExchangePtr &exchange, std::size_t bytes)
     {
@@ -209,6 +219,7 @@
     }
 
     int requestCount = 0;
+    std::int64_t incarnations = 1; ///< of all endpoints
     std::vector<http::Timer> writeTimers;
     http::Timer tickTimer;
 };
@@ -591,3 +602,50 @@
     cr_assert(arrived <= AllowedRequests, "%g requests", arrived);
     cr_assert(arrived >= Limit * TestSeconds / 2, "%g requests", arrived);
 }
+
+// A request crashes each endpoint that begins to run it, and comes again with the same path, caller
+// and body. Guards against it reaching endpoints again and again, and against sound requests beside
+// it being refused.
+Test(forwarder, a_request_that_crashes_endpoints_is_not_sent_to_them_again)
+{
+    constexpr std::size_t AllowedRetries = 3;
+    Fixture fixture;
+    fixture.tick();
+    fixture.join(fixture.first, "desk");
+    fixture.join(fixture.second, "desk");
+    const auto onRequest = [](const http::ExchangePtr &exchange) {
+        exchange->request().body == "deadly" ? exchange->abort() : answerPlain(exchange);
+    };
+    fixture.first.onRequest = onRequest;
+    fixture.second.onRequest = onRequest;
+    const auto countDeadly = [&fixture] {
+        std::size_t count = 0;
+        for (const TestEndpoint *endpoint : {&fixture.first, &fixture.second}) {
+            for (const http::ExchangePtr &exchange : endpoint->exchanges)
+                count += exchange->request().body == "deadly" ? 1 : 0;
+        }
+        return count;
+    };
+    const auto comeAgain = [&fixture] {
+        const auto result = fixture.call("read", "", "deadly");
+        fixture.restart(fixture.first, "desk");
+        fixture.restart(fixture.second, "desk");
+        fixture.loop.runFor(Millis(100));
+        return result;
+    };
+    for (int crash = 0; crash < 3; ++crash) {
+        comeAgain();
+        cr_assert(fixture.call("read", "", "sound").response.status == 200);
+    }
+    fixture.loop.runFor(Millis(1200));
+    const std::size_t reached = countDeadly();
+    for (int count = 0; count < 5; ++count) {
+        const auto result = comeAgain();
+        cr_assert(result.response.status == 502 || result.response.status == 503);
+        cr_assert(fixture.call("read", "", "sound").response.status == 200);
+    }
+    cr_assert(countDeadly() <= reached + AllowedRetries, "%zu after %zu", countDeadly(), reached);
+    const auto refused = fixture.call("read", "", "deadly");
+    cr_assert(refused.response.status == 503);
+    cr_assert(not(http::findHeader(refused.response.headers, "retry-after").empty()));
+}
