Routing: blocks after crashes in a module of their own

CrashBlocks (what is blocked, when it is tried) and CrashedEndpoints (which endpoints have crashed, which live on) move out of CrashAttribution, which keeps what concerns parts of prompts.

--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -39,7 +39,7 @@
     return now - Millis(std::clamp<std::int64_t>(ageMillis, 0, MaxAge.count()));
 }
 
-BlockedPart blockedPart(const proto::BlockedPart &told, MonoTime now)
+CrashBlock blockedPart(const proto::BlockedPart &told, MonoTime now)
 {
     const std::int64_t trialInMillis
         = std::clamp<std::int64_t>(told.trial_in_ms(), 0, MaxAge.count());
@@ -47,10 +47,10 @@
             std::max(0, told.trials())};
 }
 
-void logBlocked(const BlockedPart &blocked, MonoTime now)
+void logBlocked(const CrashBlock &blocked, MonoTime now)
 {
     logEvent(LogLevel::Warning, "part_blocked",
-             {{"part", blocked.part},
+             {{"part", blocked.subject},
               {"crash_age_ms", ageOf(blocked.crashedAt, now).count()},
               {"trial_in_ms", ageOf(now, blocked.trialAt).count()}});
 }
@@ -109,7 +109,7 @@
         this->attribution.onEngineAlive({alive.endpoint(), alive.born_ms()}, now);
     bool isAnyNew = false;
     for (const proto::BlockedPart &told : news.blocked()) {
-        const BlockedPart blocked = blockedPart(told, now);
+        const CrashBlock blocked = blockedPart(told, now);
         if (!this->attribution.onBlocked(blocked))
             continue;
         isAnyNew = true;
@@ -123,8 +123,8 @@
                                                    MonoTime now) const
 {
     std::optional<MonoTime> until;
-    for (const BlockedPart &blocked : this->attribution.findBlocked(parts)) {
-        if (now >= blocked.trialAt && this->hooks.isTrialInstance(blocked.part))
+    for (const CrashBlock &blocked : this->attribution.findBlocked(parts)) {
+        if (now >= blocked.trialAt && this->hooks.isTrialInstance(blocked.subject))
             continue;
         until = std::max({until.value_or(now), blocked.trialAt, now + MinRefusal});
     }
@@ -133,10 +133,10 @@
 
 void CrashMonitor::onSent(const std::vector<PartId> &parts, MonoTime now)
 {
-    for (const BlockedPart &blocked : this->attribution.findBlocked(parts)) {
-        if (const auto tried = this->attribution.onTrial(blocked.part, now))
+    for (const CrashBlock &blocked : this->attribution.findBlocked(parts)) {
+        if (const auto tried = this->attribution.onTrial(blocked.subject, now))
             this->collectBlocked(*tried, now);
-        logEvent(LogLevel::Info, "part_trial", {{"part", blocked.part}});
+        logEvent(LogLevel::Info, "part_trial", {{"part", blocked.subject}});
     }
 }
 
@@ -151,7 +151,7 @@
         this->repeatedAt = now;
         const auto blockedParts = this->attribution.blockedParts();
         if (!blockedParts.empty() && this->hooks.isTeller()) {
-            for (const BlockedPart &blocked : blockedParts)
+            for (const CrashBlock &blocked : blockedParts)
                 this->collectBlocked(blocked, now);
         }
     }
@@ -161,7 +161,7 @@
 void CrashMonitor::block(MonoTime now)
 {
     const auto newlyBlocked = this->attribution.blockNewParts(now);
-    for (const BlockedPart &blocked : newlyBlocked) {
+    for (const CrashBlock &blocked : newlyBlocked) {
         logBlocked(blocked, now);
         this->collectBlocked(blocked, now);
     }
@@ -169,10 +169,10 @@
         this->hooks.onPartsBlocked();
 }
 
-void CrashMonitor::collectBlocked(const BlockedPart &blocked, MonoTime now)
+void CrashMonitor::collectBlocked(const CrashBlock &blocked, MonoTime now)
 {
     proto::BlockedPart &told = *this->pendingNews.add_blocked();
-    told.set_part(blocked.part);
+    told.set_part(blocked.subject);
     told.set_age_ms(ageOf(blocked.crashedAt, now).count());
     told.set_trial_in_ms(ageOf(now, blocked.trialAt).count());
     told.set_trials(blocked.trials);
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -56,7 +56,7 @@
 private:
     void recordCrash(const EngineCrash &crash, MonoTime now);
     void block(MonoTime now);
-    void collectBlocked(const BlockedPart &blocked, MonoTime now);
+    void collectBlocked(const CrashBlock &blocked, MonoTime now);
     void flush(MonoTime now);
 
     CrashMonitorHooks hooks;
--- a/src/routing/crashattribution.cpp
+++ b/src/routing/crashattribution.cpp
@@ -1,6 +1,7 @@
 #include "routing/crashattribution.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lavenderhall {
 
@@ -10,22 +11,9 @@
 constexpr std::size_t CrashesToBlock = 3;
 // Engines that crash together, as a rack does, have a common cause that is no request.
 constexpr Millis MinTimeBetweenCrashes{250};
-// All instances see the crash of an engine within this time. What is sent to it later, as behind a
-// proxy that still accepts connections, is lost too, but was not there when it crashed.
-constexpr Millis MaxTimeToSeeCrash{100};
-// A connection that ended is a crash only if the engine then shows no sign of life. Reports of
-// engines reach all instances within this time.
-constexpr Millis ConfirmationTime{1000};
-// A sign of life that another instance tells of may be this old.
-constexpr Millis MaxNewsDelay{500};
-// The first request that finds out whether a blocked part still crashes engines is sent after this
-// time. Each further one follows after twice the time.
-constexpr Millis FirstTrialInterval = std::chrono::minutes(1);
-constexpr int MaxTrialDoublings = 4;
-// What is told again of a part must be newer by this much to count, as each message takes time.
-constexpr Millis MinNewsProgress = MaxNewsDelay;
-constexpr Millis SuspicionLifetime = std::chrono::minutes(10);
 constexpr Millis BlockLifetime = std::chrono::minutes(30);
+// A block is tried for as long as it lasts: sound requests may share the part.
+constexpr int MaxTrials = std::numeric_limits<int>::max();
 // Of a part that answers keep beginning under, the others are told no more often.
 constexpr Millis BegunNewsInterval = std::chrono::seconds(1);
 constexpr Millis BegunLifetime = std::chrono::minutes(2);
@@ -36,7 +24,7 @@
 {
     std::vector<MonoTime> times;
     for (const auto &[engine, at] : crashes) {
-        if (now - at >= ConfirmationTime)
+        if (now - at >= CrashedEndpoints::ConfirmationTime)
             times.push_back(at);
     }
     std::sort(times.begin(), times.end());
@@ -53,20 +41,16 @@
 
 } // namespace
 
-std::optional<MonoTime> CrashAttribution::firstSeen(const EngineCrash &crash)
-{
-    const MonoTime first = this->crashedEngines.emplace(crash.engine, crash.at).first->second;
-    if (crash.at - first > MaxTimeToSeeCrash)
-        return std::nullopt;
-    return first;
-}
+CrashAttribution::CrashAttribution()
+    : blocks(BlockLifetime, MaxTrials)
+{ }
 
 // News of a crash may arrive after an answer has begun that followed the crash.
 std::vector<BegunPart> CrashAttribution::onCrash(const EngineCrash &crash)
 {
     std::vector<BegunPart> begunBefore;
-    const std::optional<MonoTime> crashedAt = this->firstSeen(crash);
-    if (!crashedAt)
+    const MonoTime crashedAt = this->crashedEngines.onCrash(crash.engine, crash.at);
+    if (crash.at - crashedAt > CrashedEndpoints::MaxTimeToSeeCrash)
         return begunBefore;
     for (const PartId &part : crash.parts) {
         const auto begun = this->begunParts.find(part);
@@ -77,16 +61,11 @@
                 toldAt = begunAt;
                 begunBefore.push_back({part, begunAt});
             }
-            if (begunAt >= *crashedAt)
+            if (begunAt >= crashedAt)
                 continue;
         }
-        const auto blockedPart = this->blocked.find(part);
-        if (blockedPart != this->blocked.end()) {
-            MonoTime &lastCrash = blockedPart->second.crashedAt;
-            lastCrash = std::max(lastCrash, *crashedAt);
-            continue;
-        }
-        this->suspects[part].emplace(crash.engine, *crashedAt);
+        if (!this->blocks.onCrash(part, crashedAt))
+            this->suspects[part].emplace(crash.engine, crashedAt);
     }
     return begunBefore;
 }
@@ -102,12 +81,8 @@
         if (suspect->second.empty())
             this->suspects.erase(suspect);
     }
-    const auto blockedPart = this->blocked.find(part);
-    if (blockedPart != this->blocked.end() && blockedPart->second.crashedAt <= begunAt) {
-        this->blocked.erase(blockedPart);
-        isCleared = true;
-    }
-    return isCleared;
+    const bool wasBlocked = this->blocks.clear(part, begunAt);
+    return isCleared || wasBlocked;
 }
 
 std::vector<PartId> CrashAttribution::onAnswerBegun(const std::vector<PartId> &parts, MonoTime now)
@@ -132,10 +107,8 @@
 
 bool CrashAttribution::onEngineAlive(const Incarnation &engine, MonoTime at)
 {
-    const auto crashed = this->crashedEngines.find(engine);
-    if (crashed == this->crashedEngines.end() || crashed->second + MaxNewsDelay >= at)
+    if (!this->crashedEngines.onAlive(engine, at))
         return false;
-    this->crashedEngines.erase(crashed);
     bool wasSuspected = false;
     for (auto &[part, crashes] : this->suspects) {
         const auto found = crashes.find(engine);
@@ -149,21 +122,14 @@
 }
 
 // An instance that has seen an answer begin since knows better.
-bool CrashAttribution::onBlocked(const BlockedPart &news)
+bool CrashAttribution::onBlocked(const CrashBlock &news)
 {
-    const auto begun = this->begunParts.find(news.part);
+    const auto begun = this->begunParts.find(news.subject);
     if (begun != this->begunParts.end() && begun->second.at >= news.crashedAt)
         return false;
-    const auto [found, isNew] = this->blocked.emplace(news.part, news);
+    const bool isNew = this->blocks.merge(news);
     if (isNew)
         this->suspects.clear();
-    BlockedPart &known = found->second;
-    if (news.crashedAt - known.crashedAt > MinNewsProgress)
-        known.crashedAt = news.crashedAt;
-    if (news.trialAt - known.trialAt > MinNewsProgress) {
-        known.trialAt = news.trialAt;
-        known.trials = std::max(known.trials, news.trials);
-    }
     return isNew;
 }
 
@@ -195,50 +161,34 @@
 // A part that is blocked explains all crashes so far: other parts were at the same engines by
 // chance. Not every crash is known to have been under it, as the instance that sent the request may
 // be frozen or gone.
-std::vector<BlockedPart> CrashAttribution::blockNewParts(MonoTime now)
+std::vector<CrashBlock> CrashAttribution::blockNewParts(MonoTime now)
 {
     this->forgetOld(now);
-    std::vector<BlockedPart> newlyBlocked;
+    std::vector<CrashBlock> newlyBlocked;
     for (const PartId &part : this->mostSuspected(now)) {
-        BlockedPart block{part, {}, now + FirstTrialInterval, 0};
+        MonoTime crashedAt{};
         for (const auto &[engine, at] : this->suspects[part])
-            block.crashedAt = std::max(block.crashedAt, at);
-        this->blocked.emplace(part, block);
-        newlyBlocked.push_back(std::move(block));
+            crashedAt = std::max(crashedAt, at);
+        newlyBlocked.push_back(this->blocks.add(part, crashedAt, now));
     }
     if (!newlyBlocked.empty())
         this->suspects.clear();
     return newlyBlocked;
 }
 
-std::vector<BlockedPart> CrashAttribution::findBlocked(const std::vector<PartId> &parts) const
+std::vector<CrashBlock> CrashAttribution::findBlocked(const std::vector<PartId> &parts) const
 {
-    std::vector<BlockedPart> found;
+    std::vector<CrashBlock> found;
     for (const PartId &part : parts) {
-        const auto blockedPart = this->blocked.find(part);
-        if (blockedPart != this->blocked.end())
-            found.push_back(blockedPart->second);
+        if (const CrashBlock *block = this->blocks.find(part))
+            found.push_back(*block);
     }
     return found;
 }
 
-std::optional<BlockedPart> CrashAttribution::onTrial(const PartId &part, MonoTime now)
+std::optional<CrashBlock> CrashAttribution::onTrial(const PartId &part, MonoTime now)
 {
-    const auto found = this->blocked.find(part);
-    if (found == this->blocked.end())
-        return std::nullopt;
-    BlockedPart &tried = found->second;
-    tried.trials = std::min(tried.trials + 1, MaxTrialDoublings);
-    tried.trialAt = now + FirstTrialInterval * (1 << tried.trials);
-    return tried;
-}
-
-std::vector<BlockedPart> CrashAttribution::blockedParts() const
-{
-    std::vector<BlockedPart> found;
-    for (const auto &[part, blockedPart] : this->blocked)
-        found.push_back(blockedPart);
-    return found;
+    return this->blocks.onTrial(part, now);
 }
 
 void CrashAttribution::forgetOld(MonoTime now)
@@ -246,15 +196,16 @@
     if (now - this->forgottenAt < ForgetInterval)
         return;
     this->forgottenAt = now;
-    const auto isOld = [now](const auto &crash) { return now - crash.second > SuspicionLifetime; };
-    std::erase_if(this->crashedEngines, isOld);
+    const auto isOld = [now](const auto &crash) {
+        return now - crash.second > CrashedEndpoints::SuspicionLifetime;
+    };
+    this->crashedEngines.forgetOld(now);
     for (auto &[part, crashes] : this->suspects)
         std::erase_if(crashes, isOld);
     std::erase_if(this->suspects, [](const auto &suspect) { return suspect.second.empty(); });
     std::erase_if(this->begunParts,
                   [now](const auto &begun) { return now - begun.second.at > BegunLifetime; });
-    std::erase_if(this->blocked,
-                  [now](const auto &part) { return now - part.second.crashedAt > BlockLifetime; });
+    this->blocks.forgetOld(now);
 }
 
 } // namespace lavenderhall
--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "routing/endpointnotices.h"
+#include "routing/crashblocks.h"
 
 #include <map>
 #include <optional>
@@ -27,17 +27,6 @@
     auto operator<=>(const EngineCrash &) const = default;
 };
 
-/// A part that is not to be sent to engines.
-struct BlockedPart
-{
-    PartId part;
-    MonoTime crashedAt{}; ///< when the last engine crashed under it
-    MonoTime trialAt{}; ///< when one request may be sent to see whether it still crashes engines
-    int trials = 0; ///< so far
-
-    auto operator<=>(const BlockedPart &) const = default;
-};
-
 /// A part under which an engine has begun an answer.
 struct BegunPart
 {
@@ -54,6 +43,8 @@
 class CrashAttribution
 {
 public:
+    CrashAttribution();
+
     /// Records a crash that this or another instance has seen. Returns those of its parts under
     /// which answers had begun before, if other instances have not been told.
     std::vector<BegunPart> onCrash(const EngineCrash &crash);
@@ -66,17 +57,17 @@
     /// Returns whether a part was suspected for it.
     bool onEngineAlive(const Incarnation &engine, MonoTime at);
     /// Another instance has blocked the part. Returns whether this is news.
-    bool onBlocked(const BlockedPart &blocked);
+    bool onBlocked(const CrashBlock &blocked);
     /// Blocks the parts whose crashes suffice, and returns them.
-    std::vector<BlockedPart> blockNewParts(MonoTime now);
+    std::vector<CrashBlock> blockNewParts(MonoTime now);
 
     /// Returns those of \a parts that are blocked.
-    std::vector<BlockedPart> findBlocked(const std::vector<PartId> &parts) const;
+    std::vector<CrashBlock> findBlocked(const std::vector<PartId> &parts) const;
     /// A request with the part is sent as a trial; the next one may follow much later. Returns the
     /// part with its new times, or nothing if it is not blocked.
-    std::optional<BlockedPart> onTrial(const PartId &part, MonoTime now);
+    std::optional<CrashBlock> onTrial(const PartId &part, MonoTime now);
     /// Returns all blocked parts.
-    std::vector<BlockedPart> blockedParts() const;
+    std::vector<CrashBlock> blockedParts() const { return this->blocks.all(); }
 
     bool operator==(const CrashAttribution &) const = default;
 
@@ -98,13 +89,9 @@
     std::vector<PartId> mostSuspected(MonoTime now) const;
     void forgetOld(MonoTime now);
 
-    /// Returns when the engine was first seen to crash, \a crash being the first time if none is
-    /// known; nothing if \a crash is only an aftermath.
-    std::optional<MonoTime> firstSeen(const EngineCrash &crash);
-
     std::unordered_map<PartId, Crashes> suspects;
-    Crashes crashedEngines; ///< when each was first seen to crash
-    std::map<PartId, BlockedPart> blocked;
+    CrashedEndpoints crashedEngines;
+    CrashBlocks blocks;
     std::unordered_map<PartId, Begun> begunParts;
     MonoTime forgottenAt{};
 };
--- a/src/routing/crashattribution_test.cpp
+++ b/src/routing/crashattribution_test.cpp
@@ -88,7 +88,7 @@
     }
     const auto blocked = attribution.blockNewParts(Start + Millis(5000));
     cr_assert(blocked.size() == 1U);
-    cr_assert(blocked.front().part == "deadly");
+    cr_assert(blocked.front().subject == "deadly");
 }
 
 // Engines that reset some connections and go on are not crashed.
@@ -128,7 +128,7 @@
     crashAt(attribution, {"unlucky"}, {Millis(0), Millis(400), Millis(800)});
     const auto blocked = attribution.blockNewParts(Start + Millis(3000));
     cr_assert(blocked.size() == 1U);
-    cr_assert(blocked.front().part == "deadly");
+    cr_assert(blocked.front().subject == "deadly");
     cr_assert(attribution.blockNewParts(Start + Millis(3000)).empty());
 }
 
@@ -142,7 +142,7 @@
     attribution.onBegunElsewhere({"unlucky", Start - Millis(20'000)});
     const auto blocked = attribution.blockNewParts(Start + Millis(3000));
     cr_assert(blocked.size() == 1U);
-    cr_assert(blocked.front().part == "deadly");
+    cr_assert(blocked.front().subject == "deadly");
     cr_assert(attribution.blockNewParts(Start + Millis(3500)).empty());
 }
 
@@ -156,7 +156,7 @@
     cr_assert(trial == Start + Millis(62'000));
     attribution.onTrial("part", trial);
     attribution.onCrash({engine(9), {"part"}, trial + Millis(300)});
-    const BlockedPart blocked = attribution.findBlocked({"part"}).front();
+    const CrashBlock blocked = attribution.findBlocked({"part"}).front();
     cr_assert(blocked.crashedAt == trial + Millis(300));
     cr_assert(blocked.trialAt == trial + Millis(120'000));
 }
@@ -166,7 +166,7 @@
 Test(crashattribution, repeated_news_do_not_move_the_times_of_a_block)
 {
     CrashAttribution attribution;
-    const BlockedPart blocked{"part", Start, Start + Millis(60'000), 0};
+    const CrashBlock blocked{"part", Start, Start + Millis(60'000), 0};
     cr_assert(attribution.onBlocked(blocked));
     for (int repeat = 1; repeat <= 20; ++repeat)
         attribution.onBlocked({"part", Start + Millis(100), Start + Millis(60'100), 0});
@@ -194,7 +194,7 @@
     crashAt(attribution, {"subject", "deadly"}, {Millis(0), Millis(400), Millis(800)});
     const auto blocked = attribution.blockNewParts(Start + Millis(3000));
     cr_assert(blocked.size() == 1U);
-    cr_assert(blocked.front().part == "deadly");
+    cr_assert(blocked.front().subject == "deadly");
 }
 
 Test(crashattribution, others_are_told_once_that_a_suspected_part_was_answered_before)
