Forward: a request that crashes endpoints is not sent to them again

Cause: crashes were attributed to parts of prompts only; what requests without a prompt have in common was remembered by no instance. The class is that of the deadly part: a fault that travels with the request is treated as a fault of the endpoint.

Change: CrashingRequests (pure) holds a crash against the requests that were lost there, known by method, host, path, caller and body. An answer clears a request. It is blocked after crashes of three endpoints, each without a sign of life for a second. A request that was sent after the previous crash counts however soon the next endpoint ends, as here 70 ms; copies that are lost together, as when a rack fails, count twice at most. What is blocked explains its crashes: bystanders are cleared, and a part of prompts is not blocked for crashes at which one request was lost each time. Blocks are tried twice at most, as each trial may crash an endpoint. CrashMonitor shares losses, answers and blocks; any own answer of an endpoint is now a sign of life.

Ruled out: repeats within one request as the cause (with one attempt each, the three endpoints crash as often as the request comes); a wider gap between crashes, as parts have (two of the first three crashes would not count, and the block would come 4 s late).

--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -1,27 +1,29 @@
 #pragma once
 
+#include "forward/requestsignature.h"
 #include "proto/peer.pb.h"
 #include "routing/crashattribution.h"
+#include "routing/crashingrequests.h"
 
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
-/// Shares among all instances what each sees of the parts of prompts that crash engines, and
-/// decides which requests are not sent because of them.
+/// Shares among all instances what each sees of the requests, and of the parts of prompts, that
+/// crash endpoints, and decides which requests are not sent because of them.
 namespace lavenderhall {
 
 /// What a crash monitor needs of its instance.
 struct CrashMonitorHooks
 {
     std::function<void(const proto::CrashNews &news)> broadcast;
-    /// Whether this instance repeats to others which parts are blocked.
+    /// Whether this instance repeats to others what is blocked.
     std::function<bool()> isTeller;
-    /// Whether this instance sends the requests that find out whether \a part still crashes
-    /// engines.
-    std::function<bool(const PartId &part)> isTrialInstance;
-    std::function<void()> onPartsBlocked; ///< called after parts were newly blocked
+    /// Whether this instance sends the requests that find out whether \a subject, a part or the
+    /// fingerprint of a request, still crashes endpoints.
+    std::function<bool(const std::string &subject)> isTrialInstance;
+    std::function<void()> onNewBlocks; ///< called after parts or requests were blocked
 };
 
 class CrashMonitor
@@ -31,41 +33,59 @@
         : hooks(std::move(hooks))
     { }
 
-    /// The connection of an attempt at \a engine ended before its answer began.
-    void onAttemptLost(const Incarnation &engine, const std::vector<PartId> &parts, MonoTime now);
-    /// An answer to a prompt with \a parts has begun at \a engine.
-    void onAnswerBegun(const Incarnation &engine, const std::vector<PartId> &parts, MonoTime now);
-    /// The engine has reported to this instance or, a moment ago, to another one.
-    void onEngineAlive(const Incarnation &engine, MonoTime now);
+    /// The connection of an attempt at \a endpoint, sent at \a sentAt, ended before its answer
+    /// began.
+    void onAttemptLost(const Incarnation &endpoint, const RequestSignature &request,
+                       MonoTime sentAt, MonoTime now);
+    /// A successful answer has begun at \a endpoint.
+    void onAnswerBegun(const Incarnation &endpoint, const RequestSignature &request, MonoTime now);
+    /// An endpoint has answered the request, if only to report a failure of its own.
+    void onAnswered(const RequestSignature &request, MonoTime now);
+    /// The endpoint has sent something to this instance or, a moment ago, to another one.
+    void onEndpointAlive(const Incarnation &endpoint, MonoTime now);
     /// Handles what another instance has found.
     void onNews(const proto::CrashNews &news, MonoTime now);
-    /// Blocks parts and sends the news that are due; to be called periodically.
+    /// Blocks what has crashed endpoints and sends the news that are due; to be called
+    /// periodically.
     void onTick(MonoTime now);
 
-    /// Whether a prompt with \a parts is not to be sent to engines.
-    bool isBlocked(const std::vector<PartId> &parts) const
-    {
-        return !this->attribution.findBlocked(parts).empty();
-    }
-    /// Decides on a new request with \a parts: returns until when such requests are refused, or
-    /// nothing if it may be sent, be it as a trial.
-    std::optional<MonoTime> refusedUntil(const std::vector<PartId> &parts, MonoTime now) const;
-    /// A new request with \a parts is sent to an engine.
-    void onSent(const std::vector<PartId> &parts, MonoTime now);
+    /// Returns why the request is not to be sent to endpoints: a short name for logs and answers;
+    /// nullptr if it may be sent.
+    const char *blockReason(const RequestSignature &request) const;
+    /// Decides on a new request: returns until when it is refused, or nothing if it may be sent, be
+    /// it as a trial.
+    std::optional<MonoTime> refusedUntil(const RequestSignature &request, MonoTime now) const;
+    /// A new request is sent to an endpoint.
+    void onSent(const RequestSignature &request, MonoTime now);
 
 private:
-    void recordCrash(const EngineCrash &crash, MonoTime now);
+    /// A loss that is collected for the next broadcast.
+    struct PendingLoss
+    {
+        LostRequest lost;
+        std::vector<PartId> parts;
+    };
+
+    void recordPartsCrash(const EngineCrash &crash, MonoTime now);
+    void onLossElsewhere(const proto::EngineCrash &told, MonoTime now);
+    /// Returns the block of the request itself; nullptr if there is none.
+    const CrashBlock *requestBlock(const RequestSignature &request) const;
     void block(MonoTime now);
-    void collectBlocked(const CrashBlock &blocked, MonoTime now);
+    void collectPart(const CrashBlock &block, MonoTime now);
+    void collectRequest(const CrashBlock &block, MonoTime now);
+    /// Collects the blocks again, for instances that have just started.
+    void repeatBlocks(MonoTime now);
     void flush(MonoTime now);
 
     CrashMonitorHooks hooks;
     CrashAttribution attribution;
-    std::map<Incarnation, EngineCrash> pendingCrashes; ///< collected for the next broadcast
+    CrashingRequests requests;
+    std::vector<PendingLoss> pendingLosses;
     proto::CrashNews pendingNews; ///< the rest of the next broadcast
+    std::size_t repeatedRequests = 0; ///< blocks of requests repeated so far, in turn
     MonoTime repeatedAt{};
     MonoTime tickedAt{};
-    MonoTime blockAfter{}; ///< no part is blocked earlier, as news may wait to be read
+    MonoTime blockAfter{}; ///< nothing is blocked earlier, as news may wait to be read
 };
 
 } // namespace lavenderhall
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -47,6 +47,8 @@
             = this->head.weightsVersion ? this->head.weightsVersion : this->expectedWeights;
     this->recordWeights();
     this->recordNotices();
+    if (isOwnAnswer && status != MisdirectedRequest)
+        this->context.crashMonitor.onEndpointAlive(this->engine, monoNow());
 }
 
 // Answers state which weights were used. An engine that refuses because of its weights runs a
@@ -112,8 +114,7 @@
 {
     if (std::exchange(this->hasBegun, true))
         return;
-    this->context.crashMonitor.onAnswerBegun(this->engine, this->signature.sharedParts(),
-                                             monoNow());
+    this->context.crashMonitor.onAnswerBegun(this->engine, this->signature, monoNow());
 }
 
 void ForwardCall::onStreamData(std::string_view data)
@@ -166,6 +167,8 @@
     if (this->head.isNotRun)
         return this->endAttempt(AttemptOutcome::Refused,
                                 "status_" + std::to_string(this->head.status));
+    if (!isSuccess(this->head.status) && this->head.isSealed)
+        this->context.crashMonitor.onAnswered(this->signature, monoNow());
     if (!isSuccess(this->head.status))
         return this->endAttempt(AttemptOutcome::Failed,
                                 "status_" + std::to_string(this->head.status));
@@ -175,7 +178,7 @@
         return this->endAttempt(AttemptOutcome::Broken, "half_event");
     // An engine that crashes before its first event ends its answer in the same way.
     if (this->route->kind == RequestKind::Stream && hasEndedByClose && !this->hasBegun) {
-        this->context.crashMonitor.onAttemptLost(this->engine, this->signature.sharedParts(),
+        this->context.crashMonitor.onAttemptLost(this->engine, this->signature, this->sentAt,
                                                  monoNow());
         return this->endAttempt(AttemptOutcome::Broken, "no_event");
     }
@@ -188,7 +191,7 @@
     if (this->isFinished)
         return;
     if (failure.mayHaveBeenSent && failure.connectionLost && !this->hasBegun)
-        this->context.crashMonitor.onAttemptLost(this->engine, this->signature.sharedParts(),
+        this->context.crashMonitor.onAttemptLost(this->engine, this->signature, this->sentAt,
                                                  monoNow());
     if (!failure.mayHaveBeenSent)
         return this->endAttempt(AttemptOutcome::NeverSent, failure.reason);
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -49,7 +49,7 @@
         return;
     this->signature = RequestSignature(
         this->request, this->organisation ? this->organisation->name : this->request.key);
-    if (this->refuseBlockedPrompt())
+    if (this->refuseBlocked())
         return;
     const Millis callerTimeout = this->request.callerTimeout.value_or(DefaultCallerTimeout);
     const Millis bound = std::min(callerTimeout - AnswerMargin, this->route->timeout);
@@ -89,18 +89,29 @@
     return false;
 }
 
-bool ForwardCall::refuseBlockedPrompt()
+bool ForwardCall::refuseBlocked()
 {
     const MonoTime now = monoNow();
-    const auto until = this->context.crashMonitor.refusedUntil(this->signature.sharedParts(), now);
+    const auto until = this->context.crashMonitor.refusedUntil(this->signature, now);
     if (!until)
         return false;
-    ForwardRefusal refusal{503, "crashing_part", std::chrono::ceil<Millis>(*until - now)};
+    ForwardRefusal refusal{503, this->context.crashMonitor.blockReason(this->signature),
+                           std::chrono::ceil<Millis>(*until - now)};
     refusal.isRetryHopelessBefore = true;
     this->refuse(std::move(refusal));
     return true;
 }
 
+bool ForwardCall::endIfBlocked()
+{
+    if (!this->retryState.mayHaveRun())
+        return this->refuseBlocked();
+    const char *reason = this->context.crashMonitor.blockReason(this->signature);
+    if (reason)
+        this->fail(reason);
+    return reason != nullptr;
+}
+
 void ForwardCall::admit()
 {
     if (!this->organisation || this->organisation->tokensPerSecond <= 0)
@@ -166,7 +177,7 @@
     const MonoTime now = monoNow();
     RetryConditions conditions;
     conditions.hasBudget = this->context.budget.allowsRetry(this->service, now);
-    conditions.hasCandidate = !this->context.crashMonitor.isBlocked(this->signature.sharedParts())
+    conditions.hasCandidate = !this->context.crashMonitor.blockReason(this->signature)
         && this->context.selector.hasCandidate(this->query(), now);
     conditions.hasTime = this->deadline - now > MinRetryTime;
     return conditions;
@@ -241,8 +252,8 @@
 
 void ForwardCall::startAttempt()
 {
-    // Tokens may have taken a moment.
-    if (this->retryState.attempts() == 0 && this->refuseBlockedPrompt())
+    // Tokens and permits may have taken a moment.
+    if (this->endIfBlocked())
         return;
     const MonoTime now = monoNow();
     const ChoiceQuery query = this->query();
@@ -281,7 +292,7 @@
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen.endpointId);
     this->engine = {endpoint->id, endpoint->startMillis};
     this->sentAt = now;
-    this->context.crashMonitor.onSent(this->signature.sharedParts(), now);
+    this->context.crashMonitor.onSent(this->signature, now);
     this->triedEndpoints.push_back(chosen.endpointId);
     this->head = {};
     this->body.clear();
@@ -351,15 +362,17 @@
     this->finish(504, "unknown");
 }
 
-void ForwardCall::onPartsBlocked()
+void ForwardCall::onNewBlocks()
 {
-    if (this->isFinished || !this->call || this->hasBegun
-        || !this->context.crashMonitor.isBlocked(this->signature.sharedParts()))
+    if (this->isFinished || !this->call || this->hasBegun)
+        return;
+    const char *reason = this->context.crashMonitor.blockReason(this->signature);
+    if (!reason)
         return;
-    this->logFailedAttempt(AttemptOutcome::Broken, "crashing_part");
+    this->logFailedAttempt(AttemptOutcome::Broken, reason);
     this->cancelAttempt();
     this->retryState.onAttemptEnd(AttemptOutcome::Broken, {});
-    this->fail("crashing_part");
+    this->fail(reason);
 }
 
 void ForwardCall::onCallerGone()
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -77,9 +77,9 @@
 
     /// Begins to process the request.
     void start();
-    /// Parts of prompts were blocked: ends the attempt in progress if it has one of them and its
-    /// answer has not begun.
-    void onPartsBlocked();
+    /// Parts of prompts or requests were blocked: ends the attempt in progress if this concerns it
+    /// and its answer has not begun.
+    void onNewBlocks();
     /// Versions of weights were named, or it became known when: an attempt that has not begun may
     /// have another limit.
     void onWeightsNamed() { this->armStartLimit(); }
@@ -87,8 +87,10 @@
 private:
     void refuse(ForwardRefusal refusal);
     bool findRoute();
-    /// Refuses the request if its prompt has a part that crashes engines.
-    bool refuseBlockedPrompt();
+    /// Refuses the request if it, or a part of its prompt, crashes endpoints.
+    bool refuseBlocked();
+    /// Ends the request if it has been blocked since its last attempt.
+    bool endIfBlocked();
     bool authenticate();
     void admit();
     void onAdmitted();
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -25,13 +25,13 @@
 // One instance of each region tells the others when weights were named, this often.
 constexpr const char *NamedWeightsTask = "tell when weights were named";
 constexpr Millis NamedWeightsInterval{1000};
-// Two instances of each region tell the others which parts of prompts are blocked, as one may have
-// just started. One instance of the fleet sends the requests that find out whether a part still
-// crashes engines; another one takes its turn, as it may have no such requests.
-constexpr const char *BlockedPartsTask = "tell which parts are blocked";
-constexpr std::size_t BlockedPartsTellers = 2;
-const std::string PartTrialTask = "try part ";
-constexpr Millis PartTrialTurn = std::chrono::seconds(10);
+// Two instances of each region tell the others which parts of prompts and requests are blocked, as
+// one may have just started. One instance of the fleet sends the requests that find out whether a
+// part or request still crashes endpoints; another one takes its turn, as it may get none.
+constexpr const char *CrashBlocksTask = "tell which parts are blocked";
+constexpr std::size_t CrashBlockTellers = 2;
+const std::string CrashTrialTask = "try part ";
+constexpr Millis CrashTrialTurn = std::chrono::seconds(10);
 // One instance of the fleet issues the permits for requests to an endpoint that has named a limit.
 const std::string PermitTask = "issue permits for ";
 // Two instances of the fleet try to acquire the lease of the rollout, each of which reads it
@@ -121,7 +121,7 @@
           [this](const std::string &task) { return this->fleet.isAssigned(task, 1); },
           this->engineBroadcast(),
           [this](const Incarnation &engine) {
-              this->crashMonitor.onEngineAlive(engine, monoNow());
+              this->crashMonitor.onEndpointAlive(engine, monoNow());
           })
 {
     AdminHooks hooks;
@@ -217,14 +217,13 @@
 {
     CrashMonitorHooks hooks;
     hooks.broadcast = [this](const proto::CrashNews &news) { this->fleet.broadcast(news); };
-    hooks.isTeller
-        = [this] { return this->fleet.isAssigned(BlockedPartsTask, BlockedPartsTellers); };
-    hooks.isTrialInstance = [this](const PartId &part) {
-        const auto turn = wallMillis() / PartTrialTurn.count();
-        const std::string task = PartTrialTask + part + "/" + std::to_string(turn);
+    hooks.isTeller = [this] { return this->fleet.isAssigned(CrashBlocksTask, CrashBlockTellers); };
+    hooks.isTrialInstance = [this](const std::string &subject) {
+        const auto turn = wallMillis() / CrashTrialTurn.count();
+        const std::string task = CrashTrialTask + subject + "/" + std::to_string(turn);
         return this->fleet.isAssigned(task, 1, TaskScope::Fleet);
     };
-    hooks.onPartsBlocked = [this] { this->forwarder.onPartsBlocked(); };
+    hooks.onNewBlocks = [this] { this->forwarder.onNewBlocks(); };
     return hooks;
 }
 
@@ -380,7 +379,7 @@
     this->loadMonitor.onLoadNews(news, now);
     for (const proto::EngineLoad &load : news.loads()) {
         if (load.avoid_ms() == 0)
-            this->crashMonitor.onEngineAlive({load.endpoint(), load.born_ms()}, now);
+            this->crashMonitor.onEndpointAlive({load.endpoint(), load.born_ms()}, now);
     }
     this->applyNamedTimes(news);
 }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -44,12 +44,12 @@
         call->onWeightsNamed();
 }
 
-void Forwarder::onPartsBlocked()
+void Forwarder::onNewBlocks()
 {
     // Requests that end leave the set.
     const std::set<std::shared_ptr<ForwardCall>> open = this->calls;
     for (const std::shared_ptr<ForwardCall> &call : open)
-        call->onPartsBlocked();
+        call->onNewBlocks();
 }
 
 } // namespace lavenderhall
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -22,8 +22,9 @@
     std::size_t openCalls() const { return this->calls.size(); }
     /// Versions of weights were named, or it became known when.
     void onWeightsNamed();
-    /// Parts of prompts were blocked: ends the requests that wait at engines with one of them.
-    void onPartsBlocked();
+    /// Parts of prompts or requests were blocked: ends those of the requests that wait at
+    /// endpoints.
+    void onNewBlocks();
     /// Refuses new requests from now on, so that callers send them to another instance.
     void refuseNewRequests() { this->isRefusing = true; }
 
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -95,7 +95,7 @@
     RetryBudget budget{RetryBudgetSettings{0.2, 50, Millis(10'000), 1}};
     CrashMonitor crashMonitor{{[](const proto::CrashNews &) {}, [] { return false; },
                                [](const PartId &) { return true; },
-                               [this] { this->forwarder.onPartsBlocked(); }}};
+                               [this] { this->forwarder.onNewBlocks(); }}};
     LimitMonitor limitMonitor{this->selector.limits(), this->limitHooks()};
     std::vector<std::string> replaced;
     std::vector<std::string> leaving;
--- a/src/forward/requestsignature.h
+++ b/src/forward/requestsignature.h
@@ -9,9 +9,6 @@
 /// What requests that crash endpoints have in common, at whichever instance they come.
 namespace lavenderhall {
 
-/// Identifies requests with the same method, host, path, caller and body.
-using RequestFingerprint = std::string;
-
 /// The fingerprint of one request, and the parts of its prompt that other requests may share.
 class RequestSignature
 {
--- a/src/routing/crashattribution.cpp
+++ b/src/routing/crashattribution.cpp
@@ -39,6 +39,14 @@
     return count;
 }
 
+std::set<Incarnation> enginesOf(const std::map<Incarnation, MonoTime> &crashes)
+{
+    std::set<Incarnation> engines;
+    for (const auto &[engine, at] : crashes)
+        engines.insert(engine);
+    return engines;
+}
+
 } // namespace
 
 CrashAttribution::CrashAttribution()
@@ -135,7 +143,8 @@
 
 // Whichever instance sends them, most parts have been sent before: one under which no answer has
 // ever begun is the likelier cause.
-std::vector<PartId> CrashAttribution::mostSuspected(MonoTime now) const
+std::vector<PartId> CrashAttribution::mostSuspected(MonoTime now,
+                                                    const CrashingRequests &requests) const
 {
     struct Rank
     {
@@ -150,6 +159,8 @@
         const Rank rank{!this->begunParts.contains(part), distinctCrashes(crashes, now)};
         if (rank.crashes < CrashesToBlock || rank < highest)
             continue;
+        if (requests.isOneRequestLostAtAll(enginesOf(crashes)))
+            continue;
         if (rank > highest)
             found.clear();
         highest = rank;
@@ -161,11 +172,12 @@
 // A part that is blocked explains all crashes so far: other parts were at the same engines by
 // chance. Not every crash is known to have been under it, as the instance that sent the request may
 // be frozen or gone.
-std::vector<CrashBlock> CrashAttribution::blockNewParts(MonoTime now)
+std::vector<CrashBlock> CrashAttribution::blockNewParts(MonoTime now,
+                                                        const CrashingRequests &requests)
 {
     this->forgetOld(now);
     std::vector<CrashBlock> newlyBlocked;
-    for (const PartId &part : this->mostSuspected(now)) {
+    for (const PartId &part : this->mostSuspected(now, requests)) {
         MonoTime crashedAt{};
         for (const auto &[engine, at] : this->suspects[part])
             crashedAt = std::max(crashedAt, at);
--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "routing/crashblocks.h"
+#include "routing/crashingrequests.h"
 
 #include <map>
 #include <optional>
@@ -58,8 +59,9 @@
     bool onEngineAlive(const Incarnation &engine, MonoTime at);
     /// Another instance has blocked the part. Returns whether this is news.
     bool onBlocked(const CrashBlock &blocked);
-    /// Blocks the parts whose crashes suffice, and returns them.
-    std::vector<CrashBlock> blockNewParts(MonoTime now);
+    /// Blocks the parts whose crashes suffice, and returns them. A part is not blocked if one of
+    /// \a requests explains all crashes under it.
+    std::vector<CrashBlock> blockNewParts(MonoTime now, const CrashingRequests &requests = {});
 
     /// Returns those of \a parts that are blocked.
     std::vector<CrashBlock> findBlocked(const std::vector<PartId> &parts) const;
@@ -86,7 +88,7 @@
     /// Forgets what was held against the part until \a begunAt. Returns whether that was anything.
     bool clear(const PartId &part, MonoTime begunAt);
     /// Returns the parts under which enough engines have crashed, and of these the most.
-    std::vector<PartId> mostSuspected(MonoTime now) const;
+    std::vector<PartId> mostSuspected(MonoTime now, const CrashingRequests &requests) const;
     void forgetOld(MonoTime now);
 
     std::unordered_map<PartId, Crashes> suspects;
--- a/src/routing/crashattribution_test.cpp
+++ b/src/routing/crashattribution_test.cpp
@@ -215,3 +215,21 @@
     crashAt(attribution, {"part"}, {Millis(0), Millis(400), Millis(800)});
     cr_assert(attribution.blockNewParts(Start + Millis(3000)).size() == 1U);
 }
+
+// One request comes again and again. Guards against other prompts with the same parts being
+// refused.
+Test(crashattribution, parts_are_not_blocked_for_one_request_that_crashes_engines)
+{
+    CrashAttribution attribution;
+    CrashingRequests requests;
+    for (int crash = 1; crash <= 3; ++crash) {
+        const MonoTime at = Start + Millis(400) * crash;
+        attribution.onCrash({engine(crash), {"session"}, at});
+        requests.onLost({"request", engine(crash), at - Millis(50), at});
+    }
+    cr_assert(attribution.blockNewParts(Start + Millis(5000), requests).empty());
+    // Another request with the same part crashes an engine too, so the part is the cause.
+    attribution.onCrash({engine(4), {"session"}, Start + Millis(6000)});
+    requests.onLost({"another", engine(4), Start + Millis(5950), Start + Millis(6000)});
+    cr_assert(attribution.blockNewParts(Start + Millis(9000), requests).size() == 1U);
+}
--- a/src/routing/crashblocks.cpp
+++ b/src/routing/crashblocks.cpp
@@ -106,7 +106,15 @@
 
 MonoTime CrashedEndpoints::onCrash(const Incarnation &endpoint, MonoTime at)
 {
-    return this->crashedAt.emplace(endpoint, at).first->second;
+    MonoTime &first = this->crashedAt.emplace(endpoint, at).first->second;
+    first = std::min(first, at);
+    return first;
+}
+
+std::optional<MonoTime> CrashedEndpoints::crashTime(const Incarnation &endpoint) const
+{
+    const auto crashed = this->crashedAt.find(endpoint);
+    return crashed == this->crashedAt.end() ? std::nullopt : std::optional(crashed->second);
 }
 
 bool CrashedEndpoints::onAlive(const Incarnation &endpoint, MonoTime at)
--- a/src/routing/crashblocks.h
+++ b/src/routing/crashblocks.h
@@ -76,8 +76,10 @@
     /// What is held against a request or a part is forgotten after this time.
     static constexpr Millis SuspicionLifetime = std::chrono::minutes(10);
 
-    /// The endpoint was seen to crash at \a at. Returns when that was seen first.
+    /// The endpoint was seen to crash at \a at. Returns the earliest time at which it was seen.
     MonoTime onCrash(const Incarnation &endpoint, MonoTime at);
+    /// Returns the earliest time at which the endpoint was seen to crash; nothing if it was not.
+    std::optional<MonoTime> crashTime(const Incarnation &endpoint) const;
     /// The endpoint was alive at \a at: what was taken for its crash before then was none. Returns
     /// whether a crash was recorded.
     bool onAlive(const Incarnation &endpoint, MonoTime at);
