--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -603,6 +603,74 @@
     cr_assert(arrived >= Limit * TestSeconds / 2, "%g requests", arrived);
 }
 
+// All endpoints of a service are in need. Guards against requests that wait although no permit can
+// come in time, and against callers who are told to come back too early.
+Test(forwarder, requests_beyond_all_limits_are_refused_at_once)
+{
+    Fixture fixture;
+    fixture.join(fixture.first, "desk");
+    fixture.first.onRequest = [](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"server-limit", "0.5"});
+        exchange->respond({200, headers, "done"});
+    };
+    fixture.join(fixture.second, "models", 1);
+    fixture.second.onRequest = answerStream;
+    cr_assert(fixture.call("read").response.status == 200);
+    const MonoTime startedAt = monoNow();
+    for (int count = 0; count < 5; ++count) {
+        const auto refused = fixture.call("read");
+        cr_assert(refused.response.status == 503);
+        const std::string text(http::findHeader(refused.response.headers, "retry-after"));
+        cr_assert(std::stod(text) > 1, "%s", text.c_str());
+        cr_assert(fixture.call("stream").response.status == 200);
+    }
+    cr_assert(monoNow() - startedAt < Millis(500));
+    cr_assert(fixture.first.exchanges.size() == 1U);
+}
+
+// An endpoint names text that is no number, at first and while it has named a limit.
+Test(forwarder, a_limit_that_is_no_number_changes_nothing)
+{
+    Fixture fixture;
+    fixture.join(fixture.first, "desk");
+    std::string named = "-1";
+    fixture.first.onRequest = [&named](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"server-limit", named});
+        exchange->respond({200, headers, "done"});
+    };
+    for (int count = 0; count < 5; ++count)
+        cr_assert(fixture.call("read").response.status == 200);
+    named = "4";
+    cr_assert(fixture.call("read").response.status == 200);
+    named = "many";
+    cr_assert(fixture.call("read").response.status == 503);
+    fixture.loop.runFor(Millis(400));
+    cr_assert(fixture.call("read").response.status == 200);
+    cr_assert(fixture.call("read").response.status == 503);
+}
+
+// Guards against a limit that outlives its end, and against one that a late answer ends.
+Test(forwarder, an_endpoint_that_names_no_limit_any_more_gets_all_requests)
+{
+    Fixture fixture;
+    fixture.join(fixture.first, "desk");
+    bool isInNeed = true;
+    fixture.first.onRequest = [&isInNeed](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        if (isInNeed)
+            headers.push_back({"server-limit", "4"});
+        exchange->respond({200, headers, "done"});
+    };
+    cr_assert(fixture.call("read").response.status == 200);
+    cr_assert(fixture.call("read").response.status == 503);
+    isInNeed = false;
+    fixture.loop.runFor(Millis(400));
+    for (int count = 0; count < 10; ++count)
+        cr_assert(fixture.call("read").response.status == 200);
+}
+
 // A request crashes each endpoint that begins to run it, and comes again with the same path, caller
 // and body. Guards against it reaching endpoints again and again, and against sound requests beside
 // it being refused.
