Routing: sound requests that are often the same are not blocked with a deadly one

Cause: while a deadly request keeps all endpoints of a service down, copies of a sound request that callers send all the time are lost at each crash too, and nobody is left to answer it, so it has the same crashes. Besides, a router that had just started took the losses at endpoints that had crashed before for crashes of their own, and told the others of its block.

Change: AnsweredRequests remembers in bounded memory which requests were answered lately; whoever sees the loss of such a request tells the others. It is blocked only after six crashes that no request explains which was never answered. For three seconds after its start an instance holds nothing against requests. A block is not taken over from others by an instance that has seen an answer since. Fingerprints are now computed for each answered request, so they are BLAKE2b.

--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -28,6 +28,15 @@
     return toHex(digest.data(), digest.size());
 }
 
+std::string blake2bHex(std::string_view data)
+{
+    std::array<unsigned char, crypto_generichash_BYTES_MIN> digest{};
+    crypto_generichash(digest.data(), digest.size(),
+                       reinterpret_cast<const unsigned char *>(data.data()), data.size(), nullptr,
+                       0);
+    return toHex(digest.data(), digest.size());
+}
+
 std::uint64_t hash64(std::string_view data, std::uint64_t seed)
 {
     return XXH3_64bits_withSeed(data.data(), data.size(), seed);
--- a/src/base/digest.h
+++ b/src/base/digest.h
@@ -4,13 +4,17 @@
 #include <string>
 #include <string_view>
 
-/// Hashes and random numbers: SHA-256 for keys and stored content, XXH3 for placement and
-/// signatures.
+/// Hashes and random numbers: SHA-256 for keys and stored content, BLAKE2b for requests, XXH3 for
+/// placement and signatures.
 namespace lavenderhall {
 
 /// Returns the SHA-256 of \a data as 64 lower-case hex digits.
 std::string sha256Hex(std::string_view data);
 
+/// Returns 128 bits of the BLAKE2b hash of \a data as 32 lower-case hex digits: a digest that no
+/// caller can make equal to another's, and faster than SHA-256.
+std::string blake2bHex(std::string_view data);
+
 /// Returns the 64-bit XXH3 hash of \a data with \a seed, which may be the hash of preceding data.
 std::uint64_t hash64(std::string_view data, std::uint64_t seed = 0);
 
--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -85,11 +85,18 @@
         *this->pendingNews.add_begun() = partNews(begun.part, ageOf(begun.begunAt, now));
 }
 
+void CrashMonitor::recordLoss(const LostRequest &lost, MonoTime now)
+{
+    if (const auto answered = this->requests.onLost(lost))
+        *this->pendingNews.add_begun_requests()
+            = partNews(answered->request, ageOf(answered->answeredAt, now));
+}
+
 void CrashMonitor::onAttemptLost(const Incarnation &endpoint, const RequestSignature &request,
                                  MonoTime sentAt, MonoTime now)
 {
     const LostRequest lost{request.fingerprint(), endpoint, sentAt, now};
-    this->requests.onLost(lost);
+    this->recordLoss(lost, now);
     if (!request.sharedParts().empty())
         this->recordPartsCrash({endpoint, request.sharedParts(), now}, now);
     this->pendingLosses.push_back({lost, request.sharedParts()});
@@ -100,8 +107,8 @@
     const Incarnation endpoint{told.endpoint(), told.born_ms()};
     const MonoTime lostAt = timeOf(told.age_ms(), now);
     if (!told.fingerprint().empty())
-        this->requests.onLost(
-            {told.fingerprint(), endpoint, timeOf(told.sent_age_ms(), now), lostAt});
+        this->recordLoss({told.fingerprint(), endpoint, timeOf(told.sent_age_ms(), now), lostAt},
+                         now);
     if (!told.parts().empty())
         this->recordPartsCrash({endpoint, {told.parts().begin(), told.parts().end()}, lostAt}, now);
 }
@@ -118,10 +125,9 @@
     }
 }
 
-// Fingerprints are computed only while some request is suspected, as they cost processor time.
 void CrashMonitor::onAnswered(const RequestSignature &request, MonoTime now)
 {
-    if (this->requests.isEmpty() || !this->requests.onAnswerBegun(request.fingerprint(), now))
+    if (!this->requests.onAnswered(request.fingerprint(), now))
         return;
     *this->pendingNews.add_begun_requests() = partNews(request.fingerprint(), Millis(0));
     logEvent(LogLevel::Info, "request_cleared", {{"fingerprint", request.fingerprint()}});
@@ -145,7 +151,7 @@
     for (const proto::PartNews &begun : news.begun())
         this->attribution.onBegunElsewhere({begun.part(), timeOf(begun.age_ms(), now)});
     for (const proto::PartNews &begun : news.begun_requests())
-        this->requests.onAnswerBegun(begun.part(), timeOf(begun.age_ms(), now));
+        this->requests.onAnsweredElsewhere({begun.part(), timeOf(begun.age_ms(), now)});
     for (const proto::EngineIncarnation &alive : news.alive()) {
         this->attribution.onEngineAlive({alive.endpoint(), alive.born_ms()}, now);
         this->requests.onEndpointAlive({alive.endpoint(), alive.born_ms()}, now);
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -29,8 +29,10 @@
 class CrashMonitor
 {
 public:
-    explicit CrashMonitor(CrashMonitorHooks hooks)
+    /// \a startedAt: when this instance was started; long ago if it is left out.
+    explicit CrashMonitor(CrashMonitorHooks hooks, MonoTime startedAt = {})
         : hooks(std::move(hooks))
+        , requests(startedAt)
     { }
 
     /// The connection of an attempt at \a endpoint, sent at \a sentAt, ended before its answer
@@ -66,6 +68,7 @@
         std::vector<PartId> parts;
     };
 
+    void recordLoss(const LostRequest &lost, MonoTime now);
     void recordPartsCrash(const EngineCrash &crash, MonoTime now);
     void onLossElsewhere(const proto::EngineCrash &told, MonoTime now);
     /// Returns the block of the request itself; nullptr if there is none.
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -87,7 +87,7 @@
     , timeline(this->settings.instance, TimelineCapacity)
     , store(loop, this->settings.store, adapter.objects)
     , selector({this->settings.zone, this->settings.regionOfZone}, {})
-    , crashMonitor(this->crashMonitorHooks())
+    , crashMonitor(this->crashMonitorHooks(), monoNow())
     , limitMonitor(this->selector.limits(), this->limitMonitorHooks())
     , context{
           loop,
--- a/src/forward/requestsignature.cpp
+++ b/src/forward/requestsignature.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Digits of the fingerprint, which is 128 bits of a SHA-256: callers may choose their bodies so
-// that a weaker hash is equal to another's.
-constexpr std::size_t FingerprintDigits = 32;
-
 /// Returns the ids of the parts that other requests may share, each once.
 std::vector<PartId> sharedPartIds(const std::vector<PromptPart> &parts)
 {
@@ -52,7 +48,7 @@
     appendField(text, this->request->path);
     appendField(text, this->caller);
     appendField(text, this->request->body);
-    this->knownFingerprint = sha256Hex(text).substr(0, FingerprintDigits);
+    this->knownFingerprint = blake2bHex(text);
     return this->knownFingerprint;
 }
 
--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -61,7 +61,8 @@
     bool onBlocked(const CrashBlock &blocked);
     /// Blocks the parts whose crashes suffice, and returns them. A part is not blocked if one of
     /// \a requests explains all crashes under it.
-    std::vector<CrashBlock> blockNewParts(MonoTime now, const CrashingRequests &requests = {});
+    std::vector<CrashBlock> blockNewParts(MonoTime now,
+                                          const CrashingRequests &requests = CrashingRequests());
 
     /// Returns those of \a parts that are blocked.
     std::vector<CrashBlock> findBlocked(const std::vector<PartId> &parts) const;
--- a/src/routing/crashingrequests.cpp
+++ b/src/routing/crashingrequests.cpp
@@ -8,6 +8,10 @@
 
 // A sound request may by chance be at one or two endpoints that crash.
 constexpr int CrashesToBlock = 3;
+// One that is sent all the time is at most of them, whatever their cause.
+constexpr int CrashesToBlockAnswered = 6;
+// Of a request that keeps being answered, the others are told no more often.
+constexpr Millis AnswerNewsInterval = std::chrono::seconds(1);
 // Endpoints that crash within this time, with a request at each of them that was sent before the
 // first crash, may have a common cause that is no request.
 constexpr Millis MinTimeBetweenCrashes{250};
@@ -18,12 +22,16 @@
 constexpr int MaxTrials = 2;
 constexpr Millis BlockLifetime = std::chrono::hours(12);
 constexpr std::size_t MaxSuspects = 4096;
+// Endpoints that had crashed before this instance was started are still listed for this time, and
+// what is lost there was sent after the crash.
+constexpr Millis UnknownCrashesTime{3000};
 constexpr Millis ForgetInterval = std::chrono::seconds(1);
 
 } // namespace
 
-CrashingRequests::CrashingRequests()
+CrashingRequests::CrashingRequests(MonoTime startedAt)
     : blocks(BlockLifetime, MaxTrials)
+    , startedAt(startedAt)
 { }
 
 // One with the oldest losses is dropped.
@@ -47,19 +55,38 @@
 
 // What was sent to an endpoint after its crash, as behind a proxy that still accepts connections,
 // did not cause it.
-void CrashingRequests::onLost(const LostRequest &lost)
+std::optional<AnsweredRequest> CrashingRequests::onLost(const LostRequest &lost)
 {
     const MonoTime crashedAt = this->crashedEndpoints.onCrash(lost.endpoint, lost.lostAt);
-    if (lost.sentAt > crashedAt + CrashedEndpoints::MaxTimeToSeeCrash)
-        return;
-    this->blocks.onCrash(lost.request, crashedAt);
-    if (!this->suspects.contains(lost.request))
-        this->makeRoom();
-    this->suspects[lost.request].emplace(lost.endpoint, lost.sentAt);
+    if (lost.sentAt > crashedAt + CrashedEndpoints::MaxTimeToSeeCrash
+        || crashedAt < this->startedAt + UnknownCrashesTime)
+        return std::nullopt;
+    const auto answeredAt = this->answered.lastAnswer(lost.request);
+    if (!answeredAt || *answeredAt < crashedAt) {
+        this->blocks.onCrash(lost.request, crashedAt);
+        if (!this->suspects.contains(lost.request))
+            this->makeRoom();
+        this->suspects[lost.request].emplace(lost.endpoint, lost.sentAt);
+    }
+    if (!answeredAt)
+        return std::nullopt;
+    const auto [told, isNew] = this->toldAnswers.emplace(lost.request, *answeredAt);
+    if (!isNew && *answeredAt - told->second <= AnswerNewsInterval)
+        return std::nullopt;
+    told->second = *answeredAt;
+    return AnsweredRequest{lost.request, *answeredAt};
+}
+
+void CrashingRequests::onAnsweredElsewhere(const AnsweredRequest &news)
+{
+    this->onAnswered(news.request, news.answeredAt);
+    MonoTime &told = this->toldAnswers[news.request];
+    told = std::max(told, news.answeredAt);
 }
 
-bool CrashingRequests::onAnswerBegun(const RequestFingerprint &request, MonoTime begunAt)
+bool CrashingRequests::onAnswered(const RequestFingerprint &request, MonoTime begunAt)
 {
+    this->answered.onAnswered(request, begunAt);
     const bool wasBlocked = this->blocks.clear(request, begunAt);
     const auto suspect = this->suspects.find(request);
     if (suspect == this->suspects.end())
@@ -85,6 +112,9 @@
 
 bool CrashingRequests::onBlocked(const CrashBlock &block)
 {
+    const auto answeredAt = this->answered.lastAnswer(block.subject);
+    if (answeredAt && *answeredAt >= block.crashedAt)
+        return false;
     const bool isNew = this->blocks.merge(block);
     if (isNew)
         this->forgetBystanders({block.subject});
@@ -126,17 +156,25 @@
 
 std::vector<RequestFingerprint> CrashingRequests::mostSuspected(MonoTime now) const
 {
-    int highest = CrashesToBlock;
+    struct Rank
+    {
+        bool wasNeverAnswered = false;
+        int crashes = 0;
+
+        auto operator<=>(const Rank &) const = default;
+    };
+    Rank highest;
     std::vector<RequestFingerprint> found;
     for (const auto &[request, losses] : this->suspects) {
         if (this->blocks.find(request))
             continue;
-        const int count = countCrashes(losses, now);
-        if (count < highest)
+        const Rank rank{!this->answered.lastAnswer(request), this->countCrashes(losses, now)};
+        const int needed = rank.wasNeverAnswered ? CrashesToBlock : CrashesToBlockAnswered;
+        if (rank.crashes < needed || rank < highest)
             continue;
-        if (count > highest)
+        if (rank > highest)
             found.clear();
-        highest = count;
+        highest = rank;
         found.push_back(request);
     }
     return found;
@@ -195,6 +233,9 @@
     this->forgottenAt = now;
     this->crashedEndpoints.forgetOld(now);
     this->blocks.forgetOld(now);
+    this->answered.forgetOld(now);
+    std::erase_if(this->toldAnswers,
+                  [this](const auto &told) { return !this->suspects.contains(told.first); });
     for (auto &[request, losses] : this->suspects)
         std::erase_if(losses, [this](const auto &loss) {
             return !this->crashedEndpoints.crashTime(loss.first);
--- a/src/routing/crashingrequests.h
+++ b/src/routing/crashingrequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/answeredrequests.h"
 #include "routing/crashblocks.h"
 
 #include <map>
@@ -28,30 +29,48 @@
     auto operator<=>(const LostRequest &) const = default;
 };
 
+/// A request that an endpoint has answered.
+struct AnsweredRequest
+{
+    RequestFingerprint request;
+    MonoTime answeredAt{};
+
+    auto operator<=>(const AnsweredRequest &) const = default;
+};
+
 /// Suspects a request once an endpoint has crashed under it, and clears it as soon as any endpoint
-/// answers it. It is blocked if several endpoints have crashed under it and none has answered.
+/// answers it. It is blocked if several endpoints have crashed under it and none has answered. A
+/// request that many callers send may by chance be at each endpoint that crashes: one that was
+/// answered before is blocked only after more crashes that no other request explains.
 class CrashingRequests
 {
 public:
-    CrashingRequests();
+    /// \a startedAt: when this instance was started, which knows of no crash before.
+    explicit CrashingRequests(MonoTime startedAt = {});
 
-    /// Records a loss that this or another instance has seen.
-    void onLost(const LostRequest &lost);
-    /// An answer to the request began at \a begunAt, at this or another instance. Returns whether
-    /// anything was held against it.
-    bool onAnswerBegun(const RequestFingerprint &request, MonoTime begunAt);
+    /// Records a loss that this or another instance has seen. Returns the request's last answer if
+    /// the other instances have not been told of it.
+    std::optional<AnsweredRequest> onLost(const LostRequest &lost);
+    /// An endpoint has begun to answer the request. Returns whether anything was held against it.
+    bool onAnswered(const RequestFingerprint &request, MonoTime at);
+    /// The same at another instance.
+    void onAnsweredElsewhere(const AnsweredRequest &answered);
     /// The endpoint was alive at \a at: what was taken for its crash before then was none. Returns
     /// whether a request was suspected for it.
     bool onEndpointAlive(const Incarnation &endpoint, MonoTime at);
-    /// Another instance has blocked the request. Returns whether this is news.
+    /// Another instance has blocked the request. Returns whether this is news; an instance that has
+    /// seen an answer since knows better.
     bool onBlocked(const CrashBlock &block);
     /// Blocks the requests whose crashes suffice, and returns them.
     std::vector<CrashBlock> blockNewRequests(MonoTime now);
     /// A blocked request is sent as a trial, see CrashBlocks.
     std::optional<CrashBlock> onTrial(const RequestFingerprint &request, MonoTime now);
 
-    /// Whether anything is held against any request.
-    bool isEmpty() const { return this->suspects.empty() && this->blocks.isEmpty(); }
+    /// Whether anything is held against the request.
+    bool isSuspected(const RequestFingerprint &request) const
+    {
+        return this->suspects.contains(request);
+    }
     bool hasBlocks() const { return !this->blocks.isEmpty(); }
     /// Returns the block of the request; nullptr if there is none.
     const CrashBlock *findBlock(const RequestFingerprint &request) const
@@ -81,8 +100,11 @@
     void makeRoom();
 
     std::unordered_map<RequestFingerprint, Losses> suspects; ///< those that are blocked included
+    AnsweredRequests answered;
+    std::unordered_map<RequestFingerprint, MonoTime> toldAnswers; ///< that all instances know
     CrashedEndpoints crashedEndpoints;
     CrashBlocks blocks;
+    MonoTime startedAt;
     MonoTime forgottenAt{};
 };
 
