Peer link: a signal during a call of ZeroMQ does not end the process

Cause: ZeroMQ's calls fail with EINTR when a signal arrives, or when a paused process is continued, and the exception was caught nowhere. No other module calls ZeroMQ.

--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -4,12 +4,17 @@
 #include "membership/taskassignment.h"
 
 #include <array>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <csignal>
+#include <filesystem>
 #include <map>
 #include <mutex>
 #include <queue>
 #include <set>
+#include <thread>
+#include <unistd.h>
 #include <zmq.hpp>
 
 using namespace lavenderhall;
@@ -231,6 +236,30 @@
 
 } // namespace
 
+// Signals arrive at any thread while it waits or sends. Guards against a process that ends by
+// itself when it is continued after a pause, or stopped.
+Test(peerlink, signals_do_not_end_the_process)
+{
+    struct sigaction ignore = {};
+    ignore.sa_handler = [](int) {};
+    sigaction(SIGUSR1, &ignore, nullptr);
+    Listener listener(18701, {});
+    Listener sender(18702, {});
+    std::atomic<bool> isOver = false;
+    std::thread signals([&isOver] {
+        while (!isOver) {
+            for (const auto &task : std::filesystem::directory_iterator("/proc/self/task"))
+                tgkill(getpid(), std::stoi(task.path().filename().string()), SIGUSR1);
+        }
+    });
+    for (int count = 0; count < 2000; ++count)
+        sender.link.send({"127.0.0.1", 18701}, pingFrom("friend"));
+    const bool hasReceived = listener.waitFor(1);
+    isOver = true;
+    signals.join();
+    cr_assert(hasReceived);
+}
+
 Test(peerlink, delivers_messages_and_refuses_unknown_keys_and_malformed_messages)
 {
     const CurveKeyPair fleet;
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <array>
+#include <cerrno>
 #include <map>
 #include <stdexcept>
 #include <vector>
@@ -33,6 +34,26 @@
     return "tcp://" + address.toString();
 }
 
+/// Calls \a operation again for as long as a signal interrupts it. Signals arrive at any thread,
+/// and a process that is continued after a pause is interrupted without one.
+template <typename Operation> auto uninterrupted(Operation operation)
+{
+    for (;;) {
+        try {
+            return operation();
+        } catch (const zmq::error_t &error) {
+            if (error.num() != EINTR)
+                throw;
+        }
+    }
+}
+
+/// Receives one frame; false if there is none.
+bool receive(zmq::socket_t &socket, zmq::message_t &frame, zmq::recv_flags flags)
+{
+    return uninterrupted([&] { return socket.recv(frame, flags); }).has_value();
+}
+
 } // namespace
 
 /// The thread with its sockets, and the socket through which the owner's thread sends it commands.
@@ -70,7 +91,8 @@
 
     ~Worker()
     {
-        this->commandSender.send(zmq::message_t(), zmq::send_flags::none);
+        uninterrupted(
+            [this] { return this->commandSender.send(zmq::message_t(), zmq::send_flags::none); });
         this->thread.join();
     }
 
@@ -79,8 +101,12 @@
 
     void send(const Address &to, const std::string &bytes)
     {
-        this->commandSender.send(zmq::buffer(to.toString()), zmq::send_flags::sndmore);
-        this->commandSender.send(zmq::buffer(bytes), zmq::send_flags::none);
+        const std::string address = to.toString();
+        uninterrupted([&] {
+            return this->commandSender.send(zmq::buffer(address), zmq::send_flags::sndmore);
+        });
+        uninterrupted(
+            [&] { return this->commandSender.send(zmq::buffer(bytes), zmq::send_flags::none); });
     }
 
     std::atomic<std::uint64_t> messagesIn{0};
@@ -105,7 +131,7 @@
             zmq::pollitem_t items[] = {{this->inbox.handle(), 0, ZMQ_POLLIN, 0},
                                        {this->zapSocket.handle(), 0, ZMQ_POLLIN, 0},
                                        {this->commandReceiver.handle(), 0, ZMQ_POLLIN, 0}};
-            zmq::poll(items, 3, SweepInterval);
+            uninterrupted([&items] { return zmq::poll(items, 3, SweepInterval); });
             if ((items[1].revents & ZMQ_POLLIN) != 0)
                 this->authenticate();
             if ((items[0].revents & ZMQ_POLLIN) != 0)
@@ -128,7 +154,7 @@
         std::vector<zmq::message_t> frames;
         for (;;) {
             zmq::message_t frame;
-            if (!this->zapSocket.recv(frame, zmq::recv_flags::none))
+            if (!receive(this->zapSocket, frame, zmq::recv_flags::none))
                 return;
             frames.push_back(std::move(frame));
             if (!frames.back().more())
@@ -148,8 +174,11 @@
             "",    ""};
         for (std::size_t index = 0; index < reply.size(); ++index) {
             const bool isLast = index + 1 == reply.size();
-            this->zapSocket.send(zmq::buffer(reply[index]),
-                                 isLast ? zmq::send_flags::none : zmq::send_flags::sndmore);
+            uninterrupted([&] {
+                return this->zapSocket.send(zmq::buffer(reply[index]),
+                                            isLast ? zmq::send_flags::none
+                                                   : zmq::send_flags::sndmore);
+            });
         }
     }
 
@@ -157,15 +186,17 @@
     {
         for (;;) {
             zmq::message_t identity;
-            if (!this->inbox.recv(identity, zmq::recv_flags::dontwait))
+            if (!receive(this->inbox, identity, zmq::recv_flags::dontwait))
                 return;
             zmq::message_t payload;
-            bool isWellFormed = identity.more() && this->inbox.recv(payload).has_value();
+            bool isWellFormed
+                = identity.more() && receive(this->inbox, payload, zmq::recv_flags::none);
             bool hasMore = isWellFormed && payload.more();
             isWellFormed = isWellFormed && !hasMore;
             while (hasMore) {
                 zmq::message_t extraFrame;
-                hasMore = this->inbox.recv(extraFrame).has_value() && extraFrame.more();
+                hasMore
+                    = receive(this->inbox, extraFrame, zmq::recv_flags::none) && extraFrame.more();
             }
             proto::Envelope envelope;
             isWellFormed = isWellFormed
@@ -188,12 +219,12 @@
     {
         for (;;) {
             zmq::message_t address;
-            if (!this->commandReceiver.recv(address, zmq::recv_flags::dontwait))
+            if (!receive(this->commandReceiver, address, zmq::recv_flags::dontwait))
                 return true;
             if (!address.more())
                 return false;
             zmq::message_t payload;
-            if (!this->commandReceiver.recv(payload, zmq::recv_flags::none))
+            if (!receive(this->commandReceiver, payload, zmq::recv_flags::none))
                 return true;
             this->sendTo(address.to_string(), std::move(payload));
         }
@@ -222,7 +253,9 @@
         }
         found->second.lastUsed = monoNow();
         const std::size_t size = payload.size();
-        if (!found->second.socket.send(payload, zmq::send_flags::dontwait))
+        const auto sent = uninterrupted(
+            [&] { return found->second.socket.send(payload, zmq::send_flags::dontwait); });
+        if (!sent)
             return;
         ++this->messagesOut;
         this->bytesOut += size;
