--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -85,6 +85,9 @@
     void onWeightsNamed() { this->armStartLimit(); }
 
 private:
+    /// A refusal is sent this long before the caller's timeout, so that it arrives in time.
+    static constexpr Millis AnswerMargin{30};
+
     void refuse(ForwardRefusal refusal);
     bool findRoute();
     /// Refuses the request if it, or a part of its prompt, crashes endpoints.
--- a/src/routing/crashblocks.cpp
+++ b/src/routing/crashblocks.cpp
@@ -31,7 +31,7 @@
 
 CrashBlock CrashBlocks::add(const std::string &subject, MonoTime crashedAt, MonoTime now)
 {
-    const CrashBlock block{subject, crashedAt, now + FirstTrialInterval, 0};
+    CrashBlock block{subject, crashedAt, now + FirstTrialInterval, 0};
     this->makeRoom();
     this->blocks.insert_or_assign(subject, block);
     return block;
