--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -577,8 +577,8 @@
     cr_assert(fixture.call("once", "a1:80,c3:10,own:21").response.status == 200);
 }
 
-// An endpoint in need names the requests a second that it accepts. Guards against requests beyond
-// that, against callers who are turned away for it, and against a limit that is not used.
+// An overloaded endpoint names the requests a second that it accepts. Guards against requests
+// beyond that, against callers who are turned away for it, and against a limit that is not used.
 Test(forwarder, an_endpoint_gets_no_more_requests_than_the_limit_that_it_names)
 {
     constexpr double Limit = 2;
@@ -603,8 +603,8 @@
     cr_assert(arrived >= Limit * TestSeconds / 2, "%g requests", arrived);
 }
 
-// All endpoints of a service are in need. Guards against requests that wait although no permit can
-// come in time, and against callers who are told to come back too early.
+// All endpoints of a service are overloaded. Guards against requests that wait although no permit
+// can come in time, and against callers who are told to come back too early.
 Test(forwarder, requests_beyond_all_limits_are_refused_at_once)
 {
     Fixture fixture;
@@ -656,16 +656,16 @@
 {
     Fixture fixture;
     fixture.join(fixture.first, "desk");
-    bool isInNeed = true;
-    fixture.first.onRequest = [&isInNeed](const http::ExchangePtr &exchange) {
+    bool isOverloaded = true;
+    fixture.first.onRequest = [&isOverloaded](const http::ExchangePtr &exchange) {
         http::Headers headers = sealedHeaders(exchange);
-        if (isInNeed)
+        if (isOverloaded)
             headers.push_back({"server-limit", "4"});
         exchange->respond({200, headers, "done"});
     };
     cr_assert(fixture.call("read").response.status == 200);
     cr_assert(fixture.call("read").response.status == 503);
-    isInNeed = false;
+    isOverloaded = false;
     fixture.loop.runFor(Millis(400));
     for (int count = 0; count < 10; ++count)
         cr_assert(fixture.call("read").response.status == 200);
--- a/src/routing/endpointlimits.cpp
+++ b/src/routing/endpointlimits.cpp
@@ -9,7 +9,7 @@
 // All instances are told this often that a limit is still named.
 constexpr Millis RenewalInterval{500};
 constexpr Millis StateLifetime = std::chrono::minutes(10);
-// More endpoints in need at a time than any deployment has.
+// More overloaded endpoints at a time than any deployment has.
 constexpr std::size_t MaxStates = 10'000;
 
 } // namespace
--- a/src/routing/endpointlimits.h
+++ b/src/routing/endpointlimits.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <optional>
 
-/// The limits that endpoints in need name in their answers. Such a limit is meant for the sum of
+/// The limits that overloaded endpoints name in their answers. Such a limit is meant for the sum of
 /// all instances, each of which sees only the answers to its own requests.
 namespace lavenderhall {
 
--- a/src/routing/endpointlimits_test.cpp
+++ b/src/routing/endpointlimits_test.cpp
@@ -252,7 +252,7 @@
     cr_assert(static_cast<double>(most) <= allowedIn4s(2), "%zu", most);
 }
 
-// Answers overtake each other: one that was begun before the endpoint was in need arrives last.
+// Answers overtake each other: one that was begun before the endpoint was overloaded arrives last.
 Test(endpointlimits, an_answer_to_an_earlier_request_does_not_end_a_limit)
 {
     EndpointLimits limits;
