Forward: a failure of an endpoint does not clear a request that crashes others

Cause: an endpoint that fails may not have begun to run the request, so its answer says nothing. Only successful answers clear a request now. forwarder/a_failure_answer_does_not_clear_a_request_that_crashes_endpoints failed before and passes.

--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -117,7 +117,10 @@
                                  MonoTime now)
 {
     this->onEndpointAlive(endpoint, now);
-    this->onAnswered(request, now);
+    if (this->requests.onAnswered(request.fingerprint(), now)) {
+        *this->pendingNews.add_begun_requests() = partNews(request.fingerprint(), Millis(0));
+        logEvent(LogLevel::Info, "request_cleared", {{"fingerprint", request.fingerprint()}});
+    }
     for (const PartId &part : this->attribution.onAnswerBegun(request.sharedParts(), now)) {
         *this->pendingNews.add_begun() = partNews(part, Millis(0));
         logEvent(LogLevel::Info, "part_cleared",
@@ -125,14 +128,6 @@
     }
 }
 
-void CrashMonitor::onAnswered(const RequestSignature &request, MonoTime now)
-{
-    if (!this->requests.onAnswered(request.fingerprint(), now))
-        return;
-    *this->pendingNews.add_begun_requests() = partNews(request.fingerprint(), Millis(0));
-    logEvent(LogLevel::Info, "request_cleared", {{"fingerprint", request.fingerprint()}});
-}
-
 void CrashMonitor::onEndpointAlive(const Incarnation &endpoint, MonoTime now)
 {
     const bool wasPartSuspected = this->attribution.onEngineAlive(endpoint, now);
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -39,10 +39,9 @@
     /// began.
     void onAttemptLost(const Incarnation &endpoint, const RequestSignature &request,
                        MonoTime sentAt, MonoTime now);
-    /// A successful answer has begun at \a endpoint.
+    /// A successful answer has begun at \a endpoint. A failure is no sign that a request is sound:
+    /// an endpoint that fails may not have begun to run it.
     void onAnswerBegun(const Incarnation &endpoint, const RequestSignature &request, MonoTime now);
-    /// An endpoint has answered the request, if only to report a failure of its own.
-    void onAnswered(const RequestSignature &request, MonoTime now);
     /// The endpoint has sent something to this instance or, a moment ago, to another one.
     void onEndpointAlive(const Incarnation &endpoint, MonoTime now);
     /// Handles what another instance has found.
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -167,8 +167,6 @@
     if (this->head.isNotRun)
         return this->endAttempt(AttemptOutcome::Refused,
                                 "status_" + std::to_string(this->head.status));
-    if (!isSuccess(this->head.status) && this->head.isSealed)
-        this->context.crashMonitor.onAnswered(this->signature, monoNow());
     if (!isSuccess(this->head.status))
         return this->endAttempt(AttemptOutcome::Failed,
                                 "status_" + std::to_string(this->head.status));
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -547,6 +547,27 @@
               result.response.body.c_str());
 }
 
+// One endpoint fails all requests at once, while the others end under this one. Guards against its
+// failures being taken for a sign that the request is sound.
+Test(forwarder, a_failure_answer_does_not_clear_a_request_that_crashes_endpoints)
+{
+    Fixture fixture;
+    fixture.tick();
+    fixture.join(fixture.first, "desk");
+    fixture.join(fixture.second, "desk");
+    fixture.first.onRequest = [](const http::ExchangePtr &exchange) { exchange->abort(); };
+    fixture.second.onRequest = [](const http::ExchangePtr &exchange) {
+        exchange->respond({500, sealedHeaders(exchange), "failed"});
+    };
+    for (int crash = 0; crash < 4; ++crash) {
+        fixture.call("read", "", "deadly");
+        fixture.restart(fixture.first, "desk");
+        fixture.loop.runFor(Millis(300));
+    }
+    fixture.loop.runFor(Millis(1200));
+    cr_assert(fixture.call("read", "", "deadly").response.status == 503);
+}
+
 // One part of the prompts crashes each engine that begins to answer. Guards against requests with
 // this part being sent to engines again and again, and against sound ones being refused.
 Test(forwarder, a_part_that_crashes_engines_is_not_sent_to_them_again)
