--- /dev/null
+++ b/src/forward/forwardobjects.cpp
@@ -0,0 +1,168 @@
+#include "forward/forwarddaemon.h"
+
+#include <array>
+
+/// The part of ForwardDaemon that applies the store's objects, and what other instances tell of
+/// engines.
+namespace lavenderhall {
+
+namespace {
+
+// Weights in the first list after the start may have been named any time before. Unless another
+// instance tells when, requests may begin on older ones for this long.
+constexpr Millis InitialOldWeightsTime{4000};
+// One instance of each region tells the others when weights were named, this often.
+constexpr const char *NamedWeightsTask = "tell when weights were named";
+constexpr Millis NamedWeightsInterval{1000};
+
+} // namespace
+
+void ForwardDaemon::applyEvent(ObjectKind kind, const ObjectEvent &event)
+{
+    const StoredObject &object = event.object;
+    if (kind == ObjectKind::Endpoints && event.isDeleted)
+        return this->directory.remove(object.name, object.revision);
+    if (event.isDeleted)
+        return;
+    if (kind == ObjectKind::Endpoints)
+        return this->applyEndpoint(object);
+    if (kind == ObjectKind::Weights)
+        return this->applyWeights(object);
+    this->applyTable(object.content, object.revision);
+}
+
+// A table in force stays so until a newer valid one arrives; older and malformed ones are ignored.
+void ForwardDaemon::applyTable(const Json &content, std::int64_t revision)
+{
+    if (revision <= this->tableRevision)
+        return;
+    auto read = toOutcome([&] { return this->adapter.readTable(content); });
+    if (const auto *error = std::get_if<Error>(&read)) {
+        logEvent(LogLevel::Error, "configuration_refused",
+                 {{"revision", counterOf(revision)}, {"detail", error->detail}});
+        return;
+    }
+    auto table = std::make_shared<const RoutingTable>(std::get<TableContent>(std::move(read)));
+    if (this->context.table && table->version() <= this->context.table->version())
+        return;
+    this->tableRevision = revision;
+    this->context.table = table;
+    this->callers->setLimits(table->content().limits);
+    std::vector<CacheStoreSpec> cacheStores;
+    for (const ServiceSpec &service : table->content().services) {
+        if (service.engine)
+            this->selector.setEngines(service.name, *service.engine);
+        if (service.cacheStore)
+            cacheStores.push_back(*service.cacheStore);
+    }
+    this->selector.setCacheStores(std::move(cacheStores));
+    this->rateLimiter.onConfig(table->content(), this->settings.regionOfZone);
+    this->metrics.setConfigVersion(static_cast<double>(table->version()));
+    this->timeline.add(EventKind::ConfigInForce, "", "", {{"version", table->version()}});
+    logEvent(LogLevel::Info, "config_in_force",
+             {{"version", table->version()},
+              {"revision", counterOf(revision)},
+              {"era", eraOf(revision)},
+              {"routes", table->content().routes.size()},
+              {"organisations", table->content().organisations.size()}});
+}
+
+void ForwardDaemon::applyEndpoint(const StoredObject &object)
+{
+    const auto read = toOutcome([&] { return this->adapter.readEndpoint(object); });
+    if (const auto *entry = std::get_if<RegisteredEndpoint>(&read))
+        return this->directory.put(*entry, object.revision);
+    logEvent(LogLevel::Warning, "endpoint_malformed",
+             {{"endpoint", object.name}, {"detail", std::get<Error>(read).detail}});
+}
+
+void ForwardDaemon::applyDirectoryChanges()
+{
+    static constexpr std::array ChangeNames{"joined", "restarted", "leaving", "gone", "updated"};
+    for (const EndpointChange &change : this->directory.takeChanges()) {
+        this->selector.onChange(change);
+        const bool isIncarnationOver = change.kind == EndpointChange::Kind::Gone
+            || change.kind == EndpointChange::Kind::Restarted;
+        if (isIncarnationOver)
+            this->context.client.closeIdleConnections(change.entry.address);
+        logEvent(LogLevel::Info, "endpoint",
+                 {{"endpoint", change.entry.id},
+                  {"change", ChangeNames.at(static_cast<std::size_t>(change.kind))},
+                  {"service", change.entry.service},
+                  {"zone", change.entry.zone},
+                  {"revision", counterOf(this->directory.revision())},
+                  {"era", eraOf(this->directory.revision())}});
+    }
+}
+
+void ForwardDaemon::applyWeights(const StoredObject &object)
+{
+    const auto read = toOutcome([&] { return this->adapter.readWeights(object.content); });
+    const auto *weights = std::get_if<NamedWeights>(&read);
+    if (!weights) {
+        logEvent(LogLevel::Warning, "weights_malformed",
+                 {{"name", object.name}, {"detail", std::get<Error>(read).detail}});
+        return;
+    }
+    WeightsVersionHistory &history = this->context.namedWeights[weights->model];
+    const bool isInitial = !this->storeReplica.hasList(ObjectKind::Weights);
+    const Millis initialAge
+        = std::max(Millis(0), this->settings.bounds.oldWeightsTimeout - InitialOldWeightsTime);
+    if (!history.onNamed(weights->version, monoNow(), isInitial ? initialAge : Millis(0),
+                         isInitial))
+        return;
+    logEvent(LogLevel::Info, "weights_named",
+             {{"model", weights->model},
+              {"version", weights->version},
+              {"revision", counterOf(object.revision)}});
+    this->rollout.setNamedWeights(this->context.namedWeights);
+    this->forwarder.onWeightsNamed();
+}
+
+void ForwardDaemon::applyLoadNews(const proto::LoadNews &news)
+{
+    const MonoTime now = monoNow();
+    this->loadMonitor.onLoadNews(news, now);
+    for (const proto::EngineLoad &load : news.loads()) {
+        if (load.avoid_ms() == 0)
+            this->crashMonitor.onEndpointAlive({load.endpoint(), load.born_ms()}, now);
+    }
+    this->applyNamedTimes(news);
+}
+
+void ForwardDaemon::applyNamedTimes(const proto::LoadNews &news)
+{
+    if (news.named().empty())
+        return;
+    for (const proto::NamedWeights &named : news.named()) {
+        const auto history = this->context.namedWeights.find(named.model());
+        if (history != this->context.namedWeights.end() && named.age_ms() >= 0)
+            history->second.onTimeKnown(named.version(), monoNow() - Millis(named.age_ms()));
+    }
+    this->rollout.setNamedWeights(this->context.namedWeights);
+    this->forwarder.onWeightsNamed();
+}
+
+void ForwardDaemon::tellNamedTimes(MonoTime now)
+{
+    if (now < this->nextNamedTimes || !this->fleet.isAssigned(NamedWeightsTask, 1))
+        return;
+    this->nextNamedTimes = now + NamedWeightsInterval;
+    proto::LoadNews news;
+    const Millis allowedTime = this->settings.bounds.oldWeightsTimeout;
+    for (const auto &[model, history] : this->context.namedWeights) {
+        // Once the newest version alone is allowed, the times no longer matter.
+        if (history.oldestAllowed(now, allowedTime) == history.newest())
+            continue;
+        for (const auto &named : history.namedAtKnownTimes()) {
+            proto::NamedWeights &told = *news.add_named();
+            told.set_model(model);
+            told.set_version(named.version);
+            told.set_age_ms(std::chrono::duration_cast<Millis>(now - named.namedAt).count());
+        }
+    }
+    if (!news.named().empty())
+        this->fleet.broadcast(news);
+}
+
+} // namespace lavenderhall
