--- /dev/null
+++ b/src/forward/forwarderfixture.h
@@ -0,0 +1,229 @@
+#pragma once
+
+#include "forward/forwarder.h"
+#include "platform.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+/// A forwarder between a caller and endpoints on the same loop, for tests.
+namespace lavenderhall {
+
+inline const Address RouterAddress{"127.0.0.1", 18131};
+inline constexpr const char *Model = "loom";
+inline constexpr const char *Zone = "a";
+inline constexpr Millis MaxTestTime{5000};
+
+/// An endpoint on a port of its own. It answers each request with its handler and keeps the
+/// exchanges, so that requests without an answer stay open.
+struct TestEndpoint
+{
+    using Handler = std::function<void(const http::ExchangePtr &exchange)>;
+
+    TestEndpoint(http::Loop &loop, std::string name, std::uint16_t port)
+        : id(std::move(name))
+        , address{"127.0.0.1", port}
+        , server(loop, this->address, http::ServerLimits{},
+                 [this](const http::ExchangePtr &exchange) {
+                     this->exchanges.push_back(exchange);
+                     this->onRequest(exchange);
+                 })
+    { }
+
+    RegisteredEndpoint entry(const std::string &service, std::int64_t weights) const
+    {
+        RegisteredEndpoint registered;
+        registered.id = this->id;
+        registered.startMillis = 1;
+        registered.service = service;
+        registered.address = this->address;
+        registered.zone = Zone;
+        registered.slots = 4;
+        if (weights > 0)
+            registered.weights = {{Model, weights}};
+        return registered;
+    }
+
+    std::string id;
+    Address address;
+    Handler onRequest = [](const http::ExchangePtr &) {}; ///< by default, never answers
+    std::vector<http::ExchangePtr> exchanges;
+    http::Server server;
+};
+
+/// Returns the headers of an endpoint's own answer to the request of \a exchange.
+inline http::Headers sealedHeaders(const http::ExchangePtr &exchange)
+{
+    const http::Headers &asked = exchange->request().headers;
+    return {{"request-id", std::string(http::findHeader(asked, "request-id"))},
+            {"response-seal", "seal"}};
+}
+
+inline void answerStream(const http::ExchangePtr &exchange)
+{
+    http::Headers headers = sealedHeaders(exchange);
+    headers.push_back({"content-type", "text/event-stream"});
+    headers.push_back({"weight-versions", "2"});
+    exchange->respond({200, headers, "id: 1\ndata: x\n\n"});
+}
+
+inline void answerPlain(const http::ExchangePtr &exchange)
+{
+    exchange->respond({200, sealedHeaders(exchange), "done"});
+}
+
+inline ForwardRoute route(const std::string &name, RequestKind kind, bool isResumable,
+                          const std::string &service)
+{
+    ForwardRoute made;
+    made.name = name;
+    made.host = "h.example";
+    made.pathPrefix = "/" + name + "/";
+    made.kind = kind;
+    made.timeout = MaxTestTime;
+    made.maxAttempts = 2;
+    made.isResumable = isResumable;
+    made.shares = {{service, 1}};
+    return made;
+}
+
+/// A forwarder in front of two endpoints, with a caller on the same loop.
+struct Fixture
+{
+    http::Loop loop;
+    Metrics metrics;
+    EndpointSelector selector{{Zone, {{Zone, "ra"}}}, {}};
+    RetryBudget budget{RetryBudgetSettings{0.2, 50, Millis(10'000), 1}};
+    CrashMonitor crashMonitor{{[](const proto::CrashNews &) {}, [] { return false; },
+                               [](const PartId &) { return true; },
+                               [this] { this->forwarder.onNewBlocks(); }}};
+    LimitMonitor limitMonitor{this->selector.limits(), this->limitHooks()};
+    std::vector<std::string> replaced;
+    std::vector<std::string> leaving;
+    ForwardContext context{this->loop,
+                           platform::adapter(),
+                           this->metrics,
+                           this->selector,
+                           this->budget,
+                           this->crashMonitor,
+                           this->limitMonitor,
+                           http::Client(this->loop),
+                           {},
+                           nullptr,
+                           {},
+                           Millis(10'000),
+                           pcg32(7),
+                           [this](const std::string &id) { this->replaced.push_back(id); },
+                           [this](const std::string &id) {
+                               this->leaving.push_back(id);
+                               this->selector.onLeaving(id, 1, monoNow());
+                           }};
+    Forwarder forwarder{this->context};
+    http::Server router{
+        this->loop, RouterAddress, http::ServerLimits{},
+        [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); }};
+    http::Client caller{this->loop};
+    TestEndpoint first{this->loop, "first", 18132};
+    TestEndpoint second{this->loop, "second", 18133};
+
+    Fixture()
+    {
+        TableContent content;
+        content.version = 1;
+        content.routes = {route("stream", RequestKind::Stream, true, "models"),
+                          route("once", RequestKind::Stream, false, "models"),
+                          route("read", RequestKind::Idempotent, false, "desk"),
+                          route("book", RequestKind::NonIdempotent, false, "desk")};
+        this->context.table = std::make_shared<const RoutingTable>(std::move(content));
+        EngineSpec engine;
+        engine.slots = 4;
+        engine.cacheTokens = 100'000;
+        this->selector.setEngines("models", engine);
+    }
+
+    /// An instance that issues its own permits.
+    LimitMonitorHooks limitHooks()
+    {
+        LimitMonitorHooks hooks;
+        hooks.broadcast = [](const proto::LimitNews &) {};
+        hooks.ask = [this](const Incarnation &, const proto::PermitRequest &request) {
+            this->limitMonitor.onPermitRequest({}, request, monoNow());
+        };
+        hooks.answer = [this](const proto::ProcessId &, const proto::PermitAnswer &answer) {
+            this->limitMonitor.onPermitAnswer(answer, monoNow());
+        };
+        return hooks;
+    }
+
+    void join(const TestEndpoint &endpoint, const std::string &service, std::int64_t weights = 0)
+    {
+        this->selector.onChange({EndpointChange::Kind::Joined, endpoint.entry(service, weights)});
+    }
+
+    /// Sends a request on \a routeName, whose prompt has \a parts if it has one, and waits for the
+    /// end of its answer.
+    http::SyncResult call(const std::string &routeName, const std::string &parts = "a1:80,b2:20",
+                          const std::string &body = {})
+    {
+        http::CallRequest request;
+        request.to = RouterAddress;
+        request.method = http::Method::Post;
+        request.path = "/" + routeName + "/x";
+        request.body = body;
+        request.headers = {{"host", "h.example"},
+                           {"request-id", "r" + std::to_string(++this->requestCount)},
+                           {"deadline-ms", "4000"}};
+        const bool isPrompt = routeName == "stream" || routeName == "once";
+        if (isPrompt) {
+            request.headers.push_back({"model", Model});
+            request.headers.push_back({"token-count", "100,10"});
+            request.headers.push_back({"prefix-hash", parts});
+        }
+        http::SyncResult result;
+        const auto onAnswer
+            = [&](const http::Response *response, const http::CallFailure &failure) {
+                  result.ok = response != nullptr;
+                  if (response)
+                      result.response = *response;
+                  result.failure = failure;
+                  this->loop.stop();
+              };
+        const auto pending = http::startBuffered(this->caller, std::move(request), onAnswer);
+        this->loop.runFor(MaxTestTime);
+        pending->cancel();
+        return result;
+    }
+
+    /// The endpoint has ended and starts again as a new incarnation.
+    void restart(const TestEndpoint &endpoint, const std::string &service)
+    {
+        RegisteredEndpoint entry = endpoint.entry(service, 0);
+        entry.startMillis = ++this->incarnations;
+        this->selector.onChange({EndpointChange::Kind::Restarted, entry});
+    }
+
+    /// Writes \a bytes of an answer every millisecond until its connection is closed.
+    void writeWithoutEnd(const http::ExchangePtr &exchange, std::size_t bytes)
+    {
+        if (exchange->isClosed())
+            return;
+        exchange->write(std::string(bytes, 'x'));
+        this->writeTimers.push_back(this->loop.after(
+            Millis(1), [this, exchange, bytes] { this->writeWithoutEnd(exchange, bytes); }));
+    }
+
+    /// Calls the crash monitor periodically from now on.
+    void tick()
+    {
+        this->crashMonitor.onTick(monoNow());
+        this->tickTimer = this->loop.after(Millis(100), [this] { this->tick(); });
+    }
+
+    int requestCount = 0;
+    std::int64_t incarnations = 1; ///< of all endpoints
+    std::vector<http::Timer> writeTimers;
+    http::Timer tickTimer;
+};
+
+} // namespace lavenderhall
