Names: messages about crashes, incarnation of an attempt

LostRequest, CrashBlock, BegunSubject and EndpointIncarnation concern parts of prompts and requests at any endpoint, and were named after parts and engines.

No functional change.

--- a/src/forward/crashmonitor.cpp
+++ b/src/forward/crashmonitor.cpp
@@ -28,10 +28,10 @@
     return std::chrono::duration_cast<Millis>(now - time);
 }
 
-proto::PartNews partNews(const PartId &part, Millis age)
+proto::BegunSubject begunSubject(const PartId &part, Millis age)
 {
-    proto::PartNews news;
-    news.set_part(part);
+    proto::BegunSubject news;
+    news.set_subject(part);
     news.set_age_ms(age.count());
     return news;
 }
@@ -42,17 +42,17 @@
     return now - Millis(std::clamp<std::int64_t>(ageMillis, 0, MaxAge.count()));
 }
 
-CrashBlock blockOf(const proto::BlockedPart &told, MonoTime now)
+CrashBlock blockOf(const proto::CrashBlock &told, MonoTime now)
 {
     const std::int64_t trialInMillis
         = std::clamp<std::int64_t>(told.trial_in_ms(), 0, MaxTrialDelay.count());
-    return {told.part(), timeOf(told.age_ms(), now), now + Millis(trialInMillis),
+    return {told.subject(), timeOf(told.age_ms(), now), now + Millis(trialInMillis),
             std::max(0, told.trials())};
 }
 
-void writeBlock(const CrashBlock &block, MonoTime now, proto::BlockedPart &told)
+void writeBlock(const CrashBlock &block, MonoTime now, proto::CrashBlock &told)
 {
-    told.set_part(block.subject);
+    told.set_subject(block.subject);
     told.set_age_ms(ageOf(block.crashedAt, now).count());
     told.set_trial_in_ms(ageOf(now, block.trialAt).count());
     told.set_trials(block.trials);
@@ -82,14 +82,14 @@
 void CrashMonitor::recordPartsCrash(const EngineCrash &crash, MonoTime now)
 {
     for (const BegunPart &begun : this->attribution.onCrash(crash))
-        *this->pendingNews.add_begun() = partNews(begun.part, ageOf(begun.begunAt, now));
+        *this->pendingNews.add_begun() = begunSubject(begun.part, ageOf(begun.begunAt, now));
 }
 
 void CrashMonitor::recordLoss(const LostRequest &lost, MonoTime now)
 {
     if (const auto answered = this->requests.onLost(lost))
         *this->pendingNews.add_begun_requests()
-            = partNews(answered->request, ageOf(answered->answeredAt, now));
+            = begunSubject(answered->request, ageOf(answered->answeredAt, now));
 }
 
 void CrashMonitor::onAttemptLost(const Incarnation &endpoint, const RequestSignature &request,
@@ -102,7 +102,7 @@
     this->pendingLosses.push_back({lost, request.sharedParts()});
 }
 
-void CrashMonitor::onLossElsewhere(const proto::EngineCrash &told, MonoTime now)
+void CrashMonitor::onLossElsewhere(const proto::LostRequest &told, MonoTime now)
 {
     const Incarnation endpoint{told.endpoint(), told.born_ms()};
     const MonoTime lostAt = timeOf(told.age_ms(), now);
@@ -118,11 +118,11 @@
 {
     this->onEndpointAlive(endpoint, now);
     if (this->requests.onAnswered(request.fingerprint(), now)) {
-        *this->pendingNews.add_begun_requests() = partNews(request.fingerprint(), Millis(0));
+        *this->pendingNews.add_begun_requests() = begunSubject(request.fingerprint(), Millis(0));
         logEvent(LogLevel::Info, "request_cleared", {{"fingerprint", request.fingerprint()}});
     }
     for (const PartId &part : this->attribution.onAnswerBegun(request.sharedParts(), now)) {
-        *this->pendingNews.add_begun() = partNews(part, Millis(0));
+        *this->pendingNews.add_begun() = begunSubject(part, Millis(0));
         logEvent(LogLevel::Info, "part_cleared",
                  {{"part", part}, {"endpoint", endpoint.endpointId}});
     }
@@ -134,32 +134,32 @@
     const bool wasRequestSuspected = this->requests.onEndpointAlive(endpoint, now);
     if (!wasPartSuspected && !wasRequestSuspected)
         return;
-    proto::EngineIncarnation &alive = *this->pendingNews.add_alive();
+    proto::EndpointIncarnation &alive = *this->pendingNews.add_alive();
     alive.set_endpoint(endpoint.endpointId);
     alive.set_born_ms(endpoint.startMillis);
 }
 
 void CrashMonitor::onNews(const proto::CrashNews &news, MonoTime now)
 {
-    for (const proto::EngineCrash &told : news.crashes())
+    for (const proto::LostRequest &told : news.lost())
         this->onLossElsewhere(told, now);
-    for (const proto::PartNews &begun : news.begun())
-        this->attribution.onBegunElsewhere({begun.part(), timeOf(begun.age_ms(), now)});
-    for (const proto::PartNews &begun : news.begun_requests())
-        this->requests.onAnsweredElsewhere({begun.part(), timeOf(begun.age_ms(), now)});
-    for (const proto::EngineIncarnation &alive : news.alive()) {
+    for (const proto::BegunSubject &begun : news.begun())
+        this->attribution.onBegunElsewhere({begun.subject(), timeOf(begun.age_ms(), now)});
+    for (const proto::BegunSubject &begun : news.begun_requests())
+        this->requests.onAnsweredElsewhere({begun.subject(), timeOf(begun.age_ms(), now)});
+    for (const proto::EndpointIncarnation &alive : news.alive()) {
         this->attribution.onEngineAlive({alive.endpoint(), alive.born_ms()}, now);
         this->requests.onEndpointAlive({alive.endpoint(), alive.born_ms()}, now);
     }
     bool isAnyNew = false;
-    for (const proto::BlockedPart &told : news.blocked()) {
+    for (const proto::CrashBlock &told : news.blocked()) {
         const CrashBlock block = blockOf(told, now);
         if (!this->attribution.onBlocked(block))
             continue;
         isAnyNew = true;
         logPartBlocked(block, now);
     }
-    for (const proto::BlockedPart &told : news.blocked_requests()) {
+    for (const proto::CrashBlock &told : news.blocked_requests()) {
         const CrashBlock block = blockOf(told, now);
         if (!this->requests.onBlocked(block))
             continue;
@@ -269,7 +269,7 @@
 void CrashMonitor::flush(MonoTime now)
 {
     for (const PendingLoss &loss : std::exchange(this->pendingLosses, {})) {
-        proto::EngineCrash &told = *this->pendingNews.add_crashes();
+        proto::LostRequest &told = *this->pendingNews.add_lost();
         told.set_endpoint(loss.lost.endpoint.endpointId);
         told.set_born_ms(loss.lost.endpoint.startMillis);
         told.set_age_ms(ageOf(loss.lost.lostAt, now).count());
@@ -279,7 +279,7 @@
             told.add_parts(part);
     }
     const proto::CrashNews news = std::exchange(this->pendingNews, {});
-    const bool isEmpty = news.crashes().empty() && news.blocked().empty() && news.begun().empty()
+    const bool isEmpty = news.lost().empty() && news.blocked().empty() && news.begun().empty()
         && news.alive().empty() && news.blocked_requests().empty() && news.begun_requests().empty();
     if (isEmpty)
         return;
--- a/src/forward/crashmonitor.h
+++ b/src/forward/crashmonitor.h
@@ -69,7 +69,7 @@
 
     void recordLoss(const LostRequest &lost, MonoTime now);
     void recordPartsCrash(const EngineCrash &crash, MonoTime now);
-    void onLossElsewhere(const proto::EngineCrash &told, MonoTime now);
+    void onLossElsewhere(const proto::LostRequest &told, MonoTime now);
     /// Returns the block of the request itself; nullptr if there is none.
     const CrashBlock *requestBlock(const RequestSignature &request) const;
     void block(MonoTime now);
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -48,7 +48,7 @@
     this->recordWeights();
     this->recordNotices();
     if (isOwnAnswer && status != MisdirectedRequest)
-        this->context.crashMonitor.onEndpointAlive(this->engine, monoNow());
+        this->context.crashMonitor.onEndpointAlive(this->incarnation, monoNow());
 }
 
 // Answers state which weights were used. An engine that refuses because of its weights runs a
@@ -83,9 +83,9 @@
     LimitMonitor &monitor = this->context.limitMonitor;
     const MonoTime now = monoNow();
     if (this->head.limit.kind != LimitStatement::Kind::None)
-        monitor.onNamed(this->engine, this->head.limit, now);
+        monitor.onNamed(this->incarnation, this->head.limit, now);
     else if (isSuccess(this->head.status) && this->head.isSealed)
-        monitor.onNoneNamed(this->engine, this->sentAt, now);
+        monitor.onNoneNamed(this->incarnation, this->sentAt, now);
 }
 
 void ForwardCall::onData(std::string_view data)
@@ -114,7 +114,7 @@
 {
     if (std::exchange(this->hasBegun, true))
         return;
-    this->context.crashMonitor.onAnswerBegun(this->engine, this->signature, monoNow());
+    this->context.crashMonitor.onAnswerBegun(this->incarnation, this->signature, monoNow());
 }
 
 void ForwardCall::onStreamData(std::string_view data)
@@ -176,7 +176,7 @@
         return this->endAttempt(AttemptOutcome::Broken, "half_event");
     // An engine that crashes before its first event ends its answer in the same way.
     if (this->route->kind == RequestKind::Stream && hasEndedByClose && !this->hasBegun) {
-        this->context.crashMonitor.onAttemptLost(this->engine, this->signature, this->sentAt,
+        this->context.crashMonitor.onAttemptLost(this->incarnation, this->signature, this->sentAt,
                                                  monoNow());
         return this->endAttempt(AttemptOutcome::Broken, "no_event");
     }
@@ -189,7 +189,7 @@
     if (this->isFinished)
         return;
     if (failure.mayHaveBeenSent && failure.connectionLost && !this->hasBegun)
-        this->context.crashMonitor.onAttemptLost(this->engine, this->signature, this->sentAt,
+        this->context.crashMonitor.onAttemptLost(this->incarnation, this->signature, this->sentAt,
                                                  monoNow());
     if (!failure.mayHaveBeenSent)
         return this->endAttempt(AttemptOutcome::NeverSent, failure.reason);
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -164,7 +164,7 @@
     this->choice = chosen;
     this->logChoice(query, now);
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen.endpointId);
-    this->engine = {endpoint->id, endpoint->startMillis};
+    this->incarnation = {endpoint->id, endpoint->startMillis};
     this->sentAt = now;
     this->context.crashMonitor.onSent(this->signature, now);
     this->triedEndpoints.push_back(chosen.endpointId);
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -160,7 +160,7 @@
 
     http::CallPtr call;
     Choice choice;
-    Incarnation engine; ///< that the attempt was sent to
+    Incarnation incarnation; ///< of the endpoint that the attempt was sent to
     MonoTime sentAt{}; ///< when the attempt was sent
     std::string permittedEndpoint; ///< that a permit was granted for; "" for none
     std::int64_t uncachedTokens = 0;
