Review, case 2: a removed worker gets requests from machines that were never disrupted

Seen: while both processes that watch the store for a region are killed and start again, a worker's entry is removed and another one is added. The other machines of the region miss the removal and send to the removed worker until it ends.

No functional change

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -103,12 +103,23 @@
 
 
 class Store:
-    """The platform's metadata store: objects by kind and name, conditional writes and watches."""
+    """The platform's metadata store: objects by kind and name, conditional writes and watches.
+
+    It listens at an address of its own for each machine, to tell who watches.
+    """
 
     def __init__(self):
         self.revision, self.objects, self.history = 100, {}, []
         self.changed = asyncio.Event()
-        self.server = Server(self.handle)
+        self.watching = {}  # machine -> kinds that it watches now
+        self.servers = []
+
+    async def open(self, machine):
+        async def handle(request, writer):
+            await self.handle(machine, request, writer)
+        server = Server(handle)
+        self.servers.append(server)
+        return await server.start("127.0.0.1")
 
     def put(self, kind, name, spec):
         old = self.objects.get((kind, name))
@@ -134,12 +145,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def handle(self, request, writer):
-        status, body = await self.answer(request)
+    async def handle(self, machine, request, writer):
+        await asyncio.sleep(0.004)
+        status, body = await self.answer(machine, request)
         writer.write(answer_bytes(status, {"Content-Type": "application/json"},
                                   json.dumps(body).encode()))
 
-    async def answer(self, request):
+    async def answer(self, machine, request):
         url = urllib.parse.urlsplit(request.start[1])
         query = dict(urllib.parse.parse_qsl(url.query))
         kind, _, name = url.path.removeprefix("/v1/objects/").partition("/")
@@ -147,6 +159,7 @@
             item = self.objects.get((kind, name))
             return (200, item) if item else (404, {})
         if request.start[0] == "GET" and "watch" in query:
+            self.watching[(machine, kind)] = time.monotonic()
             return await self.watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)))
         if request.start[0] == "GET":
             items = [item for (of, _), item in sorted(self.objects.items()) if of == kind]
@@ -234,20 +247,24 @@
     def __init__(self, system, number):
         self.system = system
         self.host = system.hosts[number]
-        self.zone = list(ZONES)[number % len(ZONES)]
-        self.name = f"front-{self.zone}-{number // len(ZONES) + 1}"
+        zones = list(system.zones)
+        self.zone = zones[number % len(zones)]
+        self.name = f"front-{self.zone}-{number // len(zones) + 1}"
+        self.store_address = None
         self.front = (self.host, system.ports[0])
         self.ready = (self.host, system.ports[1])
         self.process = None
         self.log_file = os.path.join(system.folder, self.name + ".log")
 
-    def start(self, store=None):
-        ports = self.system.ports
+    async def start(self):
+        if not self.store_address:
+            self.store_address = await self.system.store.open(self.name)
+        ports, zones = self.system.ports, self.system.zones
         fields = {"node_name": self.name, "ip": self.host, "zone": self.zone,
-                  "region": ZONES[self.zone], "zones": ZONES, "bounds": BOUNDS,
+                  "region": zones[self.zone], "zones": zones, "bounds": BOUNDS,
                   "internal_ports": [ports[2], ports[3]],
                   "listen": {"front": f"{self.host}:{ports[0]}", "ready": f"{self.host}:{ports[1]}"},
-                  "platform_api": {"address": store or self.system.store_address},
+                  "platform_api": {"address": self.store_address},
                   "seeds": [f"{host}:{ports[4]}" for host in self.system.hosts[:3]]}
         deploy = tomllib.load(open(os.path.join(ROOT, "deploy", "system.toml"), "rb"))
         role = deploy["roles"]["router"]
@@ -286,11 +303,12 @@
 class System:
     """The store and the routers of one run, and the record of what happened."""
 
-    def __init__(self, record_file, routers=3):
+    def __init__(self, record_file, routers=3, zones=None):
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.record_file = open(record_file, "w", encoding="utf-8")
         self.began = time.monotonic()
         self.store = Store()
+        self.zones = zones or ZONES
         self.hosts = [f"127.0.{60 + number}.1" for number in range(routers)]
         self.ports = free_ports(self.hosts, 6)
         self.routers = [Router(self, number) for number in range(routers)]
@@ -299,9 +317,8 @@
         self.record_file.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
 
     async def start(self):
-        self.store_address = await self.store.server.start("127.0.0.1")
         for router in self.routers:
-            router.start()
+            await router.start()
         for router in self.routers:
             if not await router.wait_ready():
                 self.record(f"{router.name} is not ready")
