--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -111,7 +111,9 @@
     def __init__(self):
         self.revision, self.objects, self.history = 100, {}, []
         self.changed = asyncio.Event()
-        self.watching = {}  # machine -> kinds that it watches now
+        self.watching = {}  # (machine, kind) -> start of its last watch
+        self.cut_off = set()  # machines whose path to the store is cut in silence
+        self.healed = asyncio.Event()
         self.servers = []
 
     async def open(self, machine):
@@ -147,9 +149,26 @@
 
     async def handle(self, machine, request, writer):
         await asyncio.sleep(0.004)
+        if machine in self.cut_off:  # the call does not arrive
+            return await self.hold(writer)
         status, body = await self.answer(machine, request)
-        writer.write(answer_bytes(status, {"Content-Type": "application/json"},
-                                  json.dumps(body).encode()))
+        if machine in self.cut_off:  # the answer does not arrive
+            return await self.hold(writer)
+        return writer.write(answer_bytes(status, {"Content-Type": "application/json"},
+                                         json.dumps(body).encode()))
+
+    async def hold(self, writer):
+        await self.healed.wait()
+        writer.transport.abort()
+        return None
+
+    def cut(self, machines):
+        self.cut_off = set(machines)
+
+    def heal(self):
+        self.cut_off = set()
+        self.healed.set()
+        self.healed = asyncio.Event()
 
     async def answer(self, machine, request):
         url = urllib.parse.urlsplit(request.start[1])
