--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -380,6 +380,7 @@
 
     def __init__(self, address):
         self.address, self.reader, self.writer = address, None, None
+        self.is_kept = False  # whether the last request was sent on a channel that had been used
 
     def close(self):
         if self.writer:
@@ -389,7 +390,9 @@
     async def send(self, method, target, headers, body=b"", timeout=3.0):
         """Returns the answer, or None if the channel ended without a whole one."""
         try:
-            if not self.writer or self.writer.is_closing() or self.reader.at_eof():
+            self.is_kept = bool(self.writer and not self.writer.is_closing()
+                                and not self.reader.at_eof())
+            if not self.is_kept:
                 self.reader, self.writer = await asyncio.open_connection(*self.address,
                                                                          limit=1 << 20)
             self.writer.write(request_bytes(method, target, headers, body))
