Log: how a process ends, and what it uses of its limits

process_failed is written by the terminate handler and by handlers of SIGABRT, SIGSEGV, SIGBUS, SIGFPE and SIGILL, on a stack of its own, before the process ends as it would have. start_failed has the reason. process_limits and process_state show descriptors, memory, connections and how late the event loop was; the metrics have the same. An end by memory shows as the last process_state lines; an end by an unhandled signal (SIGHUP) as the absence of both stopped and process_failed. No decision of the router changes.

--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -1,5 +1,7 @@
 #include "client/command.h"
 
+#include "base/failurereport.h"
+#include "base/log.h"
 #include "client/librarytext.h"
 #include "forward/forwarddaemon.h"
 #include "router/daemon.h"
@@ -255,6 +257,7 @@
         return ExitDone;
     }
     openLog(settings.logLevel, settings.instance);
+    reportFailures(settings.instance);
     try {
         http::Loop loop;
         if (settings.dialect == Dialect::Forward) {
@@ -264,6 +267,7 @@
         Daemon daemon(loop, settings);
         return daemon.run();
     } catch (const std::runtime_error &error) {
+        logEvent(LogLevel::Error, "start_failed", {{"detail", error.what()}});
         return fail(ErrorCode::Unavailable, "start", error.what());
     }
 }
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -122,6 +122,9 @@
           [this](const Incarnation &engine) {
               this->crashMonitor.onEndpointAlive(engine, monoNow());
           })
+    , processWatch(loop, this->metrics, [this] {
+        return ServedLoad{this->forwarder.openCalls(), this->callers->connectionCount()};
+    })
 {
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
@@ -131,6 +134,7 @@
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
         this->fleet.updateMetrics();
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
+        this->processWatch.updateMetrics();
     };
     this->admin
         = std::make_unique<Admin>(loop, this->settings.admin, this->timeline, this->metrics, hooks);
@@ -208,6 +212,7 @@
              {{"listen", this->settings.listen.toString()},
               {"admin", this->settings.admin.toString()},
               {"zone", this->settings.zone}});
+    this->processWatch.start();
     this->takeoverJitter = Millis(this->context.random(MaxTakeoverJitterMillis));
     // The peer address is bound before any decision is made. A successful bind shows that the
     // process that used the address before is dead.
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -8,6 +8,7 @@
 #include "forward/rolloutcontroller.h"
 #include "forward/storereplica.h"
 #include "router/admin.h"
+#include "router/processwatch.h"
 #include "router/settings.h"
 #include "timeline/ring.h"
 
@@ -85,6 +86,7 @@
     Fleet fleet;
     RateLimiter rateLimiter;
     LoadMonitor loadMonitor;
+    ProcessWatch processWatch;
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -75,6 +75,11 @@
               {},
               {}}
     , gateway(this->context)
+    , processWatch(
+          this->loop, this->metrics,
+          [this] {
+              return ServedLoad{this->gateway.openCalls(), this->callerServer->connectionCount()};
+          })
     , random(randomSeed())
 {
     AdminHooks hooks;
@@ -88,6 +93,7 @@
                                       static_cast<double>(this->gateway.backlogBytes()));
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         this->fleet.updateMetrics();
+        this->processWatch.updateMetrics();
     };
     this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
                                           this->metrics, std::move(hooks));
@@ -107,6 +113,7 @@
              {{"listen", this->settings.listen.toString()},
               {"admin", this->settings.admin.toString()},
               {"region", this->settings.region}});
+    this->processWatch.start();
     // The peer address is bound before any decision is made. Then an earlier process with the same
     // address is no longer running.
     this->fleet.start();
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -3,6 +3,7 @@
 #include "router/admin.h"
 #include "router/configloader.h"
 #include "router/gateway.h"
+#include "router/processwatch.h"
 
 #include <memory>
 #include <set>
@@ -51,6 +52,7 @@
     Fleet fleet;
     RouterContext context;
     Gateway gateway;
+    ProcessWatch processWatch;
     std::unique_ptr<Admin> admin;
     std::unique_ptr<http::Server> callerServer;
     std::set<std::string> pendingLoadPolls; ///< endpoints whose load has been requested
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -66,6 +66,15 @@
     , peers(gauge(*this->registry, "lavenderhall_peers", "Other instances seen alive"))
     , seatsHeld(gauge(*this->registry, "lavenderhall_limit_seats_held",
                       "Seats of limits that this instance decides for"))
+    , openDescriptors(gauge(*this->registry, "process_open_fds", "Open file descriptors"))
+    , maxDescriptors(
+          gauge(*this->registry, "process_max_fds", "Soft limit of open file descriptors"))
+    , residentBytes(
+          gauge(*this->registry, "process_resident_memory_bytes", "Memory in use, in bytes"))
+    , loopLag(gauge(*this->registry, "lavenderhall_loop_lag_seconds",
+                    "How late the event loop was at most, in the last ten seconds or less"))
+    , callerConnections(
+          gauge(*this->registry, "lavenderhall_caller_connections", "Open connections of callers"))
     , tokens(counterFamily(*this->registry, "lavenderhall_tokens_total",
                            "Tokens by kind, as engines report them"))
 { }
@@ -130,6 +139,23 @@
     this->seatsHeld.Set(count);
 }
 
+void Metrics::setProcessState(const ProcessState &state)
+{
+    this->openDescriptors.Set(static_cast<double>(state.openDescriptors));
+    this->maxDescriptors.Set(static_cast<double>(state.maxDescriptors));
+    this->residentBytes.Set(static_cast<double>(state.residentBytes));
+}
+
+void Metrics::setLoopLag(double seconds)
+{
+    this->loopLag.Set(seconds);
+}
+
+void Metrics::setCallerConnections(double count)
+{
+    this->callerConnections.Set(count);
+}
+
 void Metrics::setPeers(double alive)
 {
     this->peers.Set(alive);
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/processstate.h"
 #include "membership/peerlink.h"
 
 #include <memory>
@@ -40,6 +41,10 @@
     /// \a alive is the number of other instances that seem to be alive.
     void setPeers(double alive);
     void setSeatsHeld(double count);
+    void setProcessState(const ProcessState &state);
+    /// \a seconds is how late the event loop was at most, lately.
+    void setLoopLag(double seconds);
+    void setCallerConnections(double count);
     /// Counts the tokens that an engine has reported for one request.
     void countTokens(double prompt, double cached, double output);
 
@@ -62,6 +67,11 @@
     prometheus::Family<prometheus::Gauge> &peerRefusals;
     prometheus::Gauge &peers;
     prometheus::Gauge &seatsHeld;
+    prometheus::Gauge &openDescriptors;
+    prometheus::Gauge &maxDescriptors;
+    prometheus::Gauge &residentBytes;
+    prometheus::Gauge &loopLag;
+    prometheus::Gauge &callerConnections;
     prometheus::Family<prometheus::Counter> &tokens;
 };
 
