Connections: none keeps an instance of the same machine from listening

Callers saw an instance that was killed and didn't come back: its start ended with "address already in use", code 1, several times in a row.

Cause: the system chooses the ports of outgoing connections from the range in which listeners may be, too. While an instance is down, connections of the others (to endpoints, the store, each other) can get its port and keep it for as long as they are open, which ends each of its starts. Worse, a connection to the closed port itself can be joined with itself (seen after 6,393 attempts at one port, the range has 28,232): a request then reaches nobody but counts as sent, and the peer link, whose heartbeats answer themselves, keeps such a connection and its port for ever.

Outgoing connections now allow others to listen at their port (SO_REUSEADDR before connecting; for ZeroMQ by naming the own side's address), a call whose connection is joined with itself fails as not sent, and the peer link closes a connection on which something arrives, as a peer never sends on one that it has accepted.

Ruled out: sockets that still close (the listeners set SO_REUSEADDR already). Connections of other programs at the same address still can hold a port; the start has to wait then.

--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -1,9 +1,11 @@
 #include "http/socket.h"
 
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 namespace lavenderhall::http {
@@ -46,6 +48,33 @@
         return recv(fd, &nextByte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN;
     }
 
+    // The system chooses the port of an outgoing connection, which may be one that an instance of
+    // this machine is about to listen at again. With this option, that instance can.
+    int openForConnect()
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (fd < 0)
+            return -errno;
+        const int on = 1;
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        const int code = uv_tcp_open(&this->tcp, fd);
+        if (code < 0)
+            ::close(fd);
+        return code;
+    }
+
+    // The system joins a connection with itself if it chooses the port that the connection goes to.
+    bool isOwnPeer() const
+    {
+        sockaddr_in own{};
+        sockaddr_in peer{};
+        int ownSize = sizeof(own);
+        int peerSize = sizeof(peer);
+        return uv_tcp_getsockname(&this->tcp, reinterpret_cast<sockaddr *>(&own), &ownSize) == 0
+            && uv_tcp_getpeername(&this->tcp, reinterpret_cast<sockaddr *>(&peer), &peerSize) == 0
+            && own.sin_port == peer.sin_port && own.sin_addr.s_addr == peer.sin_addr.s_addr;
+    }
+
     // Nagle's algorithm is off, as it delays small writes. Keep-alive probes detect a lost peer
     // while nothing is sent. TCP_USER_TIMEOUT bounds the time that sent bytes may stay
     // unacknowledged, and still lets them reach the peer after a regular close.
@@ -93,13 +122,17 @@
             return;
         if (status < 0)
             return self->end(SocketEnd::Failed, uv_strerror(status));
+        if (self->tcp->isOwnPeer())
+            return self->end(SocketEnd::Failed, "connected to itself");
         self->tcp->setOptions();
         self->startReading();
         if (self->handlers.onConnected)
             self->handlers.onConnected();
     };
-    const int code = uv_tcp_connect(&socket->tcp->connecting, &socket->tcp->tcp,
-                                    reinterpret_cast<const sockaddr *>(&address), onConnect);
+    int code = socket->tcp->openForConnect();
+    if (code == 0)
+        code = uv_tcp_connect(&socket->tcp->connecting, &socket->tcp->tcp,
+                              reinterpret_cast<const sockaddr *>(&address), onConnect);
     if (code < 0)
         loop.post([socket, code] { socket->end(SocketEnd::Failed, uv_strerror(code)); });
     return socket;
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -61,7 +61,8 @@
 {
 public:
     Worker(const Address &listen, LinkKeys keys, Handler handler)
-        : keys(std::move(keys))
+        : ownHost(listen.host)
+        , keys(std::move(keys))
         , handler(std::move(handler))
         , inbox(this->context, zmq::socket_type::router)
         , zapSocket(this->context, zmq::socket_type::rep)
@@ -233,6 +234,10 @@
     void sendTo(const std::string &address, zmq::message_t payload)
     {
         auto found = this->connections.find(address);
+        if (found != this->connections.end() && hasInput(found->second.socket)) {
+            this->connections.erase(found);
+            found = this->connections.end();
+        }
         if (found == this->connections.end()) {
             Connection connection{zmq::socket_t(this->context, zmq::socket_type::dealer), {}};
             connection.socket.set(zmq::sockopt::linger, 0);
@@ -248,7 +253,7 @@
             // Heartbeats detect a connection that has gone silent, and ZeroMQ reconnects.
             connection.socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatIntervalMillis);
             connection.socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMillis);
-            connection.socket.connect("tcp://" + address);
+            connection.socket.connect(this->connectEndpointOf(address));
             found = this->connections.emplace(address, std::move(connection)).first;
         }
         found->second.lastUsed = monoNow();
@@ -261,6 +266,22 @@
         this->bytesOut += size;
     }
 
+    // Given its own side's address, ZeroMQ lets others listen at the port that the system chooses.
+    std::string connectEndpointOf(const std::string &peer) const
+    {
+        return "tcp://" + this->ownHost + ":0;" + peer;
+    }
+
+    // A peer never sends on a connection that it has accepted. So what arrives on one of this
+    // side's connections has been sent by this side: the system has joined the connection with
+    // itself while nobody listened at the peer's address.
+    static bool hasInput(zmq::socket_t &socket)
+    {
+        const int events = uninterrupted([&] { return socket.get(zmq::sockopt::events); });
+        return (events & ZMQ_POLLIN) != 0;
+    }
+
+    const std::string ownHost;
     LinkKeys keys;
     Handler handler;
     zmq::context_t context;
