Start: wait for an address that is in use

What callers saw: a process that was started while the one before still drained, or while any other socket of the machine had one of its ports, ended at once with code 1. A platform that starts it again a few times and gives up has no instance there.

Cause: each listening socket was opened in a constructor, once, and every failure counted as final. A port is shared with what passes: the process before, and outgoing connections, whose ports the kernel draws at random. Even the port for metrics, on which nothing depends, ended the process; it is the same in all settings, so it may also be one of the instance's other addresses.

Now a failure to listen is typed (ListenError). One that may pass is tried again every 100 ms, with the event loop running between: SIGTERM ends the wait with code 0, the instance is not ready, the log names the address and the code (start_delayed). It waits without a bound, as an end would only be followed by the next start. An address of another machine still ends the start at once. The socket for metrics is opened last and tried again while the process serves.

Ruled out: the connections of a killed predecessor; libuv and ZeroMQ set SO_REUSEADDR, and starts right after SIGKILL with open connections succeeded.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build check check-asan lint format soak demo up bench-path bench-capacity proto clean
+.PHONY: all packages build check check-asan lint format soak startstop demo up bench-path bench-capacity proto clean
 
 all: build
 
@@ -38,6 +38,10 @@
 soak: build
 	python3 platform/soak/soak.py --build $(BUILD) $(SOAK)
 
+# Starts and stops real processes while something passing stands in the way.
+startstop: build
+	python3 platform/soak/startstop.py --build $(BUILD)
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -1,11 +1,14 @@
 #include "forward/forwarddaemon.h"
 
 #include "base/digest.h"
+#include "base/listenerror.h"
 #include "membership/membership.h"
+#include "router/listenerstart.h"
 
 #include <algorithm>
 #include <csignal>
 #include <set>
+#include <utility>
 
 namespace lavenderhall {
 
@@ -14,6 +17,7 @@
 constexpr std::size_t TimelineCapacity = 5'000;
 constexpr Millis TickInterval{100};
 constexpr Millis SettingsInterval{1000}; ///< between checks of the settings file
+constexpr Millis MetricsRetryInterval{1000}; ///< between attempts to open the socket for metrics
 constexpr Millis DrainCheckInterval{50};
 // The balancer stops sending requests to an instance after two failed checks, one second apart.
 constexpr Millis BalancerDetectionTime{3000};
@@ -123,25 +127,10 @@
               this->crashMonitor.onEndpointAlive(engine, monoNow());
           })
     , processWatch(loop, this->metrics, [this] {
-        return ServedLoad{this->forwarder.openCalls(), this->callers->connectionCount()};
+        return ServedLoad{this->forwarder.openCalls(),
+                          this->callers ? this->callers->connectionCount() : 0};
     })
 {
-    AdminHooks hooks;
-    hooks.isReady = [this] { return this->context.table && !this->isDraining; };
-    hooks.status = [this] { return this->status(); };
-    hooks.drain = [this] { this->drain(); };
-    hooks.updateGauges = [this] {
-        this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
-        this->fleet.updateMetrics();
-        this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
-        this->processWatch.updateMetrics();
-    };
-    this->admin
-        = std::make_unique<Admin>(loop, this->settings.admin, this->timeline, this->metrics, hooks);
-    if (this->settings.metrics)
-        this->metricsServer = std::make_unique<Admin>(loop, *this->settings.metrics, this->timeline,
-                                                      this->metrics, hooks);
-    this->openServers();
     EngineUpdateHandlers engineUpdates;
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
         this->loadMonitor.onWeightsNotice(notice, monoNow());
@@ -156,23 +145,73 @@
     this->applySettings();
 }
 
-void ForwardDaemon::openServers()
+AdminHooks ForwardDaemon::adminHooks()
+{
+    AdminHooks hooks;
+    hooks.isReady = [this] { return this->context.table && !this->isDraining; };
+    hooks.status = [this] { return this->status(); };
+    hooks.drain = [this] { this->drain(); };
+    hooks.updateGauges = [this] {
+        this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
+        this->fleet.updateMetrics();
+        this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
+        this->processWatch.updateMetrics();
+    };
+    return hooks;
+}
+
+std::unique_ptr<http::Server> ForwardDaemon::openServer(const Address &listen, RequestSource source)
 {
-    const auto refusal = [this](int status, std::string_view reason) {
+    auto server = std::make_unique<http::Server>(this->loop, listen, http::ServerLimits{},
+                                                 [this, source](const http::ExchangePtr &exchange) {
+                                                     this->forwarder.onRequest(exchange, source);
+                                                 });
+    server->setRefusal([this](int status, std::string_view reason) {
         return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
+    });
+    return server;
+}
+
+// The peer address is bound last and before any decision is made. A successful bind shows that the
+// process that used the address before is dead.
+bool ForwardDaemon::openListeners()
+{
+    const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
+        return openWhenFree(this->loop, listener, open, [this] { return this->isDraining; });
     };
-    this->callers = std::make_unique<http::Server>(
-        this->loop, this->settings.listen, http::ServerLimits{},
-        [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); });
-    this->callers->setRefusal(refusal);
-    if (!this->settings.relay)
+    const auto openAdmin = [this] {
+        this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
+                                              this->metrics, this->adminHooks());
+    };
+    const auto openRelay = [this] {
+        if (this->settings.relay)
+            this->relayServer
+                = this->openServer(*this->settings.relay, RequestSource::OtherInstance);
+    };
+    const auto openCallers = [this] {
+        this->callers = this->openServer(this->settings.listen, RequestSource::Caller);
+    };
+    return openOne("admin", openAdmin) && openOne("relay", openRelay)
+        && openOne("callers", openCallers) && openOne("peer", [this] { this->fleet.start(); });
+}
+
+// The service does not depend on metrics, so neither does its start. The address of metrics may be
+// one of the instance's other addresses.
+void ForwardDaemon::openMetrics()
+{
+    try {
+        this->metricsServer = std::make_unique<Admin>(
+            this->loop, *this->settings.metrics, this->timeline, this->metrics, this->adminHooks());
+    } catch (const ListenError &error) {
+        if (!std::exchange(this->isMetricsMissing, true))
+            logEvent(LogLevel::Warning, "metrics_unavailable", {{"detail", error.what()}});
+        this->metricsTimer
+            = this->loop.after(MetricsRetryInterval, [this] { this->openMetrics(); });
         return;
-    this->relayServer = std::make_unique<http::Server>(
-        this->loop, *this->settings.relay, http::ServerLimits{},
-        [this](const http::ExchangePtr &exchange) {
-            this->forwarder.onRequest(exchange, RequestSource::OtherInstance);
-        });
-    this->relayServer->setRefusal(refusal);
+    }
+    if (this->isMetricsMissing)
+        logEvent(LogLevel::Info, "metrics_listening",
+                 {{"address", this->settings.metrics->toString()}});
 }
 
 std::vector<Address> ForwardDaemon::relayInstances() const
@@ -205,8 +244,13 @@
     this->rateLimiter.setTolerance(tolerance);
 }
 
-void ForwardDaemon::start()
+bool ForwardDaemon::start()
 {
+    if (!this->openListeners())
+        return false;
+    this->isStarted = true;
+    if (this->settings.metrics)
+        this->openMetrics();
     this->timeline.add(EventKind::ProcessStarted, "", "", {{"version", LAVENDERHALL_VERSION}});
     logEvent(LogLevel::Info, "started",
              {{"listen", this->settings.listen.toString()},
@@ -214,19 +258,18 @@
               {"zone", this->settings.zone}});
     this->processWatch.start();
     this->takeoverJitter = Millis(this->context.random(MaxTakeoverJitterMillis));
-    // The peer address is bound before any decision is made. A successful bind shows that the
-    // process that used the address before is dead.
-    this->fleet.start();
     this->storeReplica.start();
     this->tick();
     this->reloadSettings("start");
+    return true;
 }
 
 int ForwardDaemon::run()
 {
     this->loop.drainOnSignals([this] { this->drain(); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
-    this->start();
+    if (!this->start())
+        return 0;
     this->loop.run();
     logEvent(LogLevel::Info, "stopped", {{"open_requests", this->forwarder.openCalls()}});
     return 0;
@@ -373,6 +416,8 @@
     if (this->isDraining)
         return;
     this->isDraining = true;
+    if (!this->isStarted)
+        return this->loop.stop();
     this->drainStartedAt = monoNow();
     this->rollout.stop();
     this->fleet.leave();
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -22,14 +22,15 @@
 class ForwardDaemon
 {
 public:
-    /// Throws std::runtime_error when an address cannot be bound.
     ForwardDaemon(http::Loop &loop, Settings settings, std::string settingsFile,
                   const PlatformAdapter &adapter);
 
-    /// Serves until a signal or an operator stops it. Returns the exit code.
+    /// Serves until a signal or an operator stops it. Returns the exit code. Throws ListenError if
+    /// an address cannot be bound for good.
     int run();
-    /// Starts to serve on the loop, which the caller has to run.
-    void start();
+    /// Starts to serve on the loop, which the caller has to run. Runs the loop while addresses are
+    /// still in use; returns false if the instance was stopped meanwhile.
+    bool start();
     /// Starts a graceful stop: reports itself as not ready, and serves requests until the balancer
     /// has noticed.
     void drain();
@@ -41,8 +42,13 @@
     LimitMonitorHooks limitMonitorHooks();
     LimitMessageHandlers limitMessageHandlers();
     StreamOriginHooks streamOriginHooks();
-    /// Opens the listening sockets for callers and for other instances.
-    void openServers();
+    AdminHooks adminHooks();
+    /// Opens all listening sockets but that for metrics, and waits while their addresses are in
+    /// use. Returns false if the instance was stopped meanwhile.
+    bool openListeners();
+    std::unique_ptr<http::Server> openServer(const Address &listen, RequestSource source);
+    /// Opens the listening socket for metrics, or tries again later.
+    void openMetrics();
     std::vector<Address> relayInstances() const;
     /// Applies the builds that no request should go to yet.
     void applyUnregisteredBuilds();
@@ -93,12 +99,15 @@
     std::unique_ptr<http::Server> relayServer; ///< for requests that other instances relay
     std::int64_t tableRevision = 0;
     http::Timer tickTimer;
+    http::Timer metricsTimer;
     MonoTime nextNamedTimes{}; ///< next call of tellNamedTimes() that tells something
     http::Timer settingsTimer;
     http::Timer drainTimer;
     Millis takeoverJitter{0}; ///< random part of the takeover delay of the rollout
     std::size_t fleetSize = 0; ///< upper bound on the instances among which budgets are divided
     MonoTime drainStartedAt{};
+    bool isStarted = false;
+    bool isMetricsMissing = false; ///< the listening socket for metrics could not be opened so far
     bool isDraining = false;
     bool isRefusingNew = false; ///< the balancer has had time to notice; new requests are refused
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,11 +1,11 @@
 #include "http/server.h"
 
+#include "base/listenerror.h"
 #include "http/parser.h"
 #include "http/socket.h"
 
 #include <array>
 #include <cstdio>
-#include <stdexcept>
 #include <uv.h>
 
 namespace lavenderhall::http {
@@ -383,8 +383,7 @@
     if (code == 0)
         return;
     this->stopListening();
-    throw std::runtime_error("http listen: cannot bind " + listen.toString() + ": "
-                             + uv_strerror(code));
+    throw ListenError("http listen", listen, -code, uv_strerror(code));
 }
 
 Server::~Server()
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -98,7 +98,7 @@
     /// Builds the answer to a request that the server itself refuses, such as a malformed one.
     using Refusal = std::function<Response(int status, std::string_view reason)>;
 
-    /// Throws std::runtime_error when the address cannot be bound.
+    /// Throws ListenError if the address cannot be bound.
     Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler);
     ~Server();
     Server(const Server &) = delete;
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -1,11 +1,11 @@
 #include "membership/peerlink.h"
 
 #include "base/clock.h"
+#include "base/listenerror.h"
 
 #include <array>
 #include <cerrno>
 #include <map>
-#include <stdexcept>
 #include <vector>
 #include <zmq.hpp>
 
@@ -83,8 +83,7 @@
         try {
             this->inbox.bind(zmqEndpointOf(listen));
         } catch (const zmq::error_t &error) {
-            throw std::runtime_error("peer listen: cannot bind " + listen.toString() + ": "
-                                     + error.what());
+            throw ListenError("peer listen", listen, error.num(), error.what());
         }
         this->thread = std::thread([this] { this->run(); });
     }
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -44,7 +44,7 @@
     /// Called on the link's thread for each message received.
     using Handler = std::function<void(proto::Envelope message)>;
 
-    /// Binds \a listen and starts the thread; throws std::runtime_error if binding fails.
+    /// Binds \a listen and starts the thread; throws ListenError if binding fails.
     PeerLink(const Address &listen, LinkKeys keys, Handler handler);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -1,6 +1,7 @@
 #include "router/daemon.h"
 
 #include "base/digest.h"
+#include "router/listenerstart.h"
 
 namespace lavenderhall {
 
@@ -75,12 +76,16 @@
               {},
               {}}
     , gateway(this->context)
-    , processWatch(
-          this->loop, this->metrics,
-          [this] {
-              return ServedLoad{this->gateway.openCalls(), this->callerServer->connectionCount()};
-          })
+    , processWatch(this->loop, this->metrics,
+                   [this] {
+                       return ServedLoad{this->gateway.openCalls(),
+                                         this->callerServer ? this->callerServer->connectionCount()
+                                                            : 0};
+                   })
     , random(randomSeed())
+{ }
+
+AdminHooks Daemon::adminHooks()
 {
     AdminHooks hooks;
     hooks.isReady = [this] {
@@ -95,8 +100,11 @@
         this->fleet.updateMetrics();
         this->processWatch.updateMetrics();
     };
-    this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
-                                          this->metrics, std::move(hooks));
+    return hooks;
+}
+
+void Daemon::openCallerServer()
+{
     http::ServerLimits limits
         = http::limitsWithMaxBody(static_cast<std::size_t>(this->settings.maxBodyBytes));
     limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
@@ -105,27 +113,45 @@
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
 }
 
-void Daemon::start()
+// The peer address is bound last and before any decision is made. Then an earlier process with the
+// same address is no longer running.
+bool Daemon::openListeners()
+{
+    const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
+        return openWhenFree(this->loop, listener, open,
+                            [this] { return this->gateway.isDraining(); });
+    };
+    const auto openAdmin = [this] {
+        this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
+                                              this->metrics, this->adminHooks());
+    };
+    return openOne("admin", openAdmin) && openOne("callers", [this] { this->openCallerServer(); })
+        && openOne("peer", [this] { this->fleet.start(); });
+}
+
+bool Daemon::start()
 {
     this->startedAt = monoNow();
+    if (!this->openListeners())
+        return false;
+    this->isStarted = true;
     this->timeline.add(EventKind::ProcessStarted, "", "", {{"version", LAVENDERHALL_VERSION}});
     logEvent(LogLevel::Info, "started",
              {{"listen", this->settings.listen.toString()},
               {"admin", this->settings.admin.toString()},
               {"region", this->settings.region}});
     this->processWatch.start();
-    // The peer address is bound before any decision is made. Then an earlier process with the same
-    // address is no longer running.
-    this->fleet.start();
     this->configLoader.start();
     this->watchInstances();
     this->pollLoads();
+    return true;
 }
 
 int Daemon::run()
 {
     this->loop.drainOnSignals([this] { this->drain(); });
-    this->start();
+    if (!this->start())
+        return 0;
     this->loop.run();
     this->timeline.add(EventKind::ProcessStopped, "", "");
     logEvent(LogLevel::Info, "stopped", {{"open_calls", this->gateway.openCalls()}});
@@ -137,6 +163,8 @@
     if (this->gateway.isDraining())
         return;
     this->gateway.beginDrain();
+    if (!this->isStarted)
+        return this->loop.stop();
     this->fleet.leave();
     this->timeline.add(EventKind::DrainBegan, "", "", {{"open_calls", this->gateway.openCalls()}});
     logEvent(LogLevel::Info, "drain_began", {{"open_calls", this->gateway.openCalls()}});
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -15,11 +15,12 @@
 class Daemon
 {
 public:
-    /// Throws std::runtime_error when an address cannot be bound.
     Daemon(http::Loop &loop, Settings settings);
 
-    /// Starts to serve on the loop, which the caller runs.
-    void start();
+    /// Starts to serve on the loop, which the caller runs. Runs the loop while addresses are still
+    /// in use; returns false if the instance was stopped meanwhile. Throws ListenError if an
+    /// address cannot be bound for good.
+    bool start();
     /// Serves until a signal or an operator stops the instance. Returns the exit code: 0 if all
     /// calls have ended, otherwise 1.
     int run();
@@ -34,6 +35,11 @@
     std::string metricsText() const { return this->metrics.toText(); }
 
 private:
+    AdminHooks adminHooks();
+    /// Opens all listening sockets, and waits while their addresses are in use. Returns false if
+    /// the instance was stopped meanwhile.
+    bool openListeners();
+    void openCallerServer();
     void onConfig(const ActiveConfigPtr &config);
     void watchInstances();
     void onInstanceList(const StoreReply &reply);
@@ -63,6 +69,7 @@
     http::Timer drainTimer;
     http::Timer drainTimeoutTimer;
     std::string configRefusal; ///< why the latest configuration was refused, "" if it was not
+    bool isStarted = false;
     MonoTime startedAt{};
     MonoTime drainBeganAt{};
 };
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -81,7 +81,7 @@
           Metrics &metrics, SeatTimings timings = {});
     ~Fleet();
 
-    /// Binds the peer address and starts; throws std::runtime_error if the address is in use.
+    /// Binds the peer address and starts; throws ListenError if that fails.
     void start();
     /// Applies the regions and organisations of a configuration. \a restart has the tokens that an
     /// account of each organisation may grant after its level was lost.
