Loop: ignore SIGXFSZ, as SIGPIPE

What callers saw: a process whose standard output is a file ended by signal 25 as soon as the log reached the limit on the size of files (RLIMIT_FSIZE), which whoever starts the process may set. It leaves no last line, as no more can be written, and every further start with the same file ends with its first line.

Cause: the kernel sends SIGXFSZ for such a write, and its default action ends the process. Nothing handled it. It is of the same class as SIGPIPE, which was ignored already: a signal for a write that then also fails with an error.

Now it is ignored. The write fails, and the log ignores failed writes, as for a reader that is gone.

--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -81,6 +81,8 @@
     // By default SIGPIPE ends the process on a write to a connection that the peer has closed.
     // Ignored, the write returns an error.
     std::signal(SIGPIPE, SIG_IGN);
+    // The same for a write to a log file that has reached the limit on the size of files.
+    std::signal(SIGXFSZ, SIG_IGN);
     uv_loop_init(this->uvLoop.get());
     uv_async_init(this->uvLoop.get(), this->wakeUp.get(),
                   [](uv_async_t *handle) { static_cast<Loop *>(handle->data)->runPosted(); });
