HTTP server: a caller that reads no answers gets no further ones

What callers saw: nothing; the process ended. A caller that pipelines requests and reads few of the answers made the router keep all further answers in memory, even those that are a few hundred bytes long.

Cause: the next request of a connection was begun as soon as the answer to the one before was complete, whether or not the caller had read it. What one answer may queue was bounded, the number of such answers was not.

Fix: with more than 64 KB waiting for the caller, the next request is not begun and the connection is not read, so that TCP slows the caller down. It goes on once the caller has read all; the idle timeout ends the wait.

The test failed before: 300 of 300 requests served, each answer of 256 KB in memory, while the caller read nothing.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 #include "http/parser.h"
 #include "http/server.h"
+#include "http/socket.h"
 
 #include <array>
 #include <criterion/criterion.h>
@@ -599,6 +600,38 @@
     cr_assert(fixture.call(request(Method::Get, "/echo")).ok);
 }
 
+// Guards against memory without bounds for a caller that pipelines requests and reads no answers.
+Test(http, pipelined_requests_wait_until_the_caller_reads_earlier_answers)
+{
+    constexpr std::size_t Requests = 300;
+    constexpr std::size_t AnswerBytes = 256U << 10U;
+    const Address address{"127.0.0.1", 18105};
+    Loop loop;
+    std::size_t served = 0;
+    Server server(loop, address, limitsWithMaxBody(1000), [&](const ExchangePtr &exchange) {
+        ++served;
+        exchange->respond({200, {}, std::string(AnswerBytes, 'x')});
+    });
+    std::size_t received = 0;
+    Socket::Ptr caller;
+    SocketHandlers handlers;
+    handlers.onConnected = [&] {
+        caller->setReading(false);
+        for (std::size_t request = 0; request < Requests; ++request)
+            caller->write("GET /a HTTP/1.1\r\n\r\n");
+    };
+    handlers.onData = [&](std::string_view data) { received += data.size(); };
+    caller = Socket::connect(loop, address, std::move(handlers));
+    loop.runFor(Millis(300));
+    cr_assert(served >= 1);
+    cr_assert(served < Requests / 4, "%zu", served); // the kernel's buffers take some answers
+    caller->setReading(true);
+    loop.runFor(Millis(1500));
+    cr_assert(served == Requests, "%zu", served);
+    cr_assert(received > Requests * AnswerBytes);
+    caller->close();
+}
+
 // A server that sends without end. Guards against memory and time without bounds in calls that
 // collect the whole answer.
 Test(client, an_answer_that_does_not_end_fails_the_call)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -15,6 +15,8 @@
 constexpr int ListenBacklog = 1024; ///< connections that the kernel queues before accept
 // Limit on the bytes of pipelined requests, which a caller sends before the current answer ends.
 constexpr std::size_t MaxPipelinedBytes = 65536;
+// With more bytes of earlier answers waiting for the caller, its next request is not begun.
+constexpr std::size_t MaxUnreadBytes = 65536;
 // Size of a chunk as text: at most 16 hex digits, CRLF and the terminating zero, rounded up.
 constexpr std::size_t ChunkSizeTextBytes = 24;
 
@@ -178,8 +180,11 @@
             return;
         }
         while (!this->unparsed.empty() && !this->exchange && !this->socket->isClosed()) {
-            if (!this->parser.isInsideMessage())
+            if (!this->parser.isInsideMessage()) {
+                if (this->socket->backlog() > MaxUnreadBytes)
+                    return this->socket->setReading(false);
                 this->beginRequest();
+            }
             const std::string input = std::move(this->unparsed);
             this->unparsed.clear();
             const ParseStep step = this->parser.feed(input);
@@ -258,10 +263,16 @@
         this->server.handler(this->exchange);
     }
 
+    // Reading goes on if it was stopped because the caller had not read earlier answers.
     void onDrained()
     {
-        if (this->exchange && this->exchange->drainedHandler)
-            this->exchange->drainedHandler();
+        if (this->exchange) {
+            if (this->exchange->drainedHandler)
+                this->exchange->drainedHandler();
+            return;
+        }
+        this->socket->setReading(true);
+        this->onData({});
     }
 
     Server &server;
