JSON from outside: its depth is bounded where it is read

What callers saw: a request whose body nests 49,000 lists ended the process (own dialect), and an entry of the store that nests 100,000 lists ended all processes, again after each start.

Cause: the library parses without recursion, but copies, compares and writes values by recursion, so a depth chosen outside becomes stack. The class is recursion over text from outside; all readers of the running processes had it.

readJson() and parseJson() count brackets before they parse and allow 100 levels. An object from another instance that is no JSON is kept as null, which its reader refuses and logs.

A number that is out of range (1e999) makes the library throw another type than parseJson() caught. That ended no process, as toOutcome() turns it into an error, but the error had no description.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -41,23 +41,70 @@
 
 std::string describeJson(const Json &value)
 {
-    std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    std::string text = writeJson(value);
     if (text.size() > MaxDescribedBytes)
         text = text.substr(0, MaxDescribedBytes) + "...";
     return text;
 }
 
+std::string writeJson(const Json &value)
+{
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// The brackets are counted without recursion. Up to the first error, if there is one, strings are
+// told apart from brackets as the parser does it.
+bool isDeepJson(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool isInString = false;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const char c = text[index];
+        if (c == '"')
+            isInString = !isInString;
+        else if (isInString)
+            index += c == '\\' ? 1 : 0;
+        else if (c == '[' || c == '{')
+            ++depth;
+        else if ((c == ']' || c == '}') && depth > 0)
+            --depth;
+        if (depth > MaxJsonDepth)
+            return true;
+    }
+    return false;
+}
+
+Json readJson(std::string_view text, DeepJson deep)
+{
+    if (!isDeepJson(text))
+        return Json::parse(text, nullptr, false);
+    if (deep == DeepJson::Refused)
+        return Json(Json::value_t::discarded);
+    const auto isKept = [](int depth, Json::parse_event_t event, const Json &) {
+        const bool isStart = event == Json::parse_event_t::array_start
+            || event == Json::parse_event_t::object_start;
+        return !isStart || static_cast<std::size_t>(depth) < MaxJsonDepth;
+    };
+    return Json::parse(text, isKept, false);
+}
+
 Result<Json> parseJson(std::string_view text, std::string_view file)
 {
+    const auto refuse = [&](const std::string &detail) {
+        return fail(ErrorCode::BadInput, "parse json", std::string(file) + detail);
+    };
+    if (isDeepJson(text))
+        return refuse(": found values nested more than " + std::to_string(MaxJsonDepth)
+                      + " levels deep");
     try {
         return Json::parse(text);
     } catch (const Json::parse_error &error) {
         const std::size_t errorOffset = std::min(error.byte, text.size());
         const auto line
             = 1 + std::count(text.begin(), text.begin() + static_cast<long>(errorOffset), '\n');
-        return fail(ErrorCode::BadInput, "parse json",
-                    std::string(file) + " line " + std::to_string(line)
-                        + ": found text that is not JSON");
+        return refuse(" line " + std::to_string(line) + ": found text that is not JSON");
+    } catch (const Json::out_of_range &) {
+        return refuse(": found a number that is out of range");
     }
 }
 
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -23,6 +23,25 @@
     std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
 };
 
+/// Objects and lists of text from outside may be nested this deeply. The library copies, compares
+/// and writes values by recursion.
+inline constexpr std::size_t MaxJsonDepth = 100;
+
+/// What becomes of objects and lists that are nested more deeply than MaxJsonDepth.
+enum class DeepJson {
+    Refused, ///< and the whole text with them
+    LeftOut ///< for lists whose other entries remain usable
+};
+
+/// Parses \a text of another process. Returns a discarded value, which is none of the types of
+/// JSON, if the text cannot be read. Never throws, and its strings are UTF-8.
+Json readJson(std::string_view text, DeepJson deep = DeepJson::Refused);
+/// Returns \a value as text. Never throws: text in it that is not UTF-8 is replaced. Use toUtf8()
+/// on what must not be lost.
+std::string writeJson(const Json &value);
+/// Returns whether \a text has objects or lists that are nested more deeply than MaxJsonDepth.
+bool isDeepJson(std::string_view text);
+
 /// Parses \a text. Errors name \a file and the line in it.
 Result<Json> parseJson(std::string_view text, std::string_view file);
 
--- a/src/client/instancecommands.cpp
+++ b/src/client/instancecommands.cpp
@@ -115,7 +115,7 @@
     BOOST_LEAF_AUTO(answers, callAll(arguments, http::Method::Get, "/status"));
     Json statuses = Json::array();
     for (const AdminAnswer &answer : answers) {
-        const Json status = Json::parse(answer.body, nullptr, false);
+        const Json status = readJson(answer.body);
         if (answer.hasAnswered && status.is_object())
             statuses.push_back(status);
         else
@@ -163,7 +163,7 @@
         }
         std::istringstream lines(answer.body);
         for (std::string line; std::getline(lines, line);) {
-            Json event = Json::parse(line, nullptr, false);
+            Json event = readJson(line);
             if (event.is_object())
                 events.push_back(std::move(event));
         }
--- a/src/forward/storereplica.cpp
+++ b/src/forward/storereplica.cpp
@@ -101,7 +101,7 @@
         object.set_name(event.object.name);
         object.set_revision(event.object.revision);
         object.set_is_deleted(event.isDeleted);
-        object.set_content(event.object.content.dump());
+        object.set_content(writeJson(event.object.content));
     }
     return offer;
 }
@@ -121,7 +121,10 @@
     std::vector<ObjectEvent> events;
     std::vector<StoredObject> listedObjects;
     for (const proto::SharedObject &object : offer.objects()) {
-        Json content = Json::parse(object.content(), nullptr, false);
+        Json content = readJson(object.content(), DeepJson::LeftOut);
+        // The revision counts as known all the same, so that the object is not requested again.
+        if (content.is_discarded())
+            content = nullptr;
         events.push_back(
             {{object.name(), object.revision(), std::move(content)}, object.is_deleted()});
         if (!object.is_deleted())
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -190,7 +190,7 @@
         return;
     }
     this->instanceListVersion = reply.version;
-    const Json json = Json::parse(reply.body, nullptr, false);
+    const Json json = readJson(reply.body);
     std::set<std::string> leaving;
     std::vector<Address> peers;
     for (const Json &entry : json.is_array() ? json : Json::array()) {
@@ -233,7 +233,7 @@
     handlers.onData = [body](std::string_view data) { body->append(data); };
     handlers.onEnd = [this, name, body] {
         this->pendingLoadPolls.erase(name);
-        const Json json = Json::parse(*body, nullptr, false);
+        const Json json = readJson(*body);
         if (!json.is_object())
             return;
         if (this->context.endpointTable.onLoadReport(name, readLoadReport(json), monoNow()))
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -116,7 +116,7 @@
     }
     const Json body{{"object", "list"}, {"data", list}};
     exchange->respond(
-        {200, {{"content-type", "application/json"}, {RequestIdHeader, id}}, body.dump()});
+        {200, {{"content-type", "application/json"}, {RequestIdHeader, id}}, writeJson(body)});
 }
 
 bool Gateway::authenticate(CallerRequest &caller)
@@ -159,7 +159,7 @@
     const http::Request &request = caller.exchange->request();
     if (request.method != http::Method::Post)
         return this->refuse(caller, methodNotAllowed("POST"));
-    const Json body = Json::parse(request.body, nullptr, false);
+    const Json body = readJson(request.body);
     if (!body.is_object())
         return this->refuse(caller, badRequest("malformed_json", "the body is not a JSON object"));
     const auto model = body.find("model");
@@ -181,7 +181,7 @@
     if (!this->authenticate(caller))
         return;
     // The body is serialized again, so that escape sequences cannot hide the key.
-    if (this->refuseIfKeyLeaked(caller, body.dump(-1, ' ', false, Json::error_handler_t::replace)))
+    if (this->refuseIfKeyLeaked(caller, writeJson(body)))
         return;
     this->startModelCall(std::move(caller), body);
 }
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -213,7 +213,7 @@
     const std::string lastEvent = this->relay.lastEventId();
     if (!lastEvent.empty())
         request.headers.push_back({"last-event-id", lastEvent});
-    request.body = this->modelRequest.body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    request.body = writeJson(this->modelRequest.body);
     request.headTimeout
         = this->modelRequest.streams ? this->caller.route.gapTimeout : this->caller.route.timeout;
     // A new connection, since the outcome is unknown if an idle one has been closed unnoticed.
@@ -342,7 +342,7 @@
         return this->retryOrGiveUp(AttemptOutcome::Refused, reason);
     if (this->status >= 500)
         return this->retryOrGiveUp(AttemptOutcome::Failed, reason);
-    const Json answer = Json::parse(this->wholeAnswer, nullptr, false);
+    const Json answer = readJson(this->wholeAnswer);
     if (this->status != 200) {
         this->attempts.finish(true);
         this->caller.exchange->respond(
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -305,6 +305,18 @@
     cr_assert(fixture.service.runs().empty());
 }
 
+Test(router, a_deeply_nested_request_body_is_refused_and_ends_no_process)
+{
+    constexpr std::size_t Depth = 49'000;
+    Fixture fixture;
+    const std::string body = R"({"model":"review","messages":[)" + std::string(Depth, '[')
+        + std::string(Depth, ']') + "]}";
+    const Answer answer
+        = fixture.call(http::Method::Post, "/v1/chat/completions", fixture.millKey.secret, body);
+    cr_assert(answer.status == 400);
+    cr_assert(answer.code() == "malformed_json");
+}
+
 Test(router, models_are_listed_for_a_key_and_open_routes_need_none)
 {
     Fixture fixture;
