Peer link: a failure of ZeroMQ drops a message, and no longer ends the process

Callers saw a router end with all their requests: "terminate called after throwing an instance of 'zmq::error_t'". The link's thread makes a socket for each new peer, and nothing on this thread caught an exception.

The class: a failed allocation or a refused argument of the library is an exception on a thread that has no outcome for it. Now every step of the thread's loop has one: what failed is left undone, counted as dropped and logged at most once a second, and a poll that keeps failing pauses. Messages may be lost at any time, so the users of the link need no change. Addresses are checked before they are handed to ZeroMQ, which would look up a host name on the thread that all connections share. The number of connections is bounded: the one that has been unused for longest makes room.

send() said that it doesn't block, but blocked the event loop once a thousand messages waited. It drops them instead.

--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -1,7 +1,10 @@
 #include "membership/peerlink.h"
 
 #include "base/clock.h"
+#include "base/log.h"
+#include "base/logratelimiter.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <map>
@@ -22,6 +25,11 @@
 constexpr std::int64_t MaxMessageBytes = 16 << 20;
 constexpr std::chrono::seconds MaxIdleTime{30}; // an unused connection is closed after it
 constexpr Millis SweepInterval{5000}; // between searches for unused connections
+constexpr Millis PollFailurePause{100}; // so that a poll that keeps failing does not busy-loop
+constexpr double FailureLinesPerSecond = 1;
+constexpr double FailureLinesBurst = 5;
+// Sockets of the context besides the connections, with a margin for those that are being closed.
+constexpr std::size_t OtherSockets = 64;
 constexpr const char *ZapEndpoint = "inproc://zeromq.zap.01";
 constexpr const char *CommandEndpoint = "inproc://commands";
 constexpr std::size_t CurveKeyBytes = 32;
@@ -60,9 +68,11 @@
 class PeerLink::Worker
 {
 public:
-    Worker(const Address &listen, LinkKeys keys, Handler handler)
+    Worker(const Address &listen, LinkKeys keys, std::size_t maxConnections, Handler handler)
         : keys(std::move(keys))
+        , maxConnections(std::max<std::size_t>(1, maxConnections))
         , handler(std::move(handler))
+        , context(contextFor(this->maxConnections))
         , inbox(this->context, zmq::socket_type::router)
         , zapSocket(this->context, zmq::socket_type::rep)
         , commandReceiver(this->context, zmq::socket_type::pair)
@@ -99,12 +109,23 @@
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
 
+    // ZeroMQ would look up any other host name, which blocks the thread that all connections share.
+    // The pair accepts all frames of a message or none, so only the first one can be refused.
     void send(const Address &to, const std::string &bytes)
     {
+        if (!isIpAddress(to.host) || to.port == 0) {
+            ++this->dropped;
+            return;
+        }
         const std::string address = to.toString();
-        uninterrupted([&] {
-            return this->commandSender.send(zmq::buffer(address), zmq::send_flags::sndmore);
+        const auto isQueued = uninterrupted([&] {
+            return this->commandSender.send(zmq::buffer(address),
+                                            zmq::send_flags::sndmore | zmq::send_flags::dontwait);
         });
+        if (!isQueued) {
+            ++this->dropped;
+            return;
+        }
         uninterrupted(
             [&] { return this->commandSender.send(zmq::buffer(bytes), zmq::send_flags::none); });
     }
@@ -115,6 +136,7 @@
     std::atomic<std::uint64_t> bytesOut{0};
     std::atomic<std::uint64_t> unauthenticated{0};
     std::atomic<std::uint64_t> malformed{0};
+    std::atomic<std::uint64_t> dropped{0};
 
 private:
     struct Connection
@@ -123,6 +145,30 @@
         MonoTime lastUsed{};
     };
 
+    static zmq::context_t contextFor(std::size_t connections)
+    {
+        zmq::context_t context;
+        context.set(zmq::ctxopt::max_sockets, static_cast<int>(connections + OtherSockets));
+        return context;
+    }
+
+    // Nothing catches exceptions on the thread, so a failure of ZeroMQ is handled here: it is
+    // logged, and what failed is left undone. Returns whether \a step succeeded.
+    template <typename Step> bool attempt(const char *name, Step step)
+    {
+        try {
+            step();
+            return true;
+        } catch (const zmq::error_t &error) {
+            if (this->failureLines.tryAcquire(monoNow()))
+                logEvent(LogLevel::Warning, "peer_link_failed",
+                         {{"step", name},
+                          {"detail", error.what()},
+                          {"lines_left_out", this->failureLines.takeDroppedCount()}});
+            return false;
+        }
+    }
+
     // The loop of the thread; returns after an empty command.
     void run()
     {
@@ -131,12 +177,19 @@
             zmq::pollitem_t items[] = {{this->inbox.handle(), 0, ZMQ_POLLIN, 0},
                                        {this->zapSocket.handle(), 0, ZMQ_POLLIN, 0},
                                        {this->commandReceiver.handle(), 0, ZMQ_POLLIN, 0}};
-            uninterrupted([&items] { return zmq::poll(items, 3, SweepInterval); });
+            const bool isPolled = this->attempt("poll", [&items] {
+                uninterrupted([&items] { return zmq::poll(items, 3, SweepInterval); });
+            });
+            if (!isPolled)
+                std::this_thread::sleep_for(PollFailurePause);
             if ((items[1].revents & ZMQ_POLLIN) != 0)
-                this->authenticate();
+                this->attempt("authenticate", [this] { this->authenticate(); });
             if ((items[0].revents & ZMQ_POLLIN) != 0)
-                this->receiveAll();
-            if ((items[2].revents & ZMQ_POLLIN) != 0 && !this->sendQueued())
+                this->attempt("receive", [this] { this->receiveAll(); });
+            bool isStopped = false;
+            if ((items[2].revents & ZMQ_POLLIN) != 0)
+                this->attempt("take commands", [&] { isStopped = !this->sendQueued(); });
+            if (isStopped)
                 return;
             if (monoNow() < nextSweep)
                 continue;
@@ -226,7 +279,21 @@
             zmq::message_t payload;
             if (!receive(this->commandReceiver, payload, zmq::recv_flags::none))
                 return true;
-            this->sendTo(address.to_string(), std::move(payload));
+            const auto sendOne = [&] { this->sendTo(address.to_string(), std::move(payload)); };
+            if (!this->attempt("send", sendOne))
+                ++this->dropped;
+        }
+    }
+
+    // Closes the connections that have been unused for longest until there is room for one more.
+    void makeRoom()
+    {
+        while (this->connections.size() >= this->maxConnections) {
+            this->connections.erase(
+                std::min_element(this->connections.begin(), this->connections.end(),
+                                 [](const auto &a, const auto &b) {
+                                     return a.second.lastUsed < b.second.lastUsed;
+                                 }));
         }
     }
 
@@ -234,6 +301,7 @@
     {
         auto found = this->connections.find(address);
         if (found == this->connections.end()) {
+            this->makeRoom();
             Connection connection{zmq::socket_t(this->context, zmq::socket_type::dealer), {}};
             connection.socket.set(zmq::sockopt::linger, 0);
             connection.socket.set(zmq::sockopt::sndhwm, MaxQueuedMessages);
@@ -255,13 +323,16 @@
         const std::size_t size = payload.size();
         const auto sent = uninterrupted(
             [&] { return found->second.socket.send(payload, zmq::send_flags::dontwait); });
-        if (!sent)
+        if (!sent) {
+            ++this->dropped;
             return;
+        }
         ++this->messagesOut;
         this->bytesOut += size;
     }
 
     LinkKeys keys;
+    std::size_t maxConnections;
     Handler handler;
     zmq::context_t context;
     zmq::socket_t inbox;
@@ -269,12 +340,20 @@
     zmq::socket_t commandReceiver;
     zmq::socket_t commandSender;
     std::map<std::string, Connection> connections;
+    LogRateLimiter failureLines{FailureLinesPerSecond, FailureLinesBurst};
     std::thread thread;
 };
 
-PeerLink::PeerLink(const Address &listen, LinkKeys keys, Handler handler)
-    : worker(std::make_unique<Worker>(listen, std::move(keys), std::move(handler)))
-{ }
+PeerLink::PeerLink(const Address &listen, LinkKeys keys, Handler handler,
+                   std::size_t maxConnections)
+{
+    try {
+        this->worker
+            = std::make_unique<Worker>(listen, std::move(keys), maxConnections, std::move(handler));
+    } catch (const zmq::error_t &error) {
+        throw std::runtime_error("peer link at " + listen.toString() + ": " + error.what());
+    }
+}
 
 PeerLink::~PeerLink() = default;
 
@@ -292,6 +371,7 @@
     counts.bytesOut = this->worker->bytesOut;
     counts.unauthenticatedRefused = this->worker->unauthenticated;
     counts.malformedRefused = this->worker->malformed;
+    counts.messagesDropped = this->worker->dropped;
     return counts;
 }
 
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -4,6 +4,8 @@
 #include "proto/peer.pb.h"
 
 #include <atomic>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +37,7 @@
     std::uint64_t bytesOut = 0;
     std::uint64_t unauthenticatedRefused = 0; ///< connections with a key other than the fleet's
     std::uint64_t malformedRefused = 0; ///< messages
+    std::uint64_t messagesDropped = 0; ///< that could not be queued or sent
 };
 
 /// One instance's end of the transport.
@@ -44,14 +47,18 @@
     /// Called on the link's thread for each message received.
     using Handler = std::function<void(proto::Envelope message)>;
 
-    /// Binds \a listen and starts the thread; throws std::runtime_error if binding fails.
-    PeerLink(const Address &listen, LinkKeys keys, Handler handler);
+    static constexpr std::size_t DefaultMaxConnections = 1000;
+
+    /// Binds \a listen and starts the thread; throws std::runtime_error if this fails. Of more than
+    /// \a maxConnections connections to peers, the one that has been unused for longest is closed.
+    PeerLink(const Address &listen, LinkKeys keys, Handler handler,
+             std::size_t maxConnections = DefaultMaxConnections);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
 
-    /// Sends \a message without blocking; drops it if it cannot be queued. Call it only on the
-    /// thread that created the link.
+    /// Sends \a message without blocking; drops and counts it if it cannot be sent. Call it only on
+    /// the thread that created the link.
     void send(const Address &to, const proto::Envelope &message);
     LinkCounts counts() const;
 
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -128,6 +128,7 @@
     };
     set(this->peerMessages, "direction", "in", counts.messagesIn);
     set(this->peerMessages, "direction", "out", counts.messagesOut);
+    set(this->peerMessages, "direction", "dropped", counts.messagesDropped);
     set(this->peerBytes, "direction", "in", counts.bytesIn);
     set(this->peerBytes, "direction", "out", counts.bytesOut);
     set(this->peerRefusals, "reason", "stranger", counts.unauthenticatedRefused);
