Text from outside that is not UTF-8 ends no process

Cause: headers are any bytes, but the encoder of JSON throws on text that is not UTF-8, in a callback that nothing encloses.

All encoders of the running processes go through writeJson(), which never throws.

--- a/src/claims/claim.cpp
+++ b/src/claims/claim.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "base/json.h"
+#include "base/outsidetext.h"
 
 #include <sodium.h>
 
@@ -47,10 +48,10 @@
                     {"claimed_at_ms", record.claimedAtMillis},
                     {"state", StateNames[static_cast<std::size_t>(record.state)]},
                     {"status", record.status},
-                    {"content_type", record.contentType},
+                    {"content_type", toUtf8(record.contentType)},
                     {"has_body", record.hasBody},
                     {"body", toBase64(record.body)}};
-    return json.dump();
+    return writeJson(json);
 }
 
 Result<ClaimRecord> parseClaim(std::string_view text, const std::string &object)
@@ -64,7 +65,7 @@
     record.claimedAtMillis = reader.integer("claimed_at_ms", {0});
     record.state = static_cast<ClaimState>(reader.choice("state", StateNames));
     record.status = static_cast<int>(reader.integer("status", {0, 999}, 0));
-    record.contentType = reader.text("content_type", "");
+    record.contentType = fromUtf8(reader.text("content_type", ""));
     record.hasBody = reader.boolean("has_body", false);
     record.body = fromBase64(reader.text("body", ""));
     reader.finish();
--- a/src/claims/claims_test.cpp
+++ b/src/claims/claims_test.cpp
@@ -159,6 +159,14 @@
     cr_assert(std::get<ClaimRecord>(parsed) == record);
 }
 
+Test(claims, an_answers_content_type_that_is_not_utf8_ends_no_process_and_is_replayed_as_it_was)
+{
+    ClaimRecord record = makeRecord("t");
+    record.contentType = "text/plain; x=\xFF\xEF\x9C\x80";
+    const auto parsed = toOutcome([&] { return parseClaim(toText(record), Object); });
+    cr_assert(std::get<ClaimRecord>(parsed) == record);
+}
+
 Test(claims, replays_the_first_answer_and_refuses_a_different_request)
 {
     FaultyStore store{pcg32(1), 0, {}, 0, {}};
--- a/src/config/chunks.cpp
+++ b/src/config/chunks.cpp
@@ -23,7 +23,7 @@
 
 void addChunk(ChunkedDocument &chunked, const Json &content)
 {
-    std::string text = content.dump();
+    std::string text = writeJson(content);
     std::string digest = sha256Hex(text);
     chunked.order.push_back(digest);
     chunked.chunks.emplace(std::move(digest), std::move(text));
@@ -44,7 +44,7 @@
                     {"author", root.author},
                     {"history", root.history},
                     {"chunks", root.chunks}};
-    return json.dump();
+    return writeJson(json);
 }
 
 Result<ConfigRoot> parseRoot(std::string_view text)
--- a/src/config/publish.cpp
+++ b/src/config/publish.cpp
@@ -18,11 +18,11 @@
     const Json whole = toJson(document);
     for (const auto &[section, value] : whole.items()) {
         if (!value.is_array()) {
-            lines[section] = value.dump();
+            lines[section] = writeJson(value);
             continue;
         }
         for (const Json &entry : value)
-            lines[section + "." + entry.value("name", "")] = entry.dump();
+            lines[section + "." + entry.value("name", "")] = writeJson(entry);
     }
     return lines;
 }
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -1,6 +1,7 @@
 #include "forward/forwardcall.h"
 
 #include "base/log.h"
+#include "base/outsidetext.h"
 
 #include <algorithm>
 #include <random>
@@ -80,9 +81,11 @@
     return !this->request.lastEventId.empty();
 }
 
-const std::string &ForwardCall::streamId() const
+// The store takes no text that is not UTF-8, which the id of a request may be.
+std::string ForwardCall::streamId() const
 {
-    return this->request.resumedRequest.empty() ? this->request.id : this->request.resumedRequest;
+    return toUtf8(this->request.resumedRequest.empty() ? this->request.id
+                                                       : this->request.resumedRequest);
 }
 
 // The record would name the build of an attempt in vain. A stream that the caller resumes began
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -134,7 +134,7 @@
     /// Removes the record of the stream unless it has begun here.
     void forgetUnbegunStream();
     /// Returns the id of the request that began the stream.
-    const std::string &streamId() const;
+    std::string streamId() const;
     /// Finds out which build began the stream that the caller resumes, and goes on with admit().
     void findOrigin();
     void onOrigin(const StreamOrigin &origin);
--- a/src/forward/forwarderbuilds_test.cpp
+++ b/src/forward/forwarderbuilds_test.cpp
@@ -1,3 +1,4 @@
+#include "base/outsidetext.h"
 #include "forward/forwarderfixture.h"
 
 #include <criterion/criterion.h>
@@ -117,6 +118,23 @@
     cr_assert(origin.kind != StreamOrigin::Kind::Known);
 }
 
+Test(forwarderbuilds, a_request_id_that_is_not_utf8_can_be_written_to_the_store)
+{
+    BuildsFixture fixture;
+    std::string looked;
+    fixture.context.streamOrigins.find
+        = [&](const std::string &stream, const std::string &, const auto &onFound) {
+              looked = stream;
+              onFound({StreamOrigin::Kind::Known, "v1"});
+          };
+    fixture.first.onRequest = answerEvents(2, false);
+    const auto result = fixture.resume("r\xFF", 1);
+    cr_assert(isUtf8(looked));
+    cr_assert(result.response.status == 200);
+    cr_assert(http::findHeader(fixture.first.exchanges.at(0)->request().headers, "resumes")
+              == "r\xFF");
+}
+
 // All instances have just started again, and the directory is still empty. Guards against giving up
 // streams whose endpoints will be known in a moment.
 Test(forwarderbuilds, a_stream_is_not_given_up_before_any_endpoint_is_known)
--- a/src/forward/originlookup.cpp
+++ b/src/forward/originlookup.cpp
@@ -161,7 +161,7 @@
         if (action.builds.kind == BuildsAction::Kind::Write)
             logEvent(LogLevel::Info, "builds_written",
                      {{"service", action.service},
-                      {"builds", toJson(action.builds.builds).dump()},
+                      {"builds", writeJson(toJson(action.builds.builds))},
                       {"revision", counterOf(action.builds.builds.revision)},
                       {"status", toString(reply.status)}});
         this->origins.onBuildsReply(action, reply.status, object, monoNow());
--- a/src/limits/seatrecord.cpp
+++ b/src/limits/seatrecord.cpp
@@ -44,7 +44,7 @@
                     {"boot", record.holder_boot()},
                     {"renewals", record.renewals()},
                     {"fresh", record.fresh()}};
-    return json.dump();
+    return writeJson(json);
 }
 
 Result<proto::SeatRecord> parseSeatRecord(std::string_view text, const std::string &object)
--- a/src/placement/prefix.cpp
+++ b/src/placement/prefix.cpp
@@ -49,7 +49,7 @@
         return {};
     std::string text;
     for (const Json &message : *messages)
-        text += message.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+        text += writeJson(message) + "\n";
     return text;
 }
 
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -37,7 +37,7 @@
     }
     if (request.path == "/status")
         return exchange->respond(
-            {200, {{"content-type", "application/json"}}, this->hooks.status().dump()});
+            {200, {{"content-type", "application/json"}}, writeJson(this->hooks.status())});
     if (request.path == "/timeline") {
         const TimelineFilter filter{http::queryValue(request.query, "request"),
                                     http::queryValue(request.query, "organisation"),
--- a/src/router/errorresponse.cpp
+++ b/src/router/errorresponse.cpp
@@ -26,7 +26,7 @@
                       {"param", nullptr},
                       {"request_id", requestId},
                       {"outcome", toString(error.outcome)}}}};
-    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return writeJson(body);
 }
 
 http::Response toResponse(const ErrorResponse &error, const std::string &requestId)
--- a/src/timeline/ring.cpp
+++ b/src/timeline/ring.cpp
@@ -94,7 +94,7 @@
             continue;
         if (!filter.kind.empty() && filter.kind != toString(event.kind))
             continue;
-        lines += toJson(event, this->instanceName).dump() + "\n";
+        lines += writeJson(toJson(event, this->instanceName)) + "\n";
     }
     return lines;
 }
