Members and probe targets need an address that messages can be sent to

Cause: the host and port of a member come from other instances as they are. For a host that ZeroMQ cannot parse, connect() throws on the link's thread, which ends the process; a host name would be looked up there.

The address is checked where it enters: an IPv4 address without a null byte and a port from 1 to 65535, which is all that the settings allow. A rumour or a probe request without one is ignored.

--- a/src/base/address.cpp
+++ b/src/base/address.cpp
@@ -23,7 +23,8 @@
 bool isIpAddress(const std::string &text)
 {
     in_addr binary{};
-    return inet_pton(AF_INET, text.c_str(), &binary) == 1;
+    const bool hasNullByte = text.find('\0') != std::string::npos;
+    return !hasNullByte && inet_pton(AF_INET, text.c_str(), &binary) == 1;
 }
 
 } // namespace lavenderhall
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -21,6 +21,13 @@
     return {member.host(), static_cast<std::uint16_t>(member.port())};
 }
 
+/// Whether messages can be sent to the address. It comes from other instances, and the transport
+/// fails at one that it cannot parse.
+bool isUsable(const std::string &host, std::uint32_t port)
+{
+    return port > 0 && port <= UINT16_MAX && isIpAddress(host);
+}
+
 } // namespace
 
 std::uint64_t newIncarnation(std::int64_t wallMillis, std::uint64_t random)
@@ -89,6 +96,8 @@
         }
         return;
     }
+    if (!isUsable(member.host(), member.port()))
+        return;
     const auto found = this->entries.find(name);
     if (found == this->entries.end()) {
         if (member.state() == proto::DEAD || member.state() == proto::LEFT)
@@ -413,6 +422,8 @@
     if (!requesterAddress)
         return;
     const proto::PingRequest &request = message.ping_request();
+    if (!isUsable(request.host(), request.port()))
+        return;
     Probe probe;
     probe.number = this->nextProbeNumber++;
     probe.name = request.target().name();
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -172,6 +172,52 @@
     cr_assert(group.aliveAt(0) == 6U);
 }
 
+Test(membership, a_member_with_an_address_that_cannot_be_used_gets_no_message)
+{
+    proto::Member self;
+    self.mutable_id()->set_name("self");
+    self.set_host("10.0.0.1");
+    self.set_port(1);
+    Membership membership(self, {}, MemberTimings{}, 1);
+    const std::vector<Address> unusable{
+        {"", 1},       {"no host", 1},  {"example.org", 1},
+        {"10.0.0", 1}, {"10.0.0.2", 0}, {std::string("10.0.0.2\0x", 10), 1}};
+    std::vector<PeerMessage> sent;
+    const auto receive = [&](const proto::Envelope &message) {
+        for (PeerMessage &outgoing : membership.onMessage(message, MonoTime(Millis(1000))))
+            sent.push_back(std::move(outgoing));
+    };
+    proto::Envelope known;
+    known.mutable_from()->set_name("known");
+    proto::Member &sender = *known.mutable_ping()->add_rumours();
+    sender.mutable_id()->set_name("known");
+    sender.set_host("10.0.0.9");
+    sender.set_port(65'536 + 1);
+    receive(known);
+    cr_assert(sent.empty());
+    sender.set_port(1);
+    receive(known);
+    cr_assert(sent.size() == 1U);
+    sent.clear();
+    for (const Address &address : unusable) {
+        proto::Envelope ping;
+        ping.mutable_from()->set_name("n");
+        proto::Member &rumour = *ping.mutable_ping()->add_rumours();
+        rumour.mutable_id()->set_name("n");
+        rumour.set_host(address.host);
+        rumour.set_port(address.port);
+        receive(ping);
+        proto::Envelope request;
+        request.mutable_from()->set_name("known");
+        request.mutable_ping_request()->mutable_target()->set_name("n");
+        request.mutable_ping_request()->set_host(address.host);
+        request.mutable_ping_request()->set_port(address.port);
+        receive(request);
+    }
+    cr_assert(sent.empty());
+    cr_assert(membership.alive().size() == 1U);
+}
+
 Test(membership, traffic_of_an_instance_does_not_grow_with_the_fleet)
 {
     constexpr double BudgetBytesPerSecond = 23'000;
