Numbers in messages between instances are bounded where they are applied

What callers would see: an account whose tokens are "not a number" decides wrongly for as long as its holder lives, and a time beyond the clock's range wraps, so that a refused request asks again instead of ending.

Cause: the fields of messages were used as the sender, possibly of another version, wrote them. NaN passes std::min, std::clamp and "<= 0", and int64 milliseconds overflow when added to a clock. Crash and limit news were bounded already.

The times of load news and weights notices and the bounds of terms have no test of their own.

--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -1,5 +1,6 @@
 #include "forward/forwarddaemon.h"
 
+#include <algorithm>
 #include <array>
 
 /// The part of ForwardDaemon that applies the store's objects, and what other instances tell of
@@ -14,6 +15,7 @@
 // One instance of each region tells the others when weights were named, this often.
 constexpr const char *NamedWeightsTask = "tell when weights were named";
 constexpr Millis NamedWeightsInterval{1000};
+constexpr Millis MaxNamedAge = std::chrono::hours(24); ///< older names make no difference
 
 } // namespace
 
@@ -153,7 +155,8 @@
     for (const proto::NamedWeights &named : news.named()) {
         const auto history = this->context.namedWeights.find(named.model());
         if (history != this->context.namedWeights.end() && named.age_ms() >= 0)
-            history->second.onTimeKnown(named.version(), monoNow() - Millis(named.age_ms()));
+            history->second.onTimeKnown(named.version(),
+                                        monoNow() - std::min(Millis(named.age_ms()), MaxNamedAge));
     }
     this->rollout.setNamedWeights(this->context.namedWeights);
     this->forwarder.onWeightsNamed();
--- a/src/forward/loadmonitor.cpp
+++ b/src/forward/loadmonitor.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 #include "base/log.h"
 
+#include <algorithm>
 #include <array>
 
 namespace lavenderhall {
@@ -17,10 +18,17 @@
 constexpr Millis LoadingAvoidance{900};
 constexpr Millis ReplacedAvoidance{10'000};
 constexpr Millis ForgetTimeout{10'000};
+constexpr Millis MaxToldAvoidance = std::chrono::minutes(1); ///< by another instance
 // The engines of a region are divided into this many partitions, each assigned to one instance.
 // This bounds the number of instances that broadcast to all others.
 constexpr std::uint64_t PartitionCount = 4;
 
+/// Returns the end of a time that another instance names; times that cannot be are limited.
+MonoTime toldEnd(std::int64_t millis, MonoTime now)
+{
+    return now + Millis(std::clamp<std::int64_t>(millis, 0, MaxToldAvoidance.count()));
+}
+
 } // namespace
 
 LoadMonitor::LoadMonitor(http::Loop &loop, const PlatformAdapter &adapter,
@@ -152,7 +160,7 @@
     if (!this->selector.hasIncarnation(load.endpoint(), load.born_ms()))
         return;
     if (load.avoid_ms() > 0)
-        return this->selector.avoid(load.endpoint(), now + Millis(load.avoid_ms()));
+        return this->selector.avoid(load.endpoint(), toldEnd(load.avoid_ms(), now));
     this->selector.onLoadReport(load.endpoint(), {load.running(), load.waiting()}, now);
 }
 
@@ -162,7 +170,7 @@
         return;
     if (notice.version() > 0)
         return this->selector.onWeightsLoaded(notice.endpoint(), notice.model(), notice.version());
-    this->selector.onWeightsChange(notice.endpoint(), now + Millis(notice.avoid_ms()));
+    this->selector.onWeightsChange(notice.endpoint(), toldEnd(notice.avoid_ms(), now));
 }
 
 void LoadMonitor::onLoadNews(const proto::LoadNews &news, MonoTime now)
--- a/src/limits/account.cpp
+++ b/src/limits/account.cpp
@@ -22,7 +22,7 @@
 Account::Account(double tokensPerSecond, double burst, double level, MonoTime refillFrom)
     : tokensPerSecond(tokensPerSecond)
     , burst(burst)
-    , tokens(std::min(level, burst))
+    , tokens(level > 0 ? std::min(level, burst) : 0)
     , lastRefill(refillFrom)
 { }
 
@@ -86,9 +86,11 @@
         if (settledLoan.id == id)
             return 0;
     }
-    const double granted = std::min(requested, this->tokens);
-    if (granted <= 0)
+    // Also refuses what is no number, which no comparison holds for.
+    const bool isPositive = requested > 0 && this->tokens > 0;
+    if (!isPositive)
         return 0;
+    const double granted = std::min(requested, this->tokens);
     this->tokens -= granted;
     this->lent += granted;
     this->loans.push_back({id, granted, until});
@@ -102,7 +104,8 @@
                                     [&id](const OpenLoan &loan) { return loan.id == id; });
     if (found == this->loans.end())
         return;
-    const double used = std::clamp(spent, 0.0, found->tokens);
+    const double used
+        = std::isfinite(spent) ? std::clamp(spent, 0.0, found->tokens) : found->tokens;
     this->lent -= found->tokens;
     this->tokens = std::min(this->burst - this->lent, this->tokens + found->tokens - used);
     this->loans.erase(found);
--- a/src/limits/borrower.cpp
+++ b/src/limits/borrower.cpp
@@ -1,6 +1,7 @@
 #include "limits/borrower.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavenderhall {
 
@@ -8,6 +9,8 @@
 
 // The sum of the partial loans may differ from the requested tokens by a rounding error.
 constexpr double TokenTolerance = 1e-6;
+// Holders report no longer waits; one of another version might.
+constexpr Millis MaxWait = std::chrono::hours(1);
 
 } // namespace
 
@@ -78,10 +81,10 @@
         if (part.loan != loan.loan() || part.isAnswered)
             continue;
         part.isAnswered = true;
-        part.tokens = loan.not_holder() ? 0 : loan.tokens();
+        part.tokens = loan.not_holder() || !std::isfinite(loan.tokens()) ? 0 : loan.tokens();
         request.isAnswered = request.isAnswered || !loan.not_holder();
         if (!loan.not_holder() && loan.wait_ms() > 0) {
-            const Millis wait(loan.wait_ms());
+            const Millis wait = std::min(Millis(loan.wait_ms()), MaxWait);
             const bool isFirst = request.shortestWait == Millis(0);
             request.shortestWait = isFirst ? wait : std::min(request.shortestWait, wait);
         }
--- a/src/limits/limits_test.cpp
+++ b/src/limits/limits_test.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <limits>
 #include <thread>
 
 using namespace lavenderhall;
@@ -245,6 +246,46 @@
     }
 }
 
+// An instance of another version may name any time to wait.
+Test(borrower, a_wait_beyond_all_bounds_ends_the_request_and_no_clock_overflows)
+{
+    for (const std::int64_t wait : {std::numeric_limits<std::int64_t>::max(),
+                                    std::numeric_limits<std::int64_t>::max() / 1000}) {
+        Borrower borrower(1, {});
+        borrower.setRegions({"east"});
+        borrower.start(7, "org-1", 50, Millis(1000), at(0));
+        proto::Loan refusal;
+        refusal.set_loan(1);
+        refusal.set_wait_ms(wait);
+        const BorrowStep step = borrower.onLoan(refusal, at(10));
+        cr_assert(step.results.size() == 1U);
+        cr_assert(not(step.results.front().isGranted));
+        cr_assert(step.results.front().retryAfter <= std::chrono::hours(1));
+    }
+}
+
+Test(borrower, tokens_that_are_no_number_are_not_lent)
+{
+    for (const double tokens : {std::numeric_limits<double>::quiet_NaN(),
+                                std::numeric_limits<double>::infinity(), -5.0}) {
+        Account account(10, 100, 100, at(0));
+        account.lend({1, 1}, tokens, at(1000), at(0));
+        account.settle({1, 1}, std::numeric_limits<double>::quiet_NaN(), at(10));
+        account.refund({1, 1}, tokens, at(20));
+        cr_assert(account.level(at(100)) >= 0);
+        cr_assert(account.level(at(100)) <= 100);
+        Borrower borrower(1, {});
+        borrower.setRegions({"east"});
+        borrower.start(7, "org-1", 50, Millis(0), at(0));
+        proto::Loan loan;
+        loan.set_loan(1);
+        loan.set_tokens(tokens);
+        const BorrowStep step = borrower.onLoan(loan, at(10));
+        const bool isGranted = !step.results.empty() && step.results.front().isGranted;
+        cr_assert(not(isGranted));
+    }
+}
+
 // Guards against a request that is granted from a loan whose answer arrived after the loan had
 // expired. The account no longer counts such a loan against the burst.
 Test(borrower, an_expired_loan_is_not_spent_together_with_a_valid_one)
--- a/src/limits/seatrecord.cpp
+++ b/src/limits/seatrecord.cpp
@@ -54,7 +54,7 @@
     proto::SeatRecord record;
     record.set_region(reader.text("region"));
     record.set_index(static_cast<std::uint32_t>(reader.integer("index", {0, SeatsPerRegion - 1})));
-    record.set_term(reader.integer("term", {1}));
+    record.set_term(reader.integer("term", {1, MaxSeatTerm}));
     reader.object("holder",
                   [&](ObjectReader &entry) { *record.mutable_holder() = readProcessId(entry); });
     reader.object("witness",
@@ -62,7 +62,7 @@
     record.set_holder_host(reader.text("host", ""));
     record.set_holder_port(static_cast<std::uint32_t>(reader.integer("port", {0, 65535}, 0)));
     record.set_holder_boot(reader.text("boot", ""));
-    record.set_renewals(reader.integer("renewals", {0}, 0));
+    record.set_renewals(reader.integer("renewals", {0, MaxSeatTerm}, 0));
     record.set_fresh(reader.boolean("fresh", false));
     reader.finish();
     if (!reader.isGood())
--- a/src/limits/seatrecord.h
+++ b/src/limits/seatrecord.h
@@ -3,6 +3,7 @@
 #include "base/errors.h"
 #include "proto/peer.pb.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,8 @@
 namespace lavenderhall {
 
 inline constexpr std::uint32_t SeatsPerRegion = 16;
+/// Bound for terms and renewals of records from outside, so that they can be increased.
+inline constexpr std::int64_t MaxSeatTerm = std::int64_t{1} << 62;
 
 /// Returns the index of the seat that the accounts of \a organisation belong to, from a hash of the
 /// name. It is the same in each region.
--- a/src/limits/seats.cpp
+++ b/src/limits/seats.cpp
@@ -203,7 +203,10 @@
 
 void SeatKeeper::adoptIfNewer(const proto::SeatRecord &record, MonoTime now)
 {
-    if (record.index() >= this->timings.seats || record.term() <= 0)
+    const bool isPossible = record.index() < this->timings.seats && record.term() > 0
+        && record.term() <= MaxSeatTerm && record.renewals() >= 0
+        && record.renewals() <= MaxSeatTerm;
+    if (!isPossible)
         return;
     if (record.region() == this->self.region)
         return this->updateRecord(this->seats[record.index()], record, now);
@@ -493,8 +496,10 @@
     if (!this->isHolder(seat) || ack.term() != seat.record.term()
         || !isSameProcess(message.from(), seat.record.witness()))
         return;
-    seat.lastWitnessContact = now;
     const MonoTime sent{Micros(ack.sent_us())};
+    if (sent > now)
+        return;
+    seat.lastWitnessContact = now;
     MonoTime until
         = std::min(sent + MonoTime::duration(this->timings.lease),
                    seat.lastWrittenAt + this->subtractDriftMargin(this->timings.abandonTimeout));
