Start: read a settings file again that is missing or incomplete

What callers saw: a process that was started while its settings were being written ended at once with code 2, and logged nothing in the log's format. A change of the file during the start was missed until the next change.

Cause: the file was read once, before the log was opened, and every failure counted as wrong input. And the daemon took the text that it found at the end of its start for the one that it had been started with.

Now a file that is missing or is no JSON text is read again every 100 ms for five seconds, with a line each second (start_delayed); SIGTERM ends the wait with code 0. Settings that are complete and wrong still end the start at once. Every failure of a start has a line start_failed. The daemon applies the file's bounds and seeds at the end of its start if they differ from those it has.

Evidence, platform/soak/startstop.py; on the code before: "missing settings: ended with 2", "stopped: ended with 2 ... the file cannot be opened", "the change was missed"; the tests pass now, the last once, the others once each with a file that is missing, empty and half written.

Ruled out: a running process that reads a file that is empty, half written, "[]" or missing keeps its settings (half_written_settings_end_a_running_process passes on the code before, too).

--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -1,6 +1,7 @@
 #include "client/command.h"
 
 #include "base/failurereport.h"
+#include "base/json.h"
 #include "base/log.h"
 #include "client/librarytext.h"
 #include "forward/forwarddaemon.h"
@@ -22,6 +23,9 @@
 
 constexpr std::size_t HelpColumn = 46; // where the descriptions of the subcommands start
 constexpr std::size_t KeyTextBytes = 41; // a CURVE key in Z85 and the terminating zero
+constexpr Millis MaxSettingsWait{5000}; // for a settings file that is missing or incomplete
+constexpr Millis SettingsRetryInterval{100};
+constexpr Millis SettingsLogInterval{1000}; // between two lines about the wait
 
 using Handler = std::function<Result<int>(const Arguments &)>;
 
@@ -206,6 +210,48 @@
     }
 }
 
+/// Returns the text of the settings file, which fails if it is missing or is no JSON text.
+Result<std::string> readCompleteSettings(const std::string &file)
+{
+    BOOST_LEAF_AUTO(text, readFile(file));
+    BOOST_LEAF_CHECK(parseJson(text, file));
+    return text;
+}
+
+/// Returns the text of the settings at the start of an instance, "" if it was stopped meanwhile.
+/// The file may just be about to be replaced, so one that is not complete is read again for a
+/// while.
+Result<std::string> awaitSettings(const std::string &file)
+{
+    http::Loop loop;
+    bool isStopped = false;
+    loop.drainOnSignals([&] {
+        isStopped = true;
+        loop.stop();
+    });
+    const MonoTime startedAt = monoNow();
+    MonoTime nextLine = startedAt;
+    for (;;) {
+        const auto text = toOutcome([&] { return readCompleteSettings(file); });
+        if (const auto *complete = std::get_if<std::string>(&text))
+            return *complete;
+        const Error &error = std::get<Error>(text);
+        const MonoTime now = monoNow();
+        const auto waited = std::chrono::duration_cast<Millis>(now - startedAt);
+        if (waited > MaxSettingsWait)
+            return leaf::new_error(error);
+        if (now >= nextLine) {
+            nextLine = now + SettingsLogInterval;
+            logEvent(
+                LogLevel::Warning, "start_delayed",
+                {{"settings", file}, {"detail", error.message()}, {"waited_ms", waited.count()}});
+        }
+        loop.runFor(SettingsRetryInterval);
+        if (isStopped)
+            return std::string();
+    }
+}
+
 int runSubcommand(const Subcommand &subcommand, int argc, const char **argv,
                   const PlatformAdapter &adapter)
 {
@@ -215,6 +261,8 @@
         return subcommand.handler(arguments);
     });
     if (const auto *error = std::get_if<Error>(&outcome)) {
+        // Only a router has opened the log.
+        logEvent(LogLevel::Error, "start_failed", {{"detail", error->message()}});
         std::cerr << "lavenderhall " << subcommand.name << ": " << error->message() << std::endl;
         return exitCodeOf(error->code);
     }
@@ -253,11 +301,16 @@
 {
     if (arguments.settingsFile.empty())
         return fail(ErrorCode::BadInput, "start", "--settings FILE is missing");
-    BOOST_LEAF_AUTO(settings, loadSettings(arguments.settingsFile));
     if (arguments.isCheckOnly) {
+        BOOST_LEAF_CHECK(loadSettings(arguments.settingsFile));
         std::cout << arguments.settingsFile << ": good" << std::endl;
         return ExitDone;
     }
+    openLog(LogLevel::Info, "");
+    BOOST_LEAF_AUTO(settingsText, awaitSettings(arguments.settingsFile));
+    if (settingsText.empty())
+        return ExitDone;
+    BOOST_LEAF_AUTO(settings, parseSettings(settingsText, arguments.settingsFile));
     openLog(settings.logLevel, settings.instance);
     reportFailures(settings.instance);
     try {
@@ -269,7 +322,6 @@
         Daemon daemon(loop, settings);
         return daemon.run();
     } catch (const std::runtime_error &error) {
-        logEvent(LogLevel::Error, "start_failed", {{"detail", error.what()}});
         return fail(ErrorCode::Unavailable, "start", error.what());
     }
 }
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -396,17 +396,17 @@
     const auto *newText = std::get_if<std::string>(&text);
     if (!newText || *newText == this->settingsText)
         return;
-    const bool isFirst = this->settingsText.empty();
     this->settingsText = *newText;
-    if (isFirst)
-        return;
     const auto read = toOutcome([&] { return parseSettings(*newText, this->settingsFile); });
     if (const auto *error = std::get_if<Error>(&read)) {
         logEvent(LogLevel::Error, "settings_refused", {{"detail", error->detail}});
         return;
     }
-    this->settings.bounds = std::get<Settings>(read).bounds;
-    this->settings.seeds = std::get<Settings>(read).seeds;
+    const auto &changed = std::get<Settings>(read);
+    if (changed.bounds == this->settings.bounds && changed.seeds == this->settings.seeds)
+        return;
+    this->settings.bounds = changed.bounds;
+    this->settings.seeds = changed.seeds;
     this->applySettings();
     logEvent(LogLevel::Info, "settings_reloaded", {{"cause", cause}});
 }
