Drain: send the last answers to their last byte

What callers saw: an answer that was complete at the instance was cut when the instance stopped and the caller read it slowly, although the grace period was not over. Of an answer of 7,340,032 bytes a caller got 4,071,520.

Cause: a connection that is closed after its answer was closed one second later, whether or not the queued bytes had been sent; the second was meant for the peer to close, too. And the drain counted an answer as done when it had been written to the queue, and did not look at the relays' connections at all.

Now the second begins when the last byte has been sent. A caller that takes none is detected by TCP_USER_TIMEOUT, and 15 s bound it all. A drain waits, within its grace period, until no connection of callers or relays is closing. The socket is closed when the last timer that refers to it is gone, so a loop that ends leaves none open.

Evidence, platform/soak/startstop.py, stop_cuts_the_answer_to_a_slow_caller: a caller reads a quarter of 7 MB in 2.5 s and then the rest. On the code before "the caller got 4071520 of 7340032 bytes", 1 of 1; now it gets all and the exit code is 0, 1 of 1.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -431,7 +431,8 @@
 void ForwardDaemon::checkDrained()
 {
     const auto elapsed = monoNow() - this->drainStartedAt;
-    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->openExchanges() == 0;
+    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->hasSentAll()
+        && (!this->relayServer || this->relayServer->hasSentAll());
     if (elapsed > BalancerDetectionTime && !this->isRefusingNew) {
         this->isRefusingNew = true;
         this->forwarder.refuseNewRequests();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -108,7 +108,7 @@
         --this->server.exchangeCount;
         if (this->isLast(*finished)) {
             const auto self = this->shared_from_this();
-            this->socket->closeGracefully();
+            this->socket->closeGracefully(this->server.closing);
             return this->server.remove(self);
         }
         this->awaitRequest();
@@ -146,7 +146,7 @@
             return;
         const auto self = this->shared_from_this();
         this->timer.cancel();
-        this->socket->closeGracefully();
+        this->socket->closeGracefully(this->server.closing);
         this->server.remove(self);
     }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -115,6 +115,8 @@
     std::size_t connectionCount() const { return this->connections.size(); }
     /// Returns the number of exchanges whose answer has not ended.
     std::size_t openExchanges() const { return this->exchangeCount; }
+    /// Returns whether every answer has ended and been sent to its last byte.
+    bool hasSentAll() const { return this->exchangeCount == 0 && this->closing.use_count() == 1; }
 
 private:
     friend class ServerConnection;
@@ -129,6 +131,7 @@
     uv_tcp_s *listener = nullptr;
     std::set<std::shared_ptr<ServerConnection>> connections;
     std::size_t exchangeCount = 0;
+    std::shared_ptr<void> closing = std::make_shared<char>(); ///< kept by sockets that are closing
     bool isClosing = false; ///< closeAfterAnswers() has been called
 };
 
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis LingerTime{1000}; ///< for the peer to close after this side has closed
+constexpr Millis MaxFlushTime{15'000}; ///< for the queued bytes of a connection that is closed
 constexpr unsigned KeepAliveSeconds = 2; ///< idle time before the first TCP keep-alive probe
 // The kernel ends a connection whose sent bytes have not been acknowledged for this long.
 constexpr unsigned UserTimeoutMillis = 3000;
@@ -224,7 +225,9 @@
     this->close();
 }
 
-void Socket::closeGracefully()
+// A slow peer may take long to receive the queued bytes; one that receives none is detected by
+// TCP_USER_TIMEOUT. A loop that ends drops its timers, and with them the socket is closed.
+void Socket::closeGracefully(std::shared_ptr<void> whileOpen)
 {
     if (this->isClosing || this->isClosingGracefully)
         return;
@@ -232,9 +235,22 @@
     this->handlers.onDrained = nullptr;
     this->handlers.onEnd = nullptr;
     this->startReading();
-    uv_shutdown(&this->tcp->shuttingDown, this->tcp->stream(), [](uv_shutdown_t *, int) {});
+    const Ptr keptAlive = this->shared_from_this();
+    const std::shared_ptr<void> closesSocket(
+        nullptr, [keptAlive, whileOpen = std::move(whileOpen)](void *) { keptAlive->close(); });
+    this->closer = closesSocket;
     this->lingerTimer
-        = this->loop.after(LingerTime, [self = this->shared_from_this()] { self->close(); });
+        = this->loop.after(MaxFlushTime, [keptAlive, closesSocket] { keptAlive->close(); });
+    const auto onShutDown = [](uv_shutdown_t *request, int) {
+        const Ptr self = static_cast<Handle *>(request->data)->owner;
+        if (!self || self->isClosing)
+            return;
+        self->lingerTimer = self->loop.after(
+            LingerTime, [self, closesSocket = self->closer.lock()] { self->close(); });
+    };
+    this->tcp->shuttingDown.data = this->tcp;
+    if (uv_shutdown(&this->tcp->shuttingDown, this->tcp->stream(), onShutDown) < 0)
+        this->close();
 }
 
 } // namespace lavenderhall::http
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -52,8 +52,9 @@
     /// Closes at once with a TCP reset, so that the peer does not see a regular end of the stream.
     void reset();
     /// Sends the queued bytes and the end of the stream, and closes when the peer has closed too or
-    /// after a second. Received bytes are dropped, and onDrained and onEnd are not called any more.
-    void closeGracefully();
+    /// a second after the last byte was sent. Received bytes are dropped, and onDrained and onEnd
+    /// are not called any more. Keeps \a whileOpen until then.
+    void closeGracefully(std::shared_ptr<void> whileOpen = nullptr);
     /// Returns whether the socket is closed or is being closed.
     bool isClosed() const { return this->isClosing; }
 
@@ -72,6 +73,7 @@
     bool isClosing = false;
     bool isClosingGracefully = false; ///< closeGracefully() has been called
     Timer lingerTimer;
+    std::weak_ptr<void> closer; ///< closes the socket when its last owner, a timer, is gone
 };
 
 } // namespace lavenderhall::http
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -180,8 +180,7 @@
 void Daemon::checkDrained()
 {
     // An answer is complete when its last bytes have been sent, not when they have been written.
-    const bool hasAnsweredAll
-        = this->gateway.openCalls() == 0 && this->callerServer->openExchanges() == 0;
+    const bool hasAnsweredAll = this->gateway.openCalls() == 0 && this->callerServer->hasSentAll();
     const bool isHandoverTimedOut = monoNow() - this->drainBeganAt > HandoverTimeout;
     if (hasAnsweredAll && (this->fleet.hasLeft() || isHandoverTimedOut)) {
         this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->loop.stop(); });
