Stop: end the requests in progress before what they refer to is destroyed

What callers saw: a process that was stopped while requests were in progress did not end by itself, and was killed at the end of its grace period. Its callers got no answer, and it used freed memory meanwhile.

Cause: ownership. A request in progress is owned by its timers and calls, and refers to the daemon. At the end of the grace period the daemon was destroyed with requests in progress, and the loop's destructor ran until all timers were gone: it waited for the time budgets of these requests, and then called them.

Now, half a second before the end of the grace period, each request in progress gets its final answer: 503 if it has not run, 504 if it may have, and the channel is closed if the answer had begun. Both daemons do this in their destructors, too, where all members still exist (a second SIGTERM). The loop's destructor drops timers and posted work instead of calling them.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -214,7 +214,7 @@
     this->startAttempt();
 }
 
-void ForwardCall::onTimeUp()
+void ForwardCall::giveUp(const char *reason)
 {
     if (this->isFinished)
         return;
@@ -222,12 +222,12 @@
     this->cancelAttempt();
     if (this->exchange->hasBegun()) {
         this->exchange->abort();
-        return this->finish(0, "time_up");
+        return this->finish(0, reason);
     }
     if (this->retryState.onTimeUp(isSent) == RetryDecision::Refuse)
-        return this->refuse({503, "time_up", Millis(0)});
+        return this->refuse({503, reason, Millis(0)});
     this->exchange->respond(
-        this->context.adapter.writeRefusal({504, "time_up", {}}, this->request.id));
+        this->context.adapter.writeRefusal({504, reason, {}}, this->request.id));
     this->finish(504, "unknown");
 }
 
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -117,6 +117,8 @@
     /// No endpoint of \a service is in reach: an attempt there that has waited for a while goes to
     /// another instance, if the request may run again.
     void onCutOff(const std::string &service);
+    /// The instance stops: ends the request with an answer that tells whether it may have run.
+    void stop() { this->giveUp("stopping"); }
 
 private:
     /// A refusal is sent this long before the caller's timeout, so that it arrives in time.
@@ -197,7 +199,9 @@
     void cancelAttempt();
     void forwardAnswer();
     void beginStream();
-    void onTimeUp();
+    void onTimeUp() { this->giveUp("time_up"); }
+    /// Ends the request without the endpoint's whole answer, for \a reason.
+    void giveUp(const char *reason);
     void onCallerGone();
     void finish(int status, const std::string &outcome);
 
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -41,7 +41,10 @@
 constexpr std::size_t RolloutCandidates = 2;
 constexpr Millis RegionTakeoverDelay{2000};
 constexpr Millis StandbyTakeoverDelay{4000};
-constexpr Millis StopMargin{250}; ///< the process stops this long before it would be killed
+// Requests that are still in progress are ended this long before the process would be killed, so
+// that their callers get the answers. The process stops while there is time to free what it uses.
+constexpr Millis LastAnswerMargin{500};
+constexpr Millis StopMargin{250};
 // When the holder of a seat fails, its organisations have no decision for about one lease.
 constexpr Millis SeatLease{1500};
 constexpr Millis SeatRenewInterval{300};
@@ -145,6 +148,12 @@
     this->applySettings();
 }
 
+// Requests in progress refer to the members.
+ForwardDaemon::~ForwardDaemon()
+{
+    this->forwarder.stopAll();
+}
+
 AdminHooks ForwardDaemon::adminHooks()
 {
     AdminHooks hooks;
@@ -440,6 +449,8 @@
         if (this->relayServer)
             this->relayServer->closeIdleConnections();
     }
+    if (elapsed > this->settings.bounds.grace - LastAnswerMargin)
+        this->forwarder.stopAll();
     const bool isGraceOver = elapsed > this->settings.bounds.grace - StopMargin;
     if ((isIdle && elapsed > BalancerDetectionTime) || isGraceOver)
         return this->loop.stop();
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -24,6 +24,9 @@
 public:
     ForwardDaemon(http::Loop &loop, Settings settings, std::string settingsFile,
                   const PlatformAdapter &adapter);
+    ~ForwardDaemon();
+    ForwardDaemon(const ForwardDaemon &) = delete;
+    ForwardDaemon &operator=(const ForwardDaemon &) = delete;
 
     /// Serves until a signal or an operator stops it. Returns the exit code. Throws ListenError if
     /// an address cannot be bound for good.
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -50,7 +50,7 @@
         call->onWeightsNamed();
 }
 
-// Requests that end leave the set, so the following two go through a copy.
+// Requests that end leave the set, so the following go through a copy.
 
 void Forwarder::onNewBlocks()
 {
@@ -59,6 +59,13 @@
         call->onNewBlocks();
 }
 
+void Forwarder::stopAll()
+{
+    const std::set<std::shared_ptr<ForwardCall>> open = this->calls;
+    for (const std::shared_ptr<ForwardCall> &call : open)
+        call->stop();
+}
+
 void Forwarder::onCutOff(const std::string &service)
 {
     const std::set<std::shared_ptr<ForwardCall>> open = this->calls;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -26,6 +26,8 @@
     void onNewBlocks();
     /// No endpoint of \a service is in reach: requests that wait there go to other instances.
     void onCutOff(const std::string &service);
+    /// Ends all requests in progress.
+    void stopAll();
     /// Refuses new requests from now on, so that callers send them to another instance.
     void refuseNewRequests() { this->isRefusing = true; }
 
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <initializer_list>
+#include <iterator>
 #include <utility>
 #include <uv.h>
 
@@ -98,7 +99,23 @@
         changeSignalMask(SIG_BLOCK, {watch->handle.signum});
         uv_close(reinterpret_cast<uv_handle_t *>(&watch->handle), nullptr);
     }
-    uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
+    // What timers and posted work refer to may be destroyed already, so neither is called any more.
+    std::vector<std::function<void()>> dropped;
+    const auto dropTimer = [](uv_handle_t *handle, void *list) {
+        if (handle->type != UV_TIMER || uv_is_closing(handle))
+            return;
+        auto *state = static_cast<Timer::State *>(handle->data);
+        static_cast<std::vector<std::function<void()>> *>(list)->push_back(std::move(state->work));
+        state->close();
+    };
+    while (uv_loop_alive(this->uvLoop.get()) != 0 || !this->posted.empty()) {
+        uv_walk(this->uvLoop.get(), dropTimer, &dropped);
+        dropped.insert(dropped.end(), std::make_move_iterator(this->posted.begin()),
+                       std::make_move_iterator(this->posted.end()));
+        this->posted.clear();
+        dropped.clear();
+        uv_run(this->uvLoop.get(), UV_RUN_ONCE);
+    }
     uv_loop_close(this->uvLoop.get());
 }
 
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -87,6 +87,12 @@
     , random(randomSeed())
 { }
 
+// Requests in progress refer to the members.
+Daemon::~Daemon()
+{
+    this->gateway.stopAll();
+}
+
 AdminHooks Daemon::adminHooks()
 {
     AdminHooks hooks;
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -16,6 +16,9 @@
 {
 public:
     Daemon(http::Loop &loop, Settings settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
 
     /// Starts to serve on the loop, which the caller runs. Runs the loop while addresses are still
     /// in use; returns false if the instance was stopped meanwhile. Throws ListenError if an
