Router: one heap for all threads

What callers saw: with 110 MB of addresses (RLIMIT_AS, ulimit -v), as a machine may limit a process of a deployment with 110 MB of memory, a process started, and ended by std::bad_alloc within a second or so of real work, with 13 MB resident.

Cause: glibc gives a thread a heap of its own, for which it reserves 64 MB of addresses. The process uses 46 MB of addresses without. With a limit of 110 MB the second heap just fits (111,440 KB of 112,640), and about 1 MB is left for everything else. With 100 MB it does not fit and is left out (45,944 KB), and with 260 MB it does no harm. So of limits that are the memory of a process, 110 MB is the one that ends it. Where MALLOC_ARENA_MAX is set in the environment, none of this shows.

Now the router sets M_ARENA_MAX to 1. It has four threads, of which the event loop does nearly all the work, so a shared heap costs little (not measured).

--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <memory>
 #include <popt.h>
 #include <sodium.h>
@@ -274,8 +275,12 @@
 int runCommandLine(int argc, const char **argv, const PlatformAdapter &adapter)
 {
     const std::string name = argc > 1 ? argv[1] : "";
-    if (name == "router")
+    if (name == "router") {
         http::holdSignals();
+        // Otherwise each thread may reserve 64 MB of addresses, which a limit on them counts. One
+        // thread does nearly all the work, so a shared heap costs little.
+        mallopt(M_ARENA_MAX, 1);
+    }
     if (sodium_init() < 0) {
         std::cerr << "lavenderhall: the random number generator cannot be initialised" << std::endl;
         return ExitFailed;
