--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -41,7 +41,10 @@
 constexpr std::size_t RolloutCandidates = 2;
 constexpr Millis RegionTakeoverDelay{2000};
 constexpr Millis StandbyTakeoverDelay{4000};
-constexpr Millis StopMargin{250}; ///< the process stops this long before it would be killed
+// Requests that are still in progress are ended this long before the process would be killed, so
+// that their callers get the answers. The process stops while there is time to free what it uses.
+constexpr Millis LastAnswerMargin{500};
+constexpr Millis StopMargin{250};
 // When the holder of a seat fails, its organisations have no decision for about one lease.
 constexpr Millis SeatLease{1500};
 constexpr Millis SeatRenewInterval{300};
@@ -145,6 +148,12 @@
     this->applySettings();
 }
 
+// Requests in progress refer to the members.
+ForwardDaemon::~ForwardDaemon()
+{
+    this->forwarder.stopAll();
+}
+
 AdminHooks ForwardDaemon::adminHooks()
 {
     AdminHooks hooks;
@@ -396,17 +405,17 @@
     const auto *newText = std::get_if<std::string>(&text);
     if (!newText || *newText == this->settingsText)
         return;
-    const bool isFirst = this->settingsText.empty();
     this->settingsText = *newText;
-    if (isFirst)
-        return;
     const auto read = toOutcome([&] { return parseSettings(*newText, this->settingsFile); });
     if (const auto *error = std::get_if<Error>(&read)) {
         logEvent(LogLevel::Error, "settings_refused", {{"detail", error->detail}});
         return;
     }
-    this->settings.bounds = std::get<Settings>(read).bounds;
-    this->settings.seeds = std::get<Settings>(read).seeds;
+    const auto &changed = std::get<Settings>(read);
+    if (changed.bounds == this->settings.bounds && changed.seeds == this->settings.seeds)
+        return;
+    this->settings.bounds = changed.bounds;
+    this->settings.seeds = changed.seeds;
     this->applySettings();
     logEvent(LogLevel::Info, "settings_reloaded", {{"cause", cause}});
 }
@@ -431,7 +440,8 @@
 void ForwardDaemon::checkDrained()
 {
     const auto elapsed = monoNow() - this->drainStartedAt;
-    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->openExchanges() == 0;
+    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->hasSentAll()
+        && (!this->relayServer || this->relayServer->hasSentAll());
     if (elapsed > BalancerDetectionTime && !this->isRefusingNew) {
         this->isRefusingNew = true;
         this->forwarder.refuseNewRequests();
@@ -439,6 +449,8 @@
         if (this->relayServer)
             this->relayServer->closeIdleConnections();
     }
+    if (elapsed > this->settings.bounds.grace - LastAnswerMargin)
+        this->forwarder.stopAll();
     const bool isGraceOver = elapsed > this->settings.bounds.grace - StopMargin;
     if ((isIdle && elapsed > BalancerDetectionTime) || isGraceOver)
         return this->loop.stop();
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -87,6 +87,12 @@
     , random(randomSeed())
 { }
 
+// Requests in progress refer to the members.
+Daemon::~Daemon()
+{
+    this->gateway.stopAll();
+}
+
 AdminHooks Daemon::adminHooks()
 {
     AdminHooks hooks;
@@ -180,8 +186,7 @@
 void Daemon::checkDrained()
 {
     // An answer is complete when its last bytes have been sent, not when they have been written.
-    const bool hasAnsweredAll
-        = this->gateway.openCalls() == 0 && this->callerServer->openExchanges() == 0;
+    const bool hasAnsweredAll = this->gateway.openCalls() == 0 && this->callerServer->hasSentAll();
     const bool isHandoverTimedOut = monoNow() - this->drainBeganAt > HandoverTimeout;
     if (hasAnsweredAll && (this->fleet.hasLeft() || isHandoverTimedOut)) {
         this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->loop.stop(); });
