Forward: a request that waits holds its body once

Cause: four holders of one body. The exchange kept it until the answer had ended, in a string that had doubled while it grew (131 KB); the forwarded request kept a copy; the call at the endpoint kept one more after sending it, although a call is never sent twice.

Fix: the exchange's body is freed once the request has been read from it, the call's once it has been written to the socket. A request that is relayed to another instance takes its body from the forwarded request.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -35,6 +35,7 @@
             this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
         return;
     }
+    exchange->discardBody();
     const auto call = std::make_shared<ForwardCall>(
         this->context, exchange, std::get<ForwardRequest>(std::move(read)), source,
         [this](const ForwardCall &ended) {
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -77,7 +77,7 @@
     };
     this->activeRelay = std::make_shared<Relay>(this->context.adapter, this->exchange,
                                                 this->retryState.mayHaveRun(), onEnd);
-    this->activeRelay->start(this->context.client, *instance, timeLeft);
+    this->activeRelay->start(this->context.client, *instance, timeLeft, this->request.body);
     return true;
 }
 
--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-void Relay::start(http::Client &client, const Address &instance, Millis timeLeft)
+void Relay::start(http::Client &client, const Address &instance, Millis timeLeft, std::string body)
 {
     http::CallRequest outgoing = this->adapter.writeRelayed(this->exchange->request(), timeLeft);
+    outgoing.body = std::move(body);
     outgoing.to = instance;
     outgoing.connectTimeout = ConnectTimeout;
     outgoing.headTimeout = timeLeft + AnswerMargin;
--- a/src/forward/relay.h
+++ b/src/forward/relay.h
@@ -49,8 +49,8 @@
         , onEnd(std::move(onEnd))
     { }
 
-    /// Sends the request to \a instance, where it has \a timeLeft.
-    void start(http::Client &client, const Address &instance, Millis timeLeft);
+    /// Sends the request with \a body to \a instance, where it has \a timeLeft.
+    void start(http::Client &client, const Address &instance, Millis timeLeft, std::string body);
     /// Ends the relay without a result.
     void cancel();
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -126,6 +126,7 @@
         this->bodyBytes = 0;
         this->limitTime(this->call->request.headTimeout, "no answer in time");
         this->socket->write(serialize(this->call->request));
+        std::string().swap(this->call->request.body);
     }
 
     /// Fails the call for \a reason if its timer is not set again within \a timeout.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -311,6 +311,11 @@
     this->connection->send(head + "\r\n");
 }
 
+void Exchange::discardBody()
+{
+    std::string().swap(this->receivedRequest.body);
+}
+
 void Exchange::respond(const Response &response)
 {
     if (this->begun || !this->connection)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -25,6 +25,9 @@
 public:
     const Request &request() const { return this->receivedRequest; }
 
+    /// Frees the body of the request, of which whoever answers has a copy or no further use.
+    void discardBody();
+
     /// Sends a whole answer. Does nothing if an answer has begun.
     void respond(const Response &response);
     /// Begins an answer of unknown length, sent in chunks. Does nothing if an answer has begun.
