HTTP server: a budget for the bodies of requests

What callers saw: callers that held 60 connections with half a body of 4 MB each (the configuration's limit) took 247 MB of resident memory, where a process may use 110. The same class: requests that wait for engines hold their bodies, without a bound on their number.

Cause: each body has a limit, their sum had none, and the failure to get memory is no outcome that the code can handle: it ends the process and all requests in it.

Fix: the bodies of all open requests take their bytes from one budget for the process, a quarter of the memory that the settings state (memory_mb) or of the limit of the address space, if that is lower. The rest is for the program (47 MB of addresses, 16 MB resident), answers, and strings that double while they grow. A request for which nothing is left is refused at once with 503 and Retry-After, on its announced length before its body is read; it has not run, and the caller's next try usually reaches another instance. A body of up to 128 KB gets its memory on arrival, so that many that arrive together do not keep each other from becoming complete. Those over a sixteenth of the budget get at most half of it, so that a few large ones, or half ones, do not keep out the small ones. Without a stated limit, nothing changes. The refusals have a log line (at most one a second) and count as "no_memory".

Not covered: answers that are collected (8 MB each), unread answers, and the memory of the store's objects. A limit that only a control group states is not read.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "membership/membership.h"
+#include "router/requestmemory.h"
 
 #include <algorithm>
 #include <csignal>
@@ -37,6 +38,9 @@
 constexpr std::size_t RolloutCandidates = 2;
 constexpr Millis RegionTakeoverDelay{2000};
 constexpr Millis StandbyTakeoverDelay{4000};
+constexpr int ServiceUnavailable = 503; ///< HTTP status
+constexpr Millis NoMemoryRetryAfter{200}; ///< the next try usually reaches another instance
+constexpr Millis MemoryLineInterval{1000}; ///< between two log lines on refusals
 constexpr Millis StopMargin{250}; ///< the process stops this long before it would be killed
 // When the holder of a seat fails, its organisations have no decision for about one lease.
 constexpr Millis SeatLease{1500};
@@ -159,12 +163,15 @@
 void ForwardDaemon::openServers()
 {
     const auto refusal = [this](int status, std::string_view reason) {
-        return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
+        return this->writeServerRefusal(status, reason);
     };
+    this->requestMemory = std::make_shared<http::MemoryBudget>(
+        requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes));
     this->callers = std::make_unique<http::Server>(
         this->loop, this->settings.listen, http::ServerLimits{},
         [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); });
     this->callers->setRefusal(refusal);
+    this->callers->setMemoryBudget(this->requestMemory);
     if (!this->settings.relay)
         return;
     this->relayServer = std::make_unique<http::Server>(
@@ -173,6 +180,31 @@
             this->forwarder.onRequest(exchange, RequestSource::OtherInstance);
         });
     this->relayServer->setRefusal(refusal);
+    this->relayServer->setMemoryBudget(this->requestMemory);
+}
+
+http::Response ForwardDaemon::writeServerRefusal(int status, std::string_view reason)
+{
+    ForwardRefusal refusal{status, std::string(reason), {}};
+    if (status == ServiceUnavailable) {
+        this->recordMemoryRefusal();
+        refusal.retryAfter = NoMemoryRetryAfter;
+    }
+    return this->adapter.writeRefusal(refusal, "");
+}
+
+void ForwardDaemon::recordMemoryRefusal()
+{
+    ++this->memoryRefusals;
+    this->metrics.countRefusal("no_memory");
+    const MonoTime now = monoNow();
+    if (now < this->nextMemoryLine)
+        return;
+    this->nextMemoryLine = now + MemoryLineInterval;
+    logEvent(LogLevel::Warning, "requests_refused_for_memory",
+             {{"refused", std::exchange(this->memoryRefusals, 0)},
+              {"used_bytes", this->requestMemory->usedBytes()},
+              {"limit_bytes", this->requestMemory->limitBytes()}});
 }
 
 std::vector<Address> ForwardDaemon::relayInstances() const
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -59,6 +59,9 @@
     void applyNamedTimes(const proto::LoadNews &news);
     /// Tells the other instances when weights were named lately, if it is this instance's task.
     void tellNamedTimes(MonoTime now);
+    /// Writes the answer to a request that a server refuses by itself.
+    http::Response writeServerRefusal(int status, std::string_view reason);
+    void recordMemoryRefusal();
     void tick(); ///< called periodically
     void checkDrained();
     void reloadSettings(const char *cause);
@@ -87,6 +90,9 @@
     RateLimiter rateLimiter;
     LoadMonitor loadMonitor;
     ProcessWatch processWatch;
+    http::MemoryBudgetPtr requestMemory; ///< of the servers
+    std::uint64_t memoryRefusals = 0; ///< since the last log line about them
+    MonoTime nextMemoryLine{};
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -600,6 +600,97 @@
     cr_assert(fixture.call(request(Method::Get, "/echo")).ok);
 }
 
+// Callers hold connections with half a request. Guards against bodies that take all memory.
+Test(http, a_body_for_which_no_memory_is_left_is_refused_before_it_is_read)
+{
+    const Address address{"127.0.0.1", 18106};
+    Loop loop;
+    Client client(loop);
+    std::size_t served = 0;
+    Server server(loop, address, {}, [&](const ExchangePtr &exchange) {
+        ++served;
+        exchange->respond({200, {}, "done"});
+    });
+    const auto budget = std::make_shared<MemoryBudget>(100'000);
+    server.setMemoryBudget(budget);
+    std::vector<Socket::Ptr> holders;
+    std::string answers;
+    const auto hold = [&](std::size_t announced, std::size_t sent) {
+        SocketHandlers handlers;
+        handlers.onConnected = [&, index = holders.size(), announced, sent] {
+            holders[index]->write("POST /a HTTP/1.1\r\ncontent-length: " + std::to_string(announced)
+                                  + "\r\n\r\n" + std::string(sent, 'x'));
+        };
+        handlers.onData = [&](std::string_view data) { answers.append(data); };
+        holders.push_back(Socket::connect(loop, address, std::move(handlers)));
+        loop.runFor(Millis(50));
+    };
+    for (int count = 0; count < 10; ++count)
+        hold(50'000, 30'000);
+    cr_assert(budget->usedBytes() <= 50'000U, "%zu", budget->usedBytes());
+    cr_assert(answers.starts_with("HTTP/1.1 503 "), "%s", answers.c_str());
+    cr_assert(answers.find("retry-after: ") != std::string::npos);
+    hold(60'000, 0);
+    cr_assert(served == 0U);
+    const auto small = [&] {
+        int status = 0;
+        CallRequest request;
+        request.to = address;
+        request.method = Method::Post;
+        request.path = "/a";
+        request.body = std::string(5000, 'x');
+        const auto onAnswer = [&](const Response *response, const CallFailure &) {
+            status = response ? response->status : 0;
+            loop.stop();
+        };
+        const auto call = startBuffered(client, std::move(request), onAnswer);
+        loop.runFor(Millis(1000));
+        return status;
+    };
+    cr_assert(small() == 200);
+    for (const Socket::Ptr &holder : holders)
+        holder->close();
+    loop.runFor(Millis(100));
+    cr_assert(budget->usedBytes() == 0U, "%zu", budget->usedBytes());
+}
+
+// Guards against many requests that keep each other from becoming complete.
+Test(http, of_many_bodies_that_arrive_at_the_same_time_those_with_memory_become_complete)
+{
+    constexpr std::size_t BodyBytes = 5000;
+    constexpr std::size_t Callers = 40;
+    constexpr std::size_t Admitted = 20;
+    const Address address{"127.0.0.1", 18107};
+    Loop loop;
+    std::size_t served = 0;
+    std::vector<ExchangePtr> waiting;
+    Server server(loop, address, {}, [&](const ExchangePtr &exchange) {
+        ++served;
+        waiting.push_back(exchange);
+    });
+    const auto budget = std::make_shared<MemoryBudget>(Admitted * BodyBytes);
+    server.setMemoryBudget(budget);
+    std::vector<Socket::Ptr> callers;
+    for (std::size_t index = 0; index < Callers; ++index) {
+        SocketHandlers handlers;
+        handlers.onConnected = [&, index] {
+            callers[index]->write("POST /a HTTP/1.1\r\ncontent-length: " + std::to_string(BodyBytes)
+                                  + "\r\n\r\n" + std::string(BodyBytes - 1, 'x'));
+        };
+        callers.push_back(Socket::connect(loop, address, std::move(handlers)));
+    }
+    loop.runFor(Millis(200));
+    for (const Socket::Ptr &caller : callers)
+        caller->write("x");
+    loop.runFor(Millis(200));
+    cr_assert(served == Admitted, "%zu", served);
+    waiting.clear();
+    for (const Socket::Ptr &caller : callers)
+        caller->close();
+    loop.runFor(Millis(100));
+    cr_assert(budget->usedBytes() == 0U, "%zu", budget->usedBytes());
+}
+
 // Guards against memory without bounds for a caller that pipelines requests and reads no answers.
 Test(http, pipelined_requests_wait_until_the_caller_reads_earlier_answers)
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "http/parser.h"
 #include "http/socket.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <stdexcept>
@@ -12,11 +13,14 @@
 
 namespace {
 
+constexpr int ServiceUnavailable = 503; ///< HTTP status
 constexpr int ListenBacklog = 1024; ///< connections that the kernel queues before accept
 // Limit on the bytes of pipelined requests, which a caller sends before the current answer ends.
 constexpr std::size_t MaxPipelinedBytes = 65536;
 // With more bytes of earlier answers waiting for the caller, its next request is not begun.
 constexpr std::size_t MaxUnreadBytes = 65536;
+// A body that is announced with up to this length gets its memory before it arrives.
+constexpr std::size_t MaxReservedBytes = 131072;
 // Size of a chunk as text: at most 16 hex digits, CRLF and the terminating zero, rounded up.
 constexpr std::size_t ChunkSizeTextBytes = 24;
 
@@ -60,8 +64,10 @@
 
 Response defaultRefusal(int status, std::string_view reason)
 {
-    return {status,
-            {{"content-type", "application/json"}, {"x-lavenderhall-outcome", "not-run"}},
+    Headers headers{{"content-type", "application/json"}, {"x-lavenderhall-outcome", "not-run"}};
+    if (status == ServiceUnavailable)
+        headers.push_back({"retry-after", "1"});
+    return {status, std::move(headers),
             R"({"error":{"type":"invalid_request_error","code":"http_)" + std::to_string(status)
                 + R"(","message":")" + std::string(reason) + "\"}}\n"};
 }
@@ -189,6 +195,8 @@
             this->unparsed.clear();
             const ParseStep step = this->parser.feed(input);
             this->unparsed = input.substr(step.consumed);
+            if (this->isOverBudget)
+                return this->refuse(ServiceUnavailable, "no memory is left for the request");
             if (step.state == ParseState::NeedsMore)
                 return;
             if (step.state == ParseState::HeadTooLarge)
@@ -203,6 +211,9 @@
     {
         this->received = {};
         this->isTooLarge = false;
+        this->isOverBudget = false;
+        this->reservedBytes = 0;
+        this->bodyShare = MemoryShare(this->server.memoryBudget);
         this->parser.setMaxHeadBytes(this->server.limits.maxHeadBytes);
         this->timer = this->server.loop.after(this->server.limits.requestTimeout, [this] {
             this->refuse(408, "the request did not arrive in time");
@@ -221,9 +232,23 @@
         this->isKeepAlive = head.isKeepAlive;
         this->isTooLarge
             = head.hasContentLength && head.contentLength > this->server.limits.maxBodyBytes;
+        if (head.hasContentLength && !this->isTooLarge)
+            this->reserveBody(head.contentLength);
         return false;
     }
 
+    // Of many small bodies that arrive at the same time, some must become complete. A large one
+    // takes memory as it arrives, since its caller may hold back the rest.
+    void reserveBody(std::size_t length)
+    {
+        if (length > MaxReservedBytes) {
+            this->isOverBudget = !this->bodyShare.hasRoom(length);
+            return;
+        }
+        this->reservedBytes = length;
+        this->isOverBudget = !this->bodyShare.grow(length);
+    }
+
     // A body over the limit is read to its end and dropped. If the server answered and closed
     // before, the caller's further bytes would cause a reset, and the caller could lose the answer.
     void onBody(std::string_view data)
@@ -231,7 +256,11 @@
         std::string &body = this->received.body;
         this->isTooLarge
             = this->isTooLarge || body.size() + data.size() > this->server.limits.maxBodyBytes;
-        if (!this->isTooLarge)
+        if (this->isTooLarge || this->isOverBudget)
+            return;
+        this->isOverBudget
+            = !this->bodyShare.grow(std::max(this->reservedBytes, body.size() + data.size()));
+        if (!this->isOverBudget)
             body.append(data);
     }
 
@@ -242,6 +271,7 @@
         this->exchange->connection = this;
         this->exchange->isKeepAlive = this->isKeepAlive;
         this->exchange->receivedRequest = std::move(this->received);
+        this->exchange->bodyShare = std::move(this->bodyShare);
         ++this->server.exchangeCount;
     }
 
@@ -283,7 +313,10 @@
     std::string unparsed; ///< bytes received and not yet parsed
     Timer timer; ///< idle timeout between requests, request timeout within one
     bool isKeepAlive = false; ///< the caller allows another request on the connection
+    MemoryShare bodyShare; ///< of the request that is being received
+    std::size_t reservedBytes = 0; ///< for the body of the request before it has arrived
     bool isTooLarge = false; ///< the body of the request exceeds the limit
+    bool isOverBudget = false; ///< no memory is left for the body of the request
     bool closesAfterAnswer = false; ///< the request has been refused
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "http/loop.h"
+#include "http/memorybudget.h"
 #include "http/message.h"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
     void sendHead(int status, const Headers &headers);
 
     Request receivedRequest;
+    MemoryShare bodyShare; ///< of the request, also while whoever answers holds a copy instead
     ServerConnection *connection = nullptr; ///< nullptr once the exchange has ended
     std::uint64_t remainingBytes = 0; ///< of the body of an answer with a length
     bool isKeepAlive = false; ///< both sides allow another request on the connection
@@ -108,6 +110,10 @@
     Server &operator=(const Server &) = delete;
 
     void setLimits(ServerLimits limits) { this->limits = limits; }
+    /// Bodies of requests take their memory from \a budget, which other servers may share. A
+    /// request for which there is none left is refused with status 503, if possible before its body
+    /// is read.
+    void setMemoryBudget(MemoryBudgetPtr budget) { this->memoryBudget = std::move(budget); }
     void setRefusal(Refusal refusal) { this->refusal = std::move(refusal); }
     /// Closes the listening socket. Open connections are kept.
     void stopListening();
@@ -129,6 +135,7 @@
     ServerLimits limits;
     Handler handler;
     Refusal refusal;
+    MemoryBudgetPtr memoryBudget; ///< may be nullptr
     uv_tcp_s *listener = nullptr;
     std::set<std::shared_ptr<ServerConnection>> connections;
     std::size_t exchangeCount = 0;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -1,6 +1,7 @@
 #include "router/daemon.h"
 
 #include "base/digest.h"
+#include "router/requestmemory.h"
 
 namespace lavenderhall {
 
@@ -103,6 +104,8 @@
     this->callerServer = std::make_unique<http::Server>(
         this->loop, this->settings.listen, limits,
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
+    this->callerServer->setMemoryBudget(std::make_shared<http::MemoryBudget>(
+        requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes)));
 }
 
 void Daemon::start()
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -116,6 +116,7 @@
             settings.seeds.push_back({host, settings.peer.port});
     }
     settings.regionOfZone = reader.textMap("zones");
+    settings.memoryMegabytes = readCount(reader, "memory_mb", 0);
     settings.logLevel = static_cast<LogLevel>(reader.choice("log_level", LogLevelNames, 1));
     reader.object("bounds", [&](ObjectReader &entry) { settings.bounds = readBounds(entry); });
     return settings;
@@ -177,6 +178,7 @@
     settings.maxBodyBytes = reader.integer("max_body_bytes", {1024, 64 << 20}, DefaultMaxBodyBytes);
     settings.maxConnections
         = reader.integer("max_connections", {64, 65536}, settings.maxConnections);
+    settings.memoryMegabytes = reader.integer("memory_mb", {0, 1 << 20}, 0);
     settings.drainTimeout = Millis(reader.integer("drain_ms", {0, 3'600'000}, DefaultDrainMillis));
     settings.cutOffBound
         = Millis(reader.integer("cut_off_ms", {1000, 3'600'000}, settings.cutOffBound.count()));
