--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -4,6 +4,7 @@
 #include "base/listenerror.h"
 #include "membership/membership.h"
 #include "router/listenerstart.h"
+#include "router/requestmemory.h"
 
 #include <algorithm>
 #include <csignal>
@@ -41,6 +42,9 @@
 constexpr std::size_t RolloutCandidates = 2;
 constexpr Millis RegionTakeoverDelay{2000};
 constexpr Millis StandbyTakeoverDelay{4000};
+constexpr int ServiceUnavailable = 503; ///< HTTP status
+constexpr Millis NoMemoryRetryAfter{200}; ///< the next try usually reaches another instance
+constexpr Millis MemoryLineInterval{1000}; ///< between two log lines on refusals
 // Requests that are still in progress are ended this long before the process would be killed, so
 // that their callers get the answers. The process stops while there is time to free what it uses.
 constexpr Millis LastAnswerMargin{500};
@@ -176,8 +180,9 @@
                                                      this->forwarder.onRequest(exchange, source);
                                                  });
     server->setRefusal([this](int status, std::string_view reason) {
-        return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
+        return this->writeServerRefusal(status, reason);
     });
+    server->setMemoryBudget(this->requestMemory);
     return server;
 }
 
@@ -185,6 +190,8 @@
 // process that used the address before is dead.
 bool ForwardDaemon::openListeners()
 {
+    this->requestMemory = std::make_shared<http::MemoryBudget>(
+        requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes));
     const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
         return openWhenFree(this->loop, listener, open, [this] { return this->isDraining; });
     };
@@ -223,6 +230,30 @@
                  {{"address", this->settings.metrics->toString()}});
 }
 
+http::Response ForwardDaemon::writeServerRefusal(int status, std::string_view reason)
+{
+    ForwardRefusal refusal{status, std::string(reason), {}};
+    if (status == ServiceUnavailable) {
+        this->recordMemoryRefusal();
+        refusal.retryAfter = NoMemoryRetryAfter;
+    }
+    return this->adapter.writeRefusal(refusal, "");
+}
+
+void ForwardDaemon::recordMemoryRefusal()
+{
+    ++this->memoryRefusals;
+    this->metrics.countRefusal("no_memory");
+    const MonoTime now = monoNow();
+    if (now < this->nextMemoryLine)
+        return;
+    this->nextMemoryLine = now + MemoryLineInterval;
+    logEvent(LogLevel::Warning, "requests_refused_for_memory",
+             {{"refused", std::exchange(this->memoryRefusals, 0)},
+              {"used_bytes", this->requestMemory->usedBytes()},
+              {"limit_bytes", this->requestMemory->limitBytes()}});
+}
+
 std::vector<Address> ForwardDaemon::relayInstances() const
 {
     std::vector<Address> addresses;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "router/listenerstart.h"
+#include "router/requestmemory.h"
 
 #include <csignal>
 
@@ -119,6 +120,8 @@
     this->callerServer = std::make_unique<http::Server>(
         this->loop, this->settings.listen, limits,
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
+    this->callerServer->setMemoryBudget(std::make_shared<http::MemoryBudget>(
+        requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes)));
 }
 
 // The peer address is bound last and before any decision is made. Then an earlier process with the
