Descriptors are divided, so that callers' connections cannot take those of the rest

What callers saw: a router ended with all requests in progress while other callers held connections. Nothing bounded the connections that a listener of the forward dialect accepts, so they took every descriptor; then the peer link, the store, readiness and the calls to endpoints had none.

The share of callers also holds after a configuration has replaced the other limits of the listeners. Of the peer link's connections, only those unused for a second make room: with more peers than connections, each message to all of them would otherwise make all of them again.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -78,6 +78,7 @@
                              const PlatformAdapter &adapter)
     : loop(loop)
     , settings(std::move(initialSettings))
+    , descriptors(prepareDescriptors(this->settings.maxDescriptors))
     , settingsFile(std::move(settingsFile))
     , adapter(adapter)
     , timeline(this->settings.instance, TimelineCapacity)
@@ -134,13 +135,19 @@
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
         this->fleet.updateMetrics();
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
+        this->metrics.setRefusedConnections("callers", this->callers->refusedConnections());
+        if (this->relayServer)
+            this->metrics.setRefusedConnections("relays", this->relayServer->refusedConnections());
         this->processWatch.updateMetrics();
     };
-    this->admin
-        = std::make_unique<Admin>(loop, this->settings.admin, this->timeline, this->metrics, hooks);
+    this->admin = std::make_unique<Admin>(loop, this->settings.admin, this->timeline, this->metrics,
+                                          hooks, this->descriptors.admin);
     if (this->settings.metrics)
-        this->metricsServer = std::make_unique<Admin>(loop, *this->settings.metrics, this->timeline,
-                                                      this->metrics, hooks);
+        this->metricsServer
+            = std::make_unique<Admin>(loop, *this->settings.metrics, this->timeline, this->metrics,
+                                      hooks, this->descriptors.admin);
+    this->context.client.setMaxConnections(this->descriptors.endpoints);
+    this->fleet.setMaxPeerConnections(this->descriptors.peers);
     this->openServers();
     EngineUpdateHandlers engineUpdates;
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
@@ -161,15 +168,18 @@
     const auto refusal = [this](int status, std::string_view reason) {
         return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
     };
+    http::ServerLimits callerLimits;
+    callerLimits.maxConnections = this->descriptors.callers;
     this->callers = std::make_unique<http::Server>(
-        this->loop, this->settings.listen, http::ServerLimits{},
+        this->loop, this->settings.listen, callerLimits,
         [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); });
     this->callers->setRefusal(refusal);
     if (!this->settings.relay)
         return;
+    http::ServerLimits relayLimits;
+    relayLimits.maxConnections = this->descriptors.relays;
     this->relayServer = std::make_unique<http::Server>(
-        this->loop, *this->settings.relay, http::ServerLimits{},
-        [this](const http::ExchangePtr &exchange) {
+        this->loop, *this->settings.relay, relayLimits, [this](const http::ExchangePtr &exchange) {
             this->forwarder.onRequest(exchange, RequestSource::OtherInstance);
         });
     this->relayServer->setRefusal(refusal);
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/descriptorplan.h"
 #include "forward/crashmonitor.h"
 #include "forward/forwarder.h"
 #include "forward/loadmonitor.h"
@@ -67,6 +68,7 @@
 
     http::Loop &loop;
     Settings settings;
+    const DescriptorPlan descriptors;
     const std::string settingsFile;
     std::string settingsText;
     const PlatformAdapter &adapter;
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -47,9 +47,12 @@
         return;
     this->tableRevision = revision;
     this->context.table = table;
-    this->callers->setLimits(table->content().limits);
+    http::ServerLimits limits = table->content().limits;
+    limits.maxConnections = this->descriptors.callers;
+    this->callers->setLimits(limits);
+    limits.maxConnections = this->descriptors.relays;
     if (this->relayServer)
-        this->relayServer->setLimits(table->content().limits);
+        this->relayServer->setLimits(limits);
     std::vector<CacheStoreSpec> cacheStores;
     for (const ServiceSpec &service : table->content().services) {
         if (service.engine)
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -24,6 +24,7 @@
 constexpr int MaxReconnectIntervalMillis = 2000;
 constexpr std::int64_t MaxMessageBytes = 16 << 20;
 constexpr std::chrono::seconds MaxIdleTime{30}; // an unused connection is closed after it
+constexpr Millis MinIdleTime{1000}; // before an unused connection makes room for another one
 constexpr Millis SweepInterval{5000}; // between searches for unused connections
 constexpr Millis PollFailurePause{100}; // so that a poll that keeps failing does not busy-loop
 constexpr double FailureLinesPerSecond = 1;
@@ -285,23 +286,30 @@
         }
     }
 
-    // Closes the connections that have been unused for longest until there is room for one more.
-    void makeRoom()
+    // Closes the connection that has been unused for longest, if there is no room for one more.
+    // Returns whether there is room. A connection in use is kept: with more peers than connections,
+    // all of them would be made again with each message to all.
+    bool makeRoom()
     {
-        while (this->connections.size() >= this->maxConnections) {
-            this->connections.erase(
-                std::min_element(this->connections.begin(), this->connections.end(),
-                                 [](const auto &a, const auto &b) {
-                                     return a.second.lastUsed < b.second.lastUsed;
-                                 }));
-        }
+        if (this->connections.size() < this->maxConnections)
+            return true;
+        const auto oldest = std::min_element(
+            this->connections.begin(), this->connections.end(),
+            [](const auto &a, const auto &b) { return a.second.lastUsed < b.second.lastUsed; });
+        if (monoNow() - oldest->second.lastUsed < MinIdleTime)
+            return false;
+        this->connections.erase(oldest);
+        return true;
     }
 
     void sendTo(const std::string &address, zmq::message_t payload)
     {
         auto found = this->connections.find(address);
         if (found == this->connections.end()) {
-            this->makeRoom();
+            if (!this->makeRoom()) {
+                ++this->dropped;
+                return;
+            }
             Connection connection{zmq::socket_t(this->context, zmq::socket_type::dealer), {}};
             connection.socket.set(zmq::sockopt::linger, 0);
             connection.socket.set(zmq::sockopt::sndhwm, MaxQueuedMessages);
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -50,7 +50,8 @@
     static constexpr std::size_t DefaultMaxConnections = 1000;
 
     /// Binds \a listen and starts the thread; throws std::runtime_error if this fails. Of more than
-    /// \a maxConnections connections to peers, the one that has been unused for longest is closed.
+    /// \a maxConnections connections to peers, the one that has been unused for longest is closed,
+    /// and messages to others are dropped while all are in use.
     PeerLink(const Address &listen, LinkKeys keys, Handler handler,
              std::size_t maxConnections = DefaultMaxConnections);
     ~PeerLink();
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -11,14 +11,21 @@
     return {status, {{"content-type", "text/plain; charset=utf-8"}}, std::move(text)};
 }
 
+http::ServerLimits limitsOf(std::size_t maxConnections)
+{
+    http::ServerLimits limits = http::limitsWithMaxBody(MaxBodyBytes);
+    limits.maxConnections = maxConnections;
+    return limits;
+}
+
 } // namespace
 
 Admin::Admin(http::Loop &loop, const Address &listen, TimelineRing &timeline, Metrics &metrics,
-             AdminHooks hooks)
+             AdminHooks hooks, std::size_t maxConnections)
     : timeline(timeline)
     , metrics(metrics)
     , hooks(std::move(hooks))
-    , server(loop, listen, http::limitsWithMaxBody(MaxBodyBytes),
+    , server(loop, listen, limitsOf(maxConnections),
              [this](const http::ExchangePtr &exchange) { this->serve(exchange); })
 { }
 
--- a/src/router/admin.h
+++ b/src/router/admin.h
@@ -22,7 +22,7 @@
 {
 public:
     Admin(http::Loop &loop, const Address &listen, TimelineRing &timeline, Metrics &metrics,
-          AdminHooks hooks);
+          AdminHooks hooks, std::size_t maxConnections);
 
 private:
     void serve(const http::ExchangePtr &exchange);
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "base/digest.h"
 
+#include <algorithm>
+
 namespace lavenderhall {
 
 namespace {
@@ -40,6 +42,7 @@
 Daemon::Daemon(http::Loop &loop, Settings initialSettings)
     : loop(loop)
     , settings(std::move(initialSettings))
+    , descriptors(prepareDescriptors(this->settings.maxDescriptors))
     , timeline(this->settings.instance, TimelineCapacity)
     , endpointClient(this->loop)
     , store(this->loop, this->settings.store)
@@ -91,15 +94,19 @@
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()),
                                       static_cast<double>(this->gateway.backlogBytes()));
+        this->metrics.setRefusedConnections("callers", this->callerServer->refusedConnections());
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         this->fleet.updateMetrics();
         this->processWatch.updateMetrics();
     };
     this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
-                                          this->metrics, std::move(hooks));
+                                          this->metrics, std::move(hooks), this->descriptors.admin);
     http::ServerLimits limits
         = http::limitsWithMaxBody(static_cast<std::size_t>(this->settings.maxBodyBytes));
-    limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
+    limits.maxConnections = std::min(static_cast<std::size_t>(this->settings.maxConnections),
+                                     this->descriptors.callers);
+    this->endpointClient.setMaxConnections(this->descriptors.endpoints);
+    this->fleet.setMaxPeerConnections(this->descriptors.peers);
     this->callerServer = std::make_unique<http::Server>(
         this->loop, this->settings.listen, limits,
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/descriptorplan.h"
 #include "router/admin.h"
 #include "router/configloader.h"
 #include "router/gateway.h"
@@ -44,6 +45,7 @@
 
     http::Loop &loop;
     Settings settings;
+    const DescriptorPlan descriptors;
     TimelineRing timeline;
     Metrics metrics;
     http::Client endpointClient;
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -86,8 +86,8 @@
     };
     this->link = std::make_unique<PeerLink>(
         this->settings.peer,
-        LinkKeys{this->settings.fleetKeys.publicKey, this->settings.fleetKeys.secretKey},
-        onMessage);
+        LinkKeys{this->settings.fleetKeys.publicKey, this->settings.fleetKeys.secretKey}, onMessage,
+        this->maxPeerConnections);
     this->lastContact = monoNow();
     this->tick();
 }
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -83,6 +83,8 @@
 
     /// Binds the peer address and starts; throws std::runtime_error if the address is in use.
     void start();
+    /// Bounds the instances to which connections are kept. Call it before start().
+    void setMaxPeerConnections(std::size_t count) { this->maxPeerConnections = count; }
     /// Applies the regions and organisations of a configuration. \a restart has the tokens that an
     /// account of each organisation may grant after its level was lost.
     void onConfig(std::int64_t version, const std::vector<Region> &regions,
@@ -178,6 +180,7 @@
     MonoTime nextSeatRequest{};
     MonoTime nextConfigRequest{};
     FleetSize fleetSize{monoNow()};
+    std::size_t maxPeerConnections = PeerLink::DefaultMaxConnections;
     MonoTime lastContact{}; ///< when a peer or the store was last reachable
     bool isLeaving = false;
     http::Timer tickTimer;
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -75,6 +75,8 @@
                     "How late the event loop was at most, in the last ten seconds or less"))
     , callerConnections(
           gauge(*this->registry, "lavenderhall_caller_connections", "Open connections of callers"))
+    , refusedConnections(gaugeFamily(*this->registry, "lavenderhall_connections_refused",
+                                     "Connections closed or not accepted as there was no room"))
     , tokens(counterFamily(*this->registry, "lavenderhall_tokens_total",
                            "Tokens by kind, as engines report them"))
 { }
@@ -157,6 +159,19 @@
     this->callerConnections.Set(count);
 }
 
+void Metrics::setRefusedConnections(const std::string &listener,
+                                    const http::RefusedConnections &counts)
+{
+    const auto set = [&](const char *what, std::uint64_t count) {
+        this->refusedConnections.Add({{"listener", listener}, {"what", what}})
+            .Set(static_cast<double>(count));
+    };
+    set("closed_idle", counts.closedIdle);
+    set("closed_stalled", counts.closedStalled);
+    set("refused", counts.refused);
+    set("accept_failed", counts.failedAccepts);
+}
+
 void Metrics::setPeers(double alive)
 {
     this->peers.Set(alive);
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/processstate.h"
+#include "http/server.h"
 #include "membership/peerlink.h"
 
 #include <memory>
@@ -45,6 +46,7 @@
     /// \a seconds is how late the event loop was at most, lately.
     void setLoopLag(double seconds);
     void setCallerConnections(double count);
+    void setRefusedConnections(const std::string &listener, const http::RefusedConnections &counts);
     /// Counts the tokens that an engine has reported for one request.
     void countTokens(double prompt, double cached, double output);
 
@@ -72,6 +74,7 @@
     prometheus::Gauge &residentBytes;
     prometheus::Gauge &loopLag;
     prometheus::Gauge &callerConnections;
+    prometheus::Family<prometheus::Gauge> &refusedConnections;
     prometheus::Family<prometheus::Counter> &tokens;
 };
 
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -98,6 +98,7 @@
     settings.admin = readOne(reader, "admin");
     settings.peer = readOne(reader, "peer");
     settings.store = readOne(reader, "store");
+    settings.maxDescriptors = readCount(reader, "max_descriptors", 0);
     return settings;
 }
 
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -66,6 +66,7 @@
     LogLevel logLevel = LogLevel::Info;
     std::int64_t maxBodyBytes = 0; ///< of a request
     std::int64_t maxConnections = 8192; ///< from callers
+    std::int64_t maxDescriptors = 0; ///< that the platform allows; 0: what the system does
     Millis cutOffBound{30'000}; ///< an instance that is isolated for longer refuses keys
     Millis drainTimeout{0}; ///< from the start of a drain until calls in progress are ended
 };
