--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -89,6 +89,7 @@
                              const PlatformAdapter &adapter)
     : loop(loop)
     , settings(std::move(initialSettings))
+    , descriptors(prepareDescriptors(this->settings.maxDescriptors))
     , settingsFile(std::move(settingsFile))
     , adapter(adapter)
     , timeline(this->settings.instance, TimelineCapacity)
@@ -138,6 +139,8 @@
                           this->callers ? this->callers->connectionCount() : 0};
     })
 {
+    this->context.client.setMaxConnections(this->descriptors.endpoints);
+    this->fleet.setMaxPeerConnections(this->descriptors.peers);
     EngineUpdateHandlers engineUpdates;
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
         this->loadMonitor.onWeightsNotice(notice, monoNow());
@@ -168,6 +171,10 @@
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
         this->fleet.updateMetrics();
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
+        if (this->callers)
+            this->metrics.setRefusedConnections("callers", this->callers->refusedConnections());
+        if (this->relayServer)
+            this->metrics.setRefusedConnections("relays", this->relayServer->refusedConnections());
         this->processWatch.updateMetrics();
     };
     return hooks;
@@ -175,7 +182,10 @@
 
 std::unique_ptr<http::Server> ForwardDaemon::openServer(const Address &listen, RequestSource source)
 {
-    auto server = std::make_unique<http::Server>(this->loop, listen, http::ServerLimits{},
+    http::ServerLimits limits;
+    limits.maxConnections
+        = source == RequestSource::Caller ? this->descriptors.callers : this->descriptors.relays;
+    auto server = std::make_unique<http::Server>(this->loop, listen, limits,
                                                  [this, source](const http::ExchangePtr &exchange) {
                                                      this->forwarder.onRequest(exchange, source);
                                                  });
@@ -196,8 +206,9 @@
         return openWhenFree(this->loop, listener, open, [this] { return this->isDraining; });
     };
     const auto openAdmin = [this] {
-        this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
-                                              this->metrics, this->adminHooks());
+        this->admin
+            = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
+                                      this->metrics, this->adminHooks(), this->descriptors.admin);
     };
     const auto openRelay = [this] {
         if (this->settings.relay)
@@ -216,8 +227,9 @@
 void ForwardDaemon::openMetrics()
 {
     try {
-        this->metricsServer = std::make_unique<Admin>(
-            this->loop, *this->settings.metrics, this->timeline, this->metrics, this->adminHooks());
+        this->metricsServer
+            = std::make_unique<Admin>(this->loop, *this->settings.metrics, this->timeline,
+                                      this->metrics, this->adminHooks(), this->descriptors.admin);
     } catch (const ListenError &error) {
         if (!std::exchange(this->isMetricsMissing, true))
             logEvent(LogLevel::Warning, "metrics_unavailable", {{"detail", error.what()}});
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -4,6 +4,7 @@
 #include "router/listenerstart.h"
 #include "router/requestmemory.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace lavenderhall {
@@ -44,6 +45,7 @@
 Daemon::Daemon(http::Loop &loop, Settings initialSettings)
     : loop(loop)
     , settings(std::move(initialSettings))
+    , descriptors(prepareDescriptors(this->settings.maxDescriptors))
     , timeline(this->settings.instance, TimelineCapacity)
     , endpointClient(this->loop)
     , store(this->loop, this->settings.store)
@@ -105,6 +107,9 @@
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()),
                                       static_cast<double>(this->gateway.backlogBytes()));
+        if (this->callerServer)
+            this->metrics.setRefusedConnections("callers",
+                                                this->callerServer->refusedConnections());
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         this->fleet.updateMetrics();
         this->processWatch.updateMetrics();
@@ -116,7 +121,10 @@
 {
     http::ServerLimits limits
         = http::limitsWithMaxBody(static_cast<std::size_t>(this->settings.maxBodyBytes));
-    limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
+    limits.maxConnections = std::min(static_cast<std::size_t>(this->settings.maxConnections),
+                                     this->descriptors.callers);
+    this->endpointClient.setMaxConnections(this->descriptors.endpoints);
+    this->fleet.setMaxPeerConnections(this->descriptors.peers);
     this->callerServer = std::make_unique<http::Server>(
         this->loop, this->settings.listen, limits,
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
@@ -133,8 +141,9 @@
                             [this] { return this->gateway.isDraining(); });
     };
     const auto openAdmin = [this] {
-        this->admin = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
-                                              this->metrics, this->adminHooks());
+        this->admin
+            = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
+                                      this->metrics, this->adminHooks(), this->descriptors.admin);
     };
     return openOne("admin", openAdmin) && openOne("callers", [this] { this->openCallerServer(); })
         && openOne("peer", [this] { this->fleet.start(); });
