--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build check check-asan lint format soak demo up bench-path bench-capacity proto clean
+.PHONY: all packages build check check-asan lint format soak churn demo up bench-path bench-capacity proto clean
 
 all: build
 
@@ -38,6 +38,12 @@
 soak: build
 	python3 platform/soak/soak.py --build $(BUILD) $(SOAK)
 
+# Kills, stops and starts real processes at random, and fails for each that ends by itself. CHURN holds
+# the options of churn.py.
+CHURN ?= --seed 20 --seconds 22
+churn: build
+	python3 platform/soak/churn.py --build $(BUILD) $(CHURN)
+
 format:
 	clang-format -i $(SOURCES)
 
