Start: keep a signal that arrives while the settings are read

What callers saw: SIGTERM during the reading of the settings was lost, and the process went on to serve.

Cause: that loop's handler caught the signal, and the loop was destroyed without having handled it. Now the signals are held back first, and what was caught until then is handled before the loop is destroyed.

--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -234,8 +234,12 @@
     MonoTime nextLine = startedAt;
     for (;;) {
         const auto text = toOutcome([&] { return readCompleteSettings(file); });
-        if (const auto *complete = std::get_if<std::string>(&text))
-            return *complete;
+        if (const auto *complete = std::get_if<std::string>(&text)) {
+            // A signal that this loop has caught is not passed on to the next one.
+            http::holdSignals();
+            loop.runFor(Millis(0));
+            return isStopped ? std::string() : *complete;
+        }
         const Error &error = std::get<Error>(text);
         const MonoTime now = monoNow();
         const auto waited = std::chrono::duration_cast<Millis>(now - startedAt);
