Peer link: connect without a source address again

The wildcard "*" as the address never connected.

So a port that the system chose for a connection of the link can again not be bound by an instance that starts.

--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -70,8 +70,7 @@
 {
 public:
     Worker(const Address &listen, LinkKeys keys, std::size_t maxConnections, Handler handler)
-        : ownHost(listen.host)
-        , keys(std::move(keys))
+        : keys(std::move(keys))
         , maxConnections(std::max<std::size_t>(1, maxConnections))
         , handler(std::move(handler))
         , context(contextFor(this->maxConnections))
@@ -328,7 +327,7 @@
             // Heartbeats detect a connection that has gone silent, and ZeroMQ reconnects.
             connection.socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatIntervalMillis);
             connection.socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMillis);
-            connection.socket.connect(this->connectEndpointOf(address));
+            connection.socket.connect("tcp://" + address);
             found = this->connections.emplace(address, std::move(connection)).first;
         }
         found->second.lastUsed = monoNow();
@@ -343,12 +342,6 @@
         this->bytesOut += size;
     }
 
-    // Given its own side's address, ZeroMQ lets others listen at the port that the system chooses.
-    std::string connectEndpointOf(const std::string &peer) const
-    {
-        return "tcp://" + this->ownHost + ":0;" + peer;
-    }
-
     // A peer never sends on a connection that it has accepted. So what arrives on one of this
     // side's connections has been sent by this side: the system has joined the connection with
     // itself while nobody listened at the peer's address.
@@ -358,7 +351,6 @@
         return (events & ZMQ_POLLIN) != 0;
     }
 
-    const std::string ownHost;
     LinkKeys keys;
     std::size_t maxConnections;
     Handler handler;
