HTTP server: making room cuts no answer; stalled requests give up their memory

- A full server closed connections as idle whose answer was complete but not yet sent: of 6,291,456 bytes a caller that was still reading got 4,898,860.
Connections with bytes to send are spared now, also while the rest of a pipelined request is due.
- Memory for a body was taken when its head arrived: 230 callers that announced 128 KB and sent nothing used up the budget, and 20 of 20 whole requests got 503.
Requests of which nothing has come for two seconds now give up their memory, with 408, for those that come.

--- a/src/http/memorybudget.h
+++ b/src/http/memorybudget.h
@@ -81,6 +81,8 @@
         return true;
     }
 
+    std::size_t heldBytes() const { return this->held; }
+
     void release()
     {
         if (this->budget)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -123,7 +123,7 @@
         --this->server.exchangeCount;
         if (this->isLast(*finished)) {
             const auto self = this->shared_from_this();
-            this->socket->closeGracefully(this->server.closing);
+            this->socket->closeGracefully(this->server.unsentMark);
             return this->server.remove(self);
         }
         this->awaitRequest();
@@ -157,25 +157,26 @@
     /// Closes the connection if it is between two requests.
     void closeIfIdle()
     {
-        if (!this->isIdle())
+        if (!this->isBetweenRequests())
             return;
         const auto self = this->shared_from_this();
         this->timer.cancel();
-        this->socket->closeGracefully(this->server.closing);
+        this->socket->closeGracefully(this->server.unsentMark);
         this->server.remove(self);
     }
 
-    bool isIdle() const
-    {
-        return !this->exchange && !this->parser.isInsideMessage() && this->unparsed.empty();
-    }
+    /// Returns whether nothing is lost when the connection is closed at once.
+    bool isIdle() const { return this->isBetweenRequests() && this->socket->backlog() == 0; }
 
     /// Returns whether bytes of a request are due and have not arrived for long.
     bool isStalled(MonoTime now) const
     {
-        return !this->exchange && !this->isIdle() && now - this->lastActiveAt >= StalledTime;
+        return !this->exchange && !this->isBetweenRequests() && this->socket->backlog() == 0
+            && now - this->lastActiveAt >= StalledTime;
     }
 
+    bool holdsMemory() const { return this->bodyShare.heldBytes() > 0; }
+
     /// Returns when bytes arrived or an answer ended for the last time.
     MonoTime lastActive() const { return this->lastActiveAt; }
 
@@ -200,6 +201,11 @@
     }
 
 private:
+    bool isBetweenRequests() const
+    {
+        return !this->exchange && !this->parser.isInsideMessage() && this->unparsed.empty();
+    }
+
     void awaitRequest()
     {
         this->lastActiveAt = monoNow();
@@ -278,7 +284,17 @@
             return;
         }
         this->reservedBytes = length;
-        this->isOverBudget = !this->bodyShare.grow(length);
+        this->isOverBudget = !this->takeMemory(length);
+    }
+
+    // Requests that no longer arrive give up their memory first.
+    bool takeMemory(std::size_t bytes)
+    {
+        while (!this->bodyShare.grow(bytes)) {
+            if (!this->server.closeStalledHolder())
+                return false;
+        }
+        return true;
     }
 
     // A body over the limit is read to its end and dropped. If the server answered and closed
@@ -291,7 +307,7 @@
         if (this->isTooLarge || this->isOverBudget)
             return;
         this->isOverBudget
-            = !this->bodyShare.grow(std::max(this->reservedBytes, body.size() + data.size()));
+            = !this->takeMemory(std::max(this->reservedBytes, body.size() + data.size()));
         if (!this->isOverBudget)
             body.append(data);
     }
@@ -528,6 +544,20 @@
     return true;
 }
 
+bool Server::closeStalledHolder()
+{
+    const MonoTime now = monoNow();
+    for (const auto &connection : this->connections) {
+        if (!connection->holdsMemory() || !connection->isStalled(now))
+            continue;
+        ++this->refusedCounts.closedStalled;
+        const auto kept = connection;
+        kept->makeRoom();
+        return true;
+    }
+    return false;
+}
+
 // libuv calls this again and again, without returning to the event loop, until it can accept or the
 // listener is closed.
 void Server::onAcceptFailure(int code)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -141,7 +141,10 @@
     /// Returns the number of exchanges whose answer has not ended.
     std::size_t openExchanges() const { return this->exchangeCount; }
     /// Returns whether every answer has ended and been sent to its last byte.
-    bool hasSentAll() const { return this->exchangeCount == 0 && this->closing.use_count() == 1; }
+    bool hasSentAll() const
+    {
+        return this->exchangeCount == 0 && this->unsentMark.use_count() == 1;
+    }
 
 private:
     friend class ServerConnection;
@@ -153,6 +156,9 @@
     void onAcceptFailure(int code);
     /// Closes the connection that can best be spared; false if there is none.
     bool makeRoom();
+    /// Closes a connection whose request holds memory and no longer arrives; false if there is
+    /// none.
+    bool closeStalledHolder();
     void logFull(const char *cause);
     void remove(const std::shared_ptr<ServerConnection> &connection);
 
@@ -170,7 +176,8 @@
     LogRateLimiter fullLines;
     Timer listenTimer;
     std::size_t exchangeCount = 0;
-    std::shared_ptr<void> closing = std::make_shared<char>(); ///< kept by sockets that are closing
+    /// Kept by sockets that are closing and have bytes left to send.
+    std::shared_ptr<void> unsentMark = std::make_shared<char>();
     bool isClosing = false; ///< closeAfterAnswers() has been called
 };
 
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -238,6 +238,7 @@
     if (this->isClosing)
         return;
     this->isClosing = true;
+    this->unsentMark = nullptr;
     this->lingerTimer.cancel();
     // The caller may be one of these handlers, so they are destroyed later from the loop.
     auto oldHandlers = std::make_shared<SocketHandlers>(std::move(this->handlers));
@@ -260,17 +261,17 @@
 
 // A slow peer may take long to receive the queued bytes; one that receives none is detected by
 // TCP_USER_TIMEOUT. A loop that ends drops its timers, and with them the socket is closed.
-void Socket::closeGracefully(std::shared_ptr<void> whileOpen)
+void Socket::closeGracefully(std::shared_ptr<void> whileUnsent)
 {
     if (this->isClosing || this->isClosingGracefully)
         return;
     this->isClosingGracefully = true;
+    this->unsentMark = std::move(whileUnsent);
     this->handlers.onDrained = nullptr;
     this->handlers.onEnd = nullptr;
     this->startReading();
     const Ptr keptAlive = this->shared_from_this();
-    const std::shared_ptr<void> closesSocket(
-        nullptr, [keptAlive, whileOpen = std::move(whileOpen)](void *) { keptAlive->close(); });
+    const std::shared_ptr<void> closesSocket(nullptr, [keptAlive](void *) { keptAlive->close(); });
     this->closer = closesSocket;
     this->lingerTimer
         = this->loop.after(MaxFlushTime, [keptAlive, closesSocket] { keptAlive->close(); });
@@ -278,6 +279,7 @@
         const Ptr self = static_cast<Handle *>(request->data)->owner;
         if (!self || self->isClosing)
             return;
+        self->unsentMark = nullptr;
         self->lingerTimer = self->loop.after(
             LingerTime, [self, closesSocket = self->closer.lock()] { self->close(); });
     };
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -55,8 +55,8 @@
     void reset();
     /// Sends the queued bytes and the end of the stream, and closes when the peer has closed too or
     /// a second after the last byte was sent. Received bytes are dropped, and onDrained and onEnd
-    /// are not called any more. Keeps \a whileOpen until then.
-    void closeGracefully(std::shared_ptr<void> whileOpen = nullptr);
+    /// are not called any more. Keeps \a whileUnsent until the last byte has been sent.
+    void closeGracefully(std::shared_ptr<void> whileUnsent = nullptr);
     /// Returns whether the socket is closed or is being closed.
     bool isClosed() const { return this->isClosing; }
 
@@ -74,6 +74,7 @@
     std::size_t queuedBytes = 0;
     bool isClosing = false;
     bool isClosingGracefully = false; ///< closeGracefully() has been called
+    std::shared_ptr<void> unsentMark; ///< kept until the last byte has been sent
     Timer lingerTimer;
     std::weak_ptr<void> closer; ///< closes the socket when its last owner, a timer, is gone
 };
