--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -1,6 +1,7 @@
 #include "forward/forwardcall.h"
 
 #include "base/log.h"
+#include "base/outsidetext.h"
 
 #include <algorithm>
 #include <random>
@@ -80,9 +81,11 @@
     return !this->request.lastEventId.empty();
 }
 
-const std::string &ForwardCall::streamId() const
+// The store takes no text that is not UTF-8, which the id of a request may be.
+std::string ForwardCall::streamId() const
 {
-    return this->request.resumedRequest.empty() ? this->request.id : this->request.resumedRequest;
+    return toUtf8(this->request.resumedRequest.empty() ? this->request.id
+                                                       : this->request.resumedRequest);
 }
 
 // The record would name the build of an attempt in vain. A stream that the caller resumes began
@@ -214,7 +217,7 @@
     this->startAttempt();
 }
 
-void ForwardCall::onTimeUp()
+void ForwardCall::giveUp(const char *reason)
 {
     if (this->isFinished)
         return;
@@ -222,12 +225,12 @@
     this->cancelAttempt();
     if (this->exchange->hasBegun()) {
         this->exchange->abort();
-        return this->finish(0, "time_up");
+        return this->finish(0, reason);
     }
     if (this->retryState.onTimeUp(isSent) == RetryDecision::Refuse)
-        return this->refuse({503, "time_up", Millis(0)});
+        return this->refuse({503, reason, Millis(0)});
     this->exchange->respond(
-        this->context.adapter.writeRefusal({504, "time_up", {}}, this->request.id));
+        this->context.adapter.writeRefusal({504, reason, {}}, this->request.id));
     this->finish(504, "unknown");
 }
 
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -1,11 +1,15 @@
 #include "forward/forwarddaemon.h"
 
 #include "base/digest.h"
+#include "base/listenerror.h"
 #include "membership/membership.h"
+#include "router/listenerstart.h"
+#include "router/requestmemory.h"
 
 #include <algorithm>
 #include <csignal>
 #include <set>
+#include <utility>
 
 namespace lavenderhall {
 
@@ -14,6 +18,7 @@
 constexpr std::size_t TimelineCapacity = 5'000;
 constexpr Millis TickInterval{100};
 constexpr Millis SettingsInterval{1000}; ///< between checks of the settings file
+constexpr Millis MetricsRetryInterval{1000}; ///< between attempts to open the socket for metrics
 constexpr Millis DrainCheckInterval{50};
 // The balancer stops sending requests to an instance after two failed checks, one second apart.
 constexpr Millis BalancerDetectionTime{3000};
@@ -37,7 +42,13 @@
 constexpr std::size_t RolloutCandidates = 2;
 constexpr Millis RegionTakeoverDelay{2000};
 constexpr Millis StandbyTakeoverDelay{4000};
-constexpr Millis StopMargin{250}; ///< the process stops this long before it would be killed
+constexpr int ServiceUnavailable = 503; ///< HTTP status
+constexpr Millis NoMemoryRetryAfter{200}; ///< the next try usually reaches another instance
+constexpr Millis MemoryLineInterval{1000}; ///< between two log lines on refusals
+// Requests that are still in progress are ended this long before the process would be killed, so
+// that their callers get the answers. The process stops while there is time to free what it uses.
+constexpr Millis LastAnswerMargin{500};
+constexpr Millis StopMargin{250};
 // When the holder of a seat fails, its organisations have no decision for about one lease.
 constexpr Millis SeatLease{1500};
 constexpr Millis SeatRenewInterval{300};
@@ -78,6 +89,7 @@
                              const PlatformAdapter &adapter)
     : loop(loop)
     , settings(std::move(initialSettings))
+    , descriptors(prepareDescriptors(this->settings.maxDescriptors))
     , settingsFile(std::move(settingsFile))
     , adapter(adapter)
     , timeline(this->settings.instance, TimelineCapacity)
@@ -123,25 +135,12 @@
               this->crashMonitor.onEndpointAlive(engine, monoNow());
           })
     , processWatch(loop, this->metrics, [this] {
-        return ServedLoad{this->forwarder.openCalls(), this->callers->connectionCount()};
+        return ServedLoad{this->forwarder.openCalls(),
+                          this->callers ? this->callers->connectionCount() : 0};
     })
 {
-    AdminHooks hooks;
-    hooks.isReady = [this] { return this->context.table && !this->isDraining; };
-    hooks.status = [this] { return this->status(); };
-    hooks.drain = [this] { this->drain(); };
-    hooks.updateGauges = [this] {
-        this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
-        this->fleet.updateMetrics();
-        this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
-        this->processWatch.updateMetrics();
-    };
-    this->admin
-        = std::make_unique<Admin>(loop, this->settings.admin, this->timeline, this->metrics, hooks);
-    if (this->settings.metrics)
-        this->metricsServer = std::make_unique<Admin>(loop, *this->settings.metrics, this->timeline,
-                                                      this->metrics, hooks);
-    this->openServers();
+    this->context.client.setMaxConnections(this->descriptors.endpoints);
+    this->fleet.setMaxPeerConnections(this->descriptors.peers);
     EngineUpdateHandlers engineUpdates;
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
         this->loadMonitor.onWeightsNotice(notice, monoNow());
@@ -156,23 +155,115 @@
     this->applySettings();
 }
 
-void ForwardDaemon::openServers()
+// Requests in progress refer to the members.
+ForwardDaemon::~ForwardDaemon()
+{
+    this->forwarder.stopAll();
+}
+
+AdminHooks ForwardDaemon::adminHooks()
 {
-    const auto refusal = [this](int status, std::string_view reason) {
-        return this->adapter.writeRefusal({status, std::string(reason), {}}, "");
+    AdminHooks hooks;
+    hooks.isReady = [this] { return this->context.table && !this->isDraining; };
+    hooks.status = [this] { return this->status(); };
+    hooks.drain = [this] { this->drain(); };
+    hooks.updateGauges = [this] {
+        this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
+        this->fleet.updateMetrics();
+        this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
+        if (this->callers)
+            this->metrics.setRefusedConnections("callers", this->callers->refusedConnections());
+        if (this->relayServer)
+            this->metrics.setRefusedConnections("relays", this->relayServer->refusedConnections());
+        this->processWatch.updateMetrics();
     };
-    this->callers = std::make_unique<http::Server>(
-        this->loop, this->settings.listen, http::ServerLimits{},
-        [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); });
-    this->callers->setRefusal(refusal);
-    if (!this->settings.relay)
+    return hooks;
+}
+
+std::unique_ptr<http::Server> ForwardDaemon::openServer(const Address &listen, RequestSource source)
+{
+    http::ServerLimits limits;
+    limits.maxConnections
+        = source == RequestSource::Caller ? this->descriptors.callers : this->descriptors.relays;
+    auto server = std::make_unique<http::Server>(this->loop, listen, limits,
+                                                 [this, source](const http::ExchangePtr &exchange) {
+                                                     this->forwarder.onRequest(exchange, source);
+                                                 });
+    server->setRefusal([this](int status, std::string_view reason) {
+        return this->writeServerRefusal(status, reason);
+    });
+    server->setMemoryBudget(this->requestMemory);
+    return server;
+}
+
+// The peer address is bound last and before any decision is made. A successful bind shows that the
+// process that used the address before is dead.
+bool ForwardDaemon::openListeners()
+{
+    this->requestMemory = std::make_shared<http::MemoryBudget>(
+        requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes));
+    const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
+        return openWhenFree(this->loop, listener, open, [this] { return this->isDraining; });
+    };
+    const auto openAdmin = [this] {
+        this->admin
+            = std::make_unique<Admin>(this->loop, this->settings.admin, this->timeline,
+                                      this->metrics, this->adminHooks(), this->descriptors.admin);
+    };
+    const auto openRelay = [this] {
+        if (this->settings.relay)
+            this->relayServer
+                = this->openServer(*this->settings.relay, RequestSource::OtherInstance);
+    };
+    const auto openCallers = [this] {
+        this->callers = this->openServer(this->settings.listen, RequestSource::Caller);
+    };
+    return openOne("admin", openAdmin) && openOne("relay", openRelay)
+        && openOne("callers", openCallers) && openOne("peer", [this] { this->fleet.start(); });
+}
+
+// The service does not depend on metrics, so neither does its start. The address of metrics may be
+// one of the instance's other addresses.
+void ForwardDaemon::openMetrics()
+{
+    try {
+        this->metricsServer
+            = std::make_unique<Admin>(this->loop, *this->settings.metrics, this->timeline,
+                                      this->metrics, this->adminHooks(), this->descriptors.admin);
+    } catch (const ListenError &error) {
+        if (!std::exchange(this->isMetricsMissing, true))
+            logEvent(LogLevel::Warning, "metrics_unavailable", {{"detail", error.what()}});
+        this->metricsTimer
+            = this->loop.after(MetricsRetryInterval, [this] { this->openMetrics(); });
+        return;
+    }
+    if (this->isMetricsMissing)
+        logEvent(LogLevel::Info, "metrics_listening",
+                 {{"address", this->settings.metrics->toString()}});
+}
+
+http::Response ForwardDaemon::writeServerRefusal(int status, std::string_view reason)
+{
+    ForwardRefusal refusal{status, std::string(reason), {}};
+    if (status == ServiceUnavailable) {
+        this->recordMemoryRefusal();
+        refusal.retryAfter = NoMemoryRetryAfter;
+    }
+    return this->adapter.writeRefusal(refusal, "");
+}
+
+void ForwardDaemon::recordMemoryRefusal()
+{
+    ++this->memoryRefusals;
+    this->metrics.countRefusal("no_memory");
+    const MonoTime now = monoNow();
+    if (now < this->nextMemoryLine)
         return;
-    this->relayServer = std::make_unique<http::Server>(
-        this->loop, *this->settings.relay, http::ServerLimits{},
-        [this](const http::ExchangePtr &exchange) {
-            this->forwarder.onRequest(exchange, RequestSource::OtherInstance);
-        });
-    this->relayServer->setRefusal(refusal);
+    this->nextMemoryLine = now + MemoryLineInterval;
+    logEvent(LogLevel::Warning, "requests_refused_for_memory",
+             {{"refused", std::exchange(this->memoryRefusals, 0)},
+              {"used_bytes", this->requestMemory->usedBytes()},
+              {"limit_bytes", this->requestMemory->limitBytes()}});
 }
 
 std::vector<Address> ForwardDaemon::relayInstances() const
@@ -205,8 +296,13 @@
     this->rateLimiter.setTolerance(tolerance);
 }
 
-void ForwardDaemon::start()
+bool ForwardDaemon::start()
 {
+    if (!this->openListeners())
+        return false;
+    this->isStarted = true;
+    if (this->settings.metrics)
+        this->openMetrics();
     this->timeline.add(EventKind::ProcessStarted, "", "", {{"version", LAVENDERHALL_VERSION}});
     logEvent(LogLevel::Info, "started",
              {{"listen", this->settings.listen.toString()},
@@ -214,19 +310,18 @@
               {"zone", this->settings.zone}});
     this->processWatch.start();
     this->takeoverJitter = Millis(this->context.random(MaxTakeoverJitterMillis));
-    // The peer address is bound before any decision is made. A successful bind shows that the
-    // process that used the address before is dead.
-    this->fleet.start();
     this->storeReplica.start();
     this->tick();
     this->reloadSettings("start");
+    return true;
 }
 
 int ForwardDaemon::run()
 {
     this->loop.drainOnSignals([this] { this->drain(); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
-    this->start();
+    if (!this->start())
+        return 0;
     this->loop.run();
     logEvent(LogLevel::Info, "stopped", {{"open_requests", this->forwarder.openCalls()}});
     return 0;
@@ -353,17 +448,17 @@
     const auto *newText = std::get_if<std::string>(&text);
     if (!newText || *newText == this->settingsText)
         return;
-    const bool isFirst = this->settingsText.empty();
     this->settingsText = *newText;
-    if (isFirst)
-        return;
     const auto read = toOutcome([&] { return parseSettings(*newText, this->settingsFile); });
     if (const auto *error = std::get_if<Error>(&read)) {
         logEvent(LogLevel::Error, "settings_refused", {{"detail", error->detail}});
         return;
     }
-    this->settings.bounds = std::get<Settings>(read).bounds;
-    this->settings.seeds = std::get<Settings>(read).seeds;
+    const auto &changed = std::get<Settings>(read);
+    if (changed.bounds == this->settings.bounds && changed.seeds == this->settings.seeds)
+        return;
+    this->settings.bounds = changed.bounds;
+    this->settings.seeds = changed.seeds;
     this->applySettings();
     logEvent(LogLevel::Info, "settings_reloaded", {{"cause", cause}});
 }
@@ -373,6 +468,8 @@
     if (this->isDraining)
         return;
     this->isDraining = true;
+    if (!this->isStarted)
+        return this->loop.stop();
     this->drainStartedAt = monoNow();
     this->rollout.stop();
     this->fleet.leave();
@@ -386,7 +483,8 @@
 void ForwardDaemon::checkDrained()
 {
     const auto elapsed = monoNow() - this->drainStartedAt;
-    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->openExchanges() == 0;
+    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->hasSentAll()
+        && (!this->relayServer || this->relayServer->hasSentAll());
     if (elapsed > BalancerDetectionTime && !this->isRefusingNew) {
         this->isRefusingNew = true;
         this->forwarder.refuseNewRequests();
@@ -394,6 +492,8 @@
         if (this->relayServer)
             this->relayServer->closeIdleConnections();
     }
+    if (elapsed > this->settings.bounds.grace - LastAnswerMargin)
+        this->forwarder.stopAll();
     const bool isGraceOver = elapsed > this->settings.bounds.grace - StopMargin;
     if ((isIdle && elapsed > BalancerDetectionTime) || isGraceOver)
         return this->loop.stop();
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/descriptorplan.h"
 #include "forward/crashmonitor.h"
 #include "forward/forwarder.h"
 #include "forward/loadmonitor.h"
@@ -22,14 +23,18 @@
 class ForwardDaemon
 {
 public:
-    /// Throws std::runtime_error when an address cannot be bound.
     ForwardDaemon(http::Loop &loop, Settings settings, std::string settingsFile,
                   const PlatformAdapter &adapter);
+    ~ForwardDaemon();
+    ForwardDaemon(const ForwardDaemon &) = delete;
+    ForwardDaemon &operator=(const ForwardDaemon &) = delete;
 
-    /// Serves until a signal or an operator stops it. Returns the exit code.
+    /// Serves until a signal or an operator stops it. Returns the exit code. Throws ListenError if
+    /// an address cannot be bound for good.
     int run();
-    /// Starts to serve on the loop, which the caller has to run.
-    void start();
+    /// Starts to serve on the loop, which the caller has to run. Runs the loop while addresses are
+    /// still in use; returns false if the instance was stopped meanwhile.
+    bool start();
     /// Starts a graceful stop: reports itself as not ready, and serves requests until the balancer
     /// has noticed.
     void drain();
@@ -41,8 +46,13 @@
     LimitMonitorHooks limitMonitorHooks();
     LimitMessageHandlers limitMessageHandlers();
     StreamOriginHooks streamOriginHooks();
-    /// Opens the listening sockets for callers and for other instances.
-    void openServers();
+    AdminHooks adminHooks();
+    /// Opens all listening sockets but that for metrics, and waits while their addresses are in
+    /// use. Returns false if the instance was stopped meanwhile.
+    bool openListeners();
+    std::unique_ptr<http::Server> openServer(const Address &listen, RequestSource source);
+    /// Opens the listening socket for metrics, or tries again later.
+    void openMetrics();
     std::vector<Address> relayInstances() const;
     /// Applies the builds that no request should go to yet.
     void applyUnregisteredBuilds();
@@ -59,6 +69,9 @@
     void applyNamedTimes(const proto::LoadNews &news);
     /// Tells the other instances when weights were named lately, if it is this instance's task.
     void tellNamedTimes(MonoTime now);
+    /// Writes the answer to a request that a server refuses by itself.
+    http::Response writeServerRefusal(int status, std::string_view reason);
+    void recordMemoryRefusal();
     void tick(); ///< called periodically
     void checkDrained();
     void reloadSettings(const char *cause);
@@ -67,6 +80,7 @@
 
     http::Loop &loop;
     Settings settings;
+    const DescriptorPlan descriptors;
     const std::string settingsFile;
     std::string settingsText;
     const PlatformAdapter &adapter;
@@ -87,18 +101,24 @@
     RateLimiter rateLimiter;
     LoadMonitor loadMonitor;
     ProcessWatch processWatch;
+    http::MemoryBudgetPtr requestMemory; ///< of the servers
+    std::uint64_t memoryRefusals = 0; ///< since the last log line about them
+    MonoTime nextMemoryLine{};
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
     std::unique_ptr<http::Server> relayServer; ///< for requests that other instances relay
     std::int64_t tableRevision = 0;
     http::Timer tickTimer;
+    http::Timer metricsTimer;
     MonoTime nextNamedTimes{}; ///< next call of tellNamedTimes() that tells something
     http::Timer settingsTimer;
     http::Timer drainTimer;
     Millis takeoverJitter{0}; ///< random part of the takeover delay of the rollout
     std::size_t fleetSize = 0; ///< upper bound on the instances among which budgets are divided
     MonoTime drainStartedAt{};
+    bool isStarted = false;
+    bool isMetricsMissing = false; ///< the listening socket for metrics could not be opened so far
     bool isDraining = false;
     bool isRefusingNew = false; ///< the balancer has had time to notice; new requests are refused
 };
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -35,6 +35,7 @@
             this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
         return;
     }
+    exchange->discardBody();
     const auto call = std::make_shared<ForwardCall>(
         this->context, exchange, std::get<ForwardRequest>(std::move(read)), source,
         [this](const ForwardCall &ended) {
@@ -50,7 +51,7 @@
         call->onWeightsNamed();
 }
 
-// Requests that end leave the set, so the following two go through a copy.
+// Requests that end leave the set, so the following go through a copy.
 
 void Forwarder::onNewBlocks()
 {
@@ -59,6 +60,13 @@
         call->onNewBlocks();
 }
 
+void Forwarder::stopAll()
+{
+    const std::set<std::shared_ptr<ForwardCall>> open = this->calls;
+    for (const std::shared_ptr<ForwardCall> &call : open)
+        call->stop();
+}
+
 void Forwarder::onCutOff(const std::string &service)
 {
     const std::set<std::shared_ptr<ForwardCall>> open = this->calls;
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -1,11 +1,31 @@
 #include "http/loop.h"
 
 #include <csignal>
+#include <initializer_list>
+#include <iterator>
 #include <utility>
 #include <uv.h>
 
 namespace lavenderhall::http {
 
+namespace {
+
+void changeSignalMask(int how, std::initializer_list<int> signals)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int signal : signals)
+        sigaddset(&set, signal);
+    pthread_sigmask(how, &set, nullptr);
+}
+
+} // namespace
+
+void holdSignals()
+{
+    changeSignalMask(SIG_BLOCK, {SIGHUP, SIGINT, SIGTERM});
+}
+
 /// The libuv timer behind a handle. libuv uses it until its close callback has run, also when the
 /// caller's Timer has been destroyed by then.
 struct Timer::State
@@ -62,6 +82,8 @@
     // By default SIGPIPE ends the process on a write to a connection that the peer has closed.
     // Ignored, the write returns an error.
     std::signal(SIGPIPE, SIG_IGN);
+    // The same for a write to a log file that has reached the limit on the size of files.
+    std::signal(SIGXFSZ, SIG_IGN);
     uv_loop_init(this->uvLoop.get());
     uv_async_init(this->uvLoop.get(), this->wakeUp.get(),
                   [](uv_async_t *handle) { static_cast<Loop *>(handle->data)->runPosted(); });
@@ -73,18 +95,39 @@
 Loop::~Loop()
 {
     uv_close(reinterpret_cast<uv_handle_t *>(this->wakeUp.get()), nullptr);
-    for (const auto &watch : this->signalWatches)
+    for (const auto &watch : this->signalWatches) {
+        changeSignalMask(SIG_BLOCK, {watch->handle.signum});
         uv_close(reinterpret_cast<uv_handle_t *>(&watch->handle), nullptr);
-    uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
+    }
+    // What timers and posted work refer to may be destroyed already, so neither is called any more.
+    std::vector<std::function<void()>> dropped;
+    const auto dropTimer = [](uv_handle_t *handle, void *list) {
+        if (handle->type != UV_TIMER || uv_is_closing(handle))
+            return;
+        auto *state = static_cast<Timer::State *>(handle->data);
+        static_cast<std::vector<std::function<void()>> *>(list)->push_back(std::move(state->work));
+        state->close();
+    };
+    while (uv_loop_alive(this->uvLoop.get()) != 0 || !this->posted.empty()) {
+        uv_walk(this->uvLoop.get(), dropTimer, &dropped);
+        dropped.insert(dropped.end(), std::make_move_iterator(this->posted.begin()),
+                       std::make_move_iterator(this->posted.end()));
+        this->posted.clear();
+        dropped.clear();
+        uv_run(this->uvLoop.get(), UV_RUN_ONCE);
+    }
     uv_loop_close(this->uvLoop.get());
 }
 
-void Loop::run()
+// An exception must not leave a callback of libuv: its loop is then in no defined state, and what
+// is destroyed on the way out runs it again. Where nothing could be done about an exception, the
+// process ends at once, and its last line says why.
+void Loop::run() noexcept
 {
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
 }
 
-void Loop::runFor(Millis duration)
+void Loop::runFor(Millis duration) noexcept
 {
     const Timer timer = this->after(duration, [this] { uv_stop(this->uvLoop.get()); });
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
@@ -110,6 +153,7 @@
     const auto fire
         = [](uv_signal_t *handle, int) { static_cast<SignalWatch *>(handle->data)->work(); };
     uv_signal_start(&watch->handle, fire, signal);
+    changeSignalMask(SIG_UNBLOCK, {signal});
     this->signalWatches.push_back(std::move(watch));
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,20 +1,32 @@
 #include "http/server.h"
 
+#include "base/listenerror.h"
+#include "base/log.h"
 #include "http/parser.h"
 #include "http/socket.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
-#include <stdexcept>
 #include <uv.h>
 
 namespace lavenderhall::http {
 
 namespace {
 
+constexpr int ServiceUnavailable = 503; ///< HTTP status
 constexpr int ListenBacklog = 1024; ///< connections that the kernel queues before accept
 // Limit on the bytes of pipelined requests, which a caller sends before the current answer ends.
 constexpr std::size_t MaxPipelinedBytes = 65536;
+// With more bytes of earlier answers waiting for the caller, its next request is not begun.
+constexpr std::size_t MaxUnreadBytes = 65536;
+// A body that is announced with up to this length gets its memory before it arrives.
+constexpr std::size_t MaxReservedBytes = 131072;
+/// A request of which nothing has arrived for this long may be given up to make room.
+constexpr Millis StalledTime{2000};
+constexpr Millis ListenRetryInterval{100}; ///< after the system had no descriptor or memory
+constexpr double FullLinesPerSecond = 0.2;
+constexpr double FullLinesBurst = 2;
 // Size of a chunk as text: at most 16 hex digits, CRLF and the terminating zero, rounded up.
 constexpr std::size_t ChunkSizeTextBytes = 24;
 
@@ -58,8 +70,10 @@
 
 Response defaultRefusal(int status, std::string_view reason)
 {
-    return {status,
-            {{"content-type", "application/json"}, {"x-lavenderhall-outcome", "not-run"}},
+    Headers headers{{"content-type", "application/json"}, {"x-lavenderhall-outcome", "not-run"}};
+    if (status == ServiceUnavailable)
+        headers.push_back({"retry-after", "1"});
+    return {status, std::move(headers),
             R"({"error":{"type":"invalid_request_error","code":"http_)" + std::to_string(status)
                 + R"(","message":")" + std::string(reason) + "\"}}\n"};
 }
@@ -84,6 +98,7 @@
         handlers.onData = [this](std::string_view data) { this->onData(data); };
         handlers.onDrained = [this] { this->onDrained(); };
         handlers.onEnd = [this](SocketEnd, const std::string &) { this->drop(); };
+        handlers.lease = this->server.socketLease;
         this->socket
             = Socket::accept(loop, reinterpret_cast<uv_stream_t *>(listener), std::move(handlers));
         if (this->socket)
@@ -108,7 +123,7 @@
         --this->server.exchangeCount;
         if (this->isLast(*finished)) {
             const auto self = this->shared_from_this();
-            this->socket->closeGracefully();
+            this->socket->closeGracefully(this->server.unsentMark);
             return this->server.remove(self);
         }
         this->awaitRequest();
@@ -142,14 +157,38 @@
     /// Closes the connection if it is between two requests.
     void closeIfIdle()
     {
-        if (this->exchange || this->parser.isInsideMessage() || !this->unparsed.empty())
+        if (!this->isBetweenRequests())
             return;
         const auto self = this->shared_from_this();
         this->timer.cancel();
-        this->socket->closeGracefully();
+        this->socket->closeGracefully(this->server.unsentMark);
         this->server.remove(self);
     }
 
+    /// Returns whether nothing is lost when the connection is closed at once.
+    bool isIdle() const { return this->isBetweenRequests() && this->socket->backlog() == 0; }
+
+    /// Returns whether bytes of a request are due and have not arrived for long.
+    bool isStalled(MonoTime now) const
+    {
+        return !this->exchange && !this->isBetweenRequests() && this->socket->backlog() == 0
+            && now - this->lastActiveAt >= StalledTime;
+    }
+
+    bool holdsMemory() const { return this->bodyShare.heldBytes() > 0; }
+
+    /// Returns when bytes arrived or an answer ended for the last time.
+    MonoTime lastActive() const { return this->lastActiveAt; }
+
+    /// Closes the connection and its descriptor at once, after an answer to a request that stalls.
+    void makeRoom()
+    {
+        const auto self = this->shared_from_this();
+        if (!this->isIdle())
+            this->refuse(408, "the request did not arrive in time");
+        this->drop();
+    }
+
     /// Closes the connection without a notice to the server, which is being destroyed, or to the
     /// owner of the exchange.
     void shutDown()
@@ -162,8 +201,14 @@
     }
 
 private:
+    bool isBetweenRequests() const
+    {
+        return !this->exchange && !this->parser.isInsideMessage() && this->unparsed.empty();
+    }
+
     void awaitRequest()
     {
+        this->lastActiveAt = monoNow();
         this->timer = this->server.loop.after(this->server.limits.idleTimeout,
                                               [this] { this->socket ? this->drop() : void(); });
     }
@@ -171,6 +216,7 @@
     void onData(std::string_view data)
     {
         const auto self = this->shared_from_this();
+        this->lastActiveAt = monoNow();
         this->unparsed.append(data);
         if (this->exchange) {
             if (this->unparsed.size() > MaxPipelinedBytes)
@@ -178,12 +224,17 @@
             return;
         }
         while (!this->unparsed.empty() && !this->exchange && !this->socket->isClosed()) {
-            if (!this->parser.isInsideMessage())
+            if (!this->parser.isInsideMessage()) {
+                if (this->socket->backlog() > MaxUnreadBytes)
+                    return this->socket->setReading(false);
                 this->beginRequest();
+            }
             const std::string input = std::move(this->unparsed);
             this->unparsed.clear();
             const ParseStep step = this->parser.feed(input);
             this->unparsed = input.substr(step.consumed);
+            if (this->isOverBudget)
+                return this->refuse(ServiceUnavailable, "no memory is left for the request");
             if (step.state == ParseState::NeedsMore)
                 return;
             if (step.state == ParseState::HeadTooLarge)
@@ -198,6 +249,9 @@
     {
         this->received = {};
         this->isTooLarge = false;
+        this->isOverBudget = false;
+        this->reservedBytes = 0;
+        this->bodyShare = MemoryShare(this->server.memoryBudget);
         this->parser.setMaxHeadBytes(this->server.limits.maxHeadBytes);
         this->timer = this->server.loop.after(this->server.limits.requestTimeout, [this] {
             this->refuse(408, "the request did not arrive in time");
@@ -216,9 +270,33 @@
         this->isKeepAlive = head.isKeepAlive;
         this->isTooLarge
             = head.hasContentLength && head.contentLength > this->server.limits.maxBodyBytes;
+        if (head.hasContentLength && !this->isTooLarge)
+            this->reserveBody(head.contentLength);
         return false;
     }
 
+    // Of many small bodies that arrive at the same time, some must become complete. A large one
+    // takes memory as it arrives, since its caller may hold back the rest.
+    void reserveBody(std::size_t length)
+    {
+        if (length > MaxReservedBytes) {
+            this->isOverBudget = !this->bodyShare.hasRoom(length);
+            return;
+        }
+        this->reservedBytes = length;
+        this->isOverBudget = !this->takeMemory(length);
+    }
+
+    // Requests that no longer arrive give up their memory first.
+    bool takeMemory(std::size_t bytes)
+    {
+        while (!this->bodyShare.grow(bytes)) {
+            if (!this->server.closeStalledHolder())
+                return false;
+        }
+        return true;
+    }
+
     // A body over the limit is read to its end and dropped. If the server answered and closed
     // before, the caller's further bytes would cause a reset, and the caller could lose the answer.
     void onBody(std::string_view data)
@@ -226,7 +304,11 @@
         std::string &body = this->received.body;
         this->isTooLarge
             = this->isTooLarge || body.size() + data.size() > this->server.limits.maxBodyBytes;
-        if (!this->isTooLarge)
+        if (this->isTooLarge || this->isOverBudget)
+            return;
+        this->isOverBudget
+            = !this->takeMemory(std::max(this->reservedBytes, body.size() + data.size()));
+        if (!this->isOverBudget)
             body.append(data);
     }
 
@@ -237,6 +319,7 @@
         this->exchange->connection = this;
         this->exchange->isKeepAlive = this->isKeepAlive;
         this->exchange->receivedRequest = std::move(this->received);
+        this->exchange->bodyShare = std::move(this->bodyShare);
         ++this->server.exchangeCount;
     }
 
@@ -258,10 +341,16 @@
         this->server.handler(this->exchange);
     }
 
+    // Reading goes on if it was stopped because the caller had not read earlier answers.
     void onDrained()
     {
-        if (this->exchange && this->exchange->drainedHandler)
-            this->exchange->drainedHandler();
+        if (this->exchange) {
+            if (this->exchange->drainedHandler)
+                this->exchange->drainedHandler();
+            return;
+        }
+        this->socket->setReading(true);
+        this->onData({});
     }
 
     Server &server;
@@ -270,9 +359,13 @@
     ExchangePtr exchange;
     Request received;
     std::string unparsed; ///< bytes received and not yet parsed
+    MonoTime lastActiveAt{};
     Timer timer; ///< idle timeout between requests, request timeout within one
     bool isKeepAlive = false; ///< the caller allows another request on the connection
+    MemoryShare bodyShare; ///< of the request that is being received
+    std::size_t reservedBytes = 0; ///< for the body of the request before it has arrived
     bool isTooLarge = false; ///< the body of the request exceeds the limit
+    bool isOverBudget = false; ///< no memory is left for the body of the request
     bool closesAfterAnswer = false; ///< the request has been refused
 };
 
@@ -300,6 +393,11 @@
     this->connection->send(head + "\r\n");
 }
 
+void Exchange::discardBody()
+{
+    std::string().swap(this->receivedRequest.body);
+}
+
 void Exchange::respond(const Response &response)
 {
     if (this->begun || !this->connection)
@@ -364,27 +462,34 @@
 
 Server::Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler)
     : loop(loop)
+    , address(listen)
     , limits(limits)
     , handler(std::move(handler))
-    , listener(new uv_tcp_t)
+    , fullLines(FullLinesPerSecond, FullLinesBurst)
+{
+    const int code = this->listen();
+    if (code != 0)
+        throw ListenError("http listen", listen, -code, uv_strerror(code));
+}
+
+int Server::listen()
 {
-    uv_tcp_init(loop.handle(), this->listener);
+    this->listener = new uv_tcp_t;
+    uv_tcp_init(this->loop.handle(), this->listener);
     this->listener->data = this;
-    sockaddr_in address{};
-    int code = uv_ip4_addr(listen.host.c_str(), listen.port, &address);
+    sockaddr_in socketAddress{};
+    int code = uv_ip4_addr(this->address.host.c_str(), this->address.port, &socketAddress);
     if (code == 0)
-        code = uv_tcp_bind(this->listener, reinterpret_cast<const sockaddr *>(&address), 0);
+        code = uv_tcp_bind(this->listener, reinterpret_cast<const sockaddr *>(&socketAddress), 0);
     const auto onPending = [](uv_stream_t *stream, int status) {
-        if (status == 0)
-            static_cast<Server *>(stream->data)->onConnection();
+        auto *server = static_cast<Server *>(stream->data);
+        status == 0 ? server->onConnection() : server->onAcceptFailure(status);
     };
     if (code == 0)
         code = uv_listen(reinterpret_cast<uv_stream_t *>(this->listener), ListenBacklog, onPending);
-    if (code == 0)
-        return;
-    this->stopListening();
-    throw std::runtime_error("http listen: cannot bind " + listen.toString() + ": "
-                             + uv_strerror(code));
+    if (code != 0)
+        this->stopListening();
+    return code;
 }
 
 Server::~Server()
@@ -396,6 +501,7 @@
 
 void Server::stopListening()
 {
+    this->listenTimer.cancel();
     if (!this->listener)
         return;
     uv_close(reinterpret_cast<uv_handle_t *>(this->listener),
@@ -405,12 +511,86 @@
 
 void Server::onConnection()
 {
+    const auto openSockets = static_cast<std::size_t>(this->socketLease.use_count() - 1);
+    const bool hasRoom = openSockets < this->limits.maxConnections || this->makeRoom();
     const auto connection = std::make_shared<ServerConnection>(*this);
     if (!connection->open(this->loop, this->listener))
         return;
     this->connections.insert(connection);
-    if (this->connections.size() > this->limits.maxConnections)
-        connection->drop();
+    if (hasRoom)
+        return;
+    ++this->refusedCounts.refused;
+    this->logFull("the share of connections is in use");
+    connection->drop();
+}
+
+bool Server::makeRoom()
+{
+    const MonoTime now = monoNow();
+    std::shared_ptr<ServerConnection> best;
+    for (const auto &connection : this->connections) {
+        if (!connection->isIdle() && !connection->isStalled(now))
+            continue;
+        const bool isBetter = !best || (connection->isIdle() && !best->isIdle())
+            || (connection->isIdle() == best->isIdle()
+                && connection->lastActive() < best->lastActive());
+        if (isBetter)
+            best = connection;
+    }
+    if (!best)
+        return false;
+    ++(best->isIdle() ? this->refusedCounts.closedIdle : this->refusedCounts.closedStalled);
+    best->makeRoom();
+    return true;
+}
+
+bool Server::closeStalledHolder()
+{
+    const MonoTime now = monoNow();
+    for (const auto &connection : this->connections) {
+        if (!connection->holdsMemory() || !connection->isStalled(now))
+            continue;
+        ++this->refusedCounts.closedStalled;
+        const auto kept = connection;
+        kept->makeRoom();
+        return true;
+    }
+    return false;
+}
+
+// libuv calls this again and again, without returning to the event loop, until it can accept or the
+// listener is closed.
+void Server::onAcceptFailure(int code)
+{
+    ++this->refusedCounts.failedAccepts;
+    this->logFull(uv_strerror(code));
+    if (this->makeRoom())
+        return;
+    this->stopListening();
+    this->listenAgainLater();
+}
+
+void Server::listenAgainLater()
+{
+    this->listenTimer = this->loop.after(ListenRetryInterval, [this] {
+        if (this->listen() != 0)
+            this->listenAgainLater();
+    });
+}
+
+void Server::logFull(const char *cause)
+{
+    if (!this->fullLines.tryAcquire(monoNow()))
+        return;
+    logEvent(LogLevel::Warning, "connections_full",
+             {{"listen", this->address.toString()},
+              {"cause", cause},
+              {"connections", this->connections.size()},
+              {"max_connections", this->limits.maxConnections},
+              {"refused", this->refusedCounts.refused},
+              {"closed_idle", this->refusedCounts.closedIdle},
+              {"closed_stalled", this->refusedCounts.closedStalled},
+              {"failed_accepts", this->refusedCounts.failedAccepts}});
 }
 
 // The connection is destroyed later from the loop, as it may be on the call stack.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "base/address.h"
+#include "base/logratelimiter.h"
 #include "http/loop.h"
+#include "http/memorybudget.h"
 #include "http/message.h"
 
 #include <cstdint>
@@ -25,6 +27,9 @@
 public:
     const Request &request() const { return this->receivedRequest; }
 
+    /// Frees the body of the request, of which whoever answers has a copy or no further use.
+    void discardBody();
+
     /// Sends a whole answer. Does nothing if an answer has begun.
     void respond(const Response &response);
     /// Begins an answer of unknown length, sent in chunks. Does nothing if an answer has begun.
@@ -56,6 +61,7 @@
     void sendHead(int status, const Headers &headers);
 
     Request receivedRequest;
+    MemoryShare bodyShare; ///< of the request, also while whoever answers holds a copy instead
     ServerConnection *connection = nullptr; ///< nullptr once the exchange has ended
     std::uint64_t remainingBytes = 0; ///< of the body of an answer with a length
     bool isKeepAlive = false; ///< both sides allow another request on the connection
@@ -75,7 +81,10 @@
     std::size_t maxHeadBytes = 16U << 10U;
     Millis requestTimeout = std::chrono::seconds(15); ///< from the first byte to the whole request
     Millis idleTimeout = std::chrono::seconds(60); ///< of a connection between requests
-    std::size_t maxConnections = 65536; ///< a further connection is closed at once
+    /// For a further connection, one without a request in progress is closed: the one that has
+    /// been idle for longest or, if none is idle, one whose request does not arrive. If there is
+    /// none, the further connection is closed at once.
+    std::size_t maxConnections = 65536;
 
     bool operator==(const ServerLimits &) const = default;
 };
@@ -88,6 +97,17 @@
     return limits;
 }
 
+/// Connections that a server could not keep or accept, since its start.
+struct RefusedConnections
+{
+    std::uint64_t closedIdle = 0; ///< to make room for others
+    std::uint64_t closedStalled = 0; ///< within a request, to make room for others
+    std::uint64_t refused = 0; ///< there was no room
+    std::uint64_t failedAccepts = 0; ///< the system had no descriptor or memory
+
+    bool operator==(const RefusedConnections &) const = default;
+};
+
 /// Listens on one address. All members belong to the loop's thread, and the server must exist while
 /// the loop runs.
 class Server
@@ -98,13 +118,17 @@
     /// Builds the answer to a request that the server itself refuses, such as a malformed one.
     using Refusal = std::function<Response(int status, std::string_view reason)>;
 
-    /// Throws std::runtime_error when the address cannot be bound.
+    /// Throws ListenError if the address cannot be bound.
     Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
     void setLimits(ServerLimits limits) { this->limits = limits; }
+    /// Bodies of requests take their memory from \a budget, which other servers may share. A
+    /// request for which there is none left is refused with status 503, if possible before its body
+    /// is read.
+    void setMemoryBudget(MemoryBudgetPtr budget) { this->memoryBudget = std::move(budget); }
     void setRefusal(Refusal refusal) { this->refusal = std::move(refusal); }
     /// Closes the listening socket. Open connections are kept.
     void stopListening();
@@ -113,22 +137,47 @@
     /// Closes the connections that are between two requests.
     void closeIdleConnections();
     std::size_t connectionCount() const { return this->connections.size(); }
+    const RefusedConnections &refusedConnections() const { return this->refusedCounts; }
     /// Returns the number of exchanges whose answer has not ended.
     std::size_t openExchanges() const { return this->exchangeCount; }
+    /// Returns whether every answer has ended and been sent to its last byte.
+    bool hasSentAll() const
+    {
+        return this->exchangeCount == 0 && this->unsentMark.use_count() == 1;
+    }
 
 private:
     friend class ServerConnection;
 
+    /// Opens the listening socket. Returns 0 or an error of libuv.
+    int listen();
+    void listenAgainLater();
     void onConnection();
+    void onAcceptFailure(int code);
+    /// Closes the connection that can best be spared; false if there is none.
+    bool makeRoom();
+    /// Closes a connection whose request holds memory and no longer arrives; false if there is
+    /// none.
+    bool closeStalledHolder();
+    void logFull(const char *cause);
     void remove(const std::shared_ptr<ServerConnection> &connection);
 
     Loop &loop;
+    const Address address;
     ServerLimits limits;
     Handler handler;
     Refusal refusal;
+    MemoryBudgetPtr memoryBudget; ///< may be nullptr
     uv_tcp_s *listener = nullptr;
     std::set<std::shared_ptr<ServerConnection>> connections;
+    /// Each open socket has a copy, also those that are only waiting for their caller to close.
+    std::shared_ptr<const bool> socketLease = std::make_shared<bool>();
+    RefusedConnections refusedCounts;
+    LogRateLimiter fullLines;
+    Timer listenTimer;
     std::size_t exchangeCount = 0;
+    /// Kept by sockets that are closing and have bytes left to send.
+    std::shared_ptr<void> unsentMark = std::make_shared<char>();
     bool isClosing = false; ///< closeAfterAnswers() has been called
 };
 
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -28,6 +28,8 @@
     std::function<void()> onDrained; ///< the kernel has accepted all bytes that were queued
     /// The connection has ended and is closed. Called at most once, and as the last one.
     std::function<void(SocketEnd end, const std::string &reason)> onEnd;
+    /// Released when the socket has been closed, also after it has been closed gracefully.
+    std::shared_ptr<const void> lease;
 };
 
 /// One TCP connection. It stays alive until it is closed, also without other owners.
@@ -52,8 +54,9 @@
     /// Closes at once with a TCP reset, so that the peer does not see a regular end of the stream.
     void reset();
     /// Sends the queued bytes and the end of the stream, and closes when the peer has closed too or
-    /// after a second. Received bytes are dropped, and onDrained and onEnd are not called any more.
-    void closeGracefully();
+    /// a second after the last byte was sent. Received bytes are dropped, and onDrained and onEnd
+    /// are not called any more. Keeps \a whileUnsent until the last byte has been sent.
+    void closeGracefully(std::shared_ptr<void> whileUnsent = nullptr);
     /// Returns whether the socket is closed or is being closed.
     bool isClosed() const { return this->isClosing; }
 
@@ -71,7 +74,9 @@
     std::size_t queuedBytes = 0;
     bool isClosing = false;
     bool isClosingGracefully = false; ///< closeGracefully() has been called
+    std::shared_ptr<void> unsentMark; ///< kept until the last byte has been sent
     Timer lingerTimer;
+    std::weak_ptr<void> closer; ///< closes the socket when its last owner, a timer, is gone
 };
 
 } // namespace lavenderhall::http
