Forward: an answer counts only if it bears the request's own id, also a refusal

Cause: an endpoint sent a refusal ("503, Not-Executed") twice. The second copy came where the answer to the next request on the connection was expected. An answer was compared with the request's id unless it stated that its request had not run, so the copy ended the next request's attempt as refused, which allows another attempt and an answer that promises "not run".

Change: an answer with another id, or none, ends the attempt as one that may have run, as soon as its head arrives, and closes the connection. Before, a foreign answer without a body left the connection in the pool with the true answer still to come.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -26,6 +26,16 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns whose id an answer bears: "own", "none" or "other"; "" if no answer has arrived.
+const char *idOwner(const AnswerHead &head, const std::string &requestId)
+{
+    if (head.status == 0)
+        return "";
+    if (head.requestId.empty())
+        return "none";
+    return head.requestId == requestId ? "own" : "other";
+}
+
 std::string joined(const std::vector<PartId> &parts)
 {
     std::string text;
@@ -38,18 +48,22 @@
 
 } // namespace
 
+// An endpoint may send an answer twice, and the second copy then comes where the answer to the next
+// request on the connection is expected. Only the id tells the two apart, also for an answer which
+// states that its request has not run: this one may be running. The connection is closed, as the
+// answers on it belong to other requests from now on.
 void ForwardCall::onHead(int status, const http::Headers &headers)
 {
     this->head = this->context.adapter.readAnswerHead(status, headers);
-    const bool isOwnAnswer = this->head.requestId == this->request.id;
-    this->isForeign = !isOwnAnswer && !this->head.isNotRun;
-    if (!this->isStreaming && !this->isForeign && isSuccess(status))
+    this->context.reach.onHeard(this->service, this->choice.endpointId, monoNow());
+    if (this->head.requestId != this->request.id)
+        return this->giveUpAttempt("foreign_answer");
+    if (!this->isStreaming && isSuccess(status))
         this->streamWeights
             = this->head.weightsVersion ? this->head.weightsVersion : this->expectedWeights;
-    this->context.reach.onHeard(this->service, this->choice.endpointId, monoNow());
     this->recordWeights();
     this->recordNotices();
-    if (isOwnAnswer && status != MisdirectedRequest)
+    if (status != MisdirectedRequest)
         this->context.crashMonitor.onEndpointAlive(this->incarnation, monoNow());
 }
 
@@ -57,7 +71,7 @@
 // version other than the recorded one, which stays unknown until the engine reports it.
 void ForwardCall::recordWeights()
 {
-    if (this->request.model.empty() || this->isForeign)
+    if (this->request.model.empty())
         return;
     const std::string &id = this->choice.endpointId;
     if (this->head.status == MisdirectedRequest && this->expectedWeights)
@@ -69,7 +83,7 @@
 // The answer to a misdirected request comes from another endpoint.
 void ForwardCall::recordNotices()
 {
-    if (this->isForeign || this->head.status == MisdirectedRequest)
+    if (this->head.status == MisdirectedRequest)
         return;
     const std::string &id = this->choice.endpointId;
     if (this->head.isLeaving)
@@ -109,15 +123,13 @@
 {
     if (this->isFinished)
         return;
-    if (this->isForeign)
-        return this->giveUpAttempt("foreign_answer");
     if (!this->isPrefillDone) {
         this->isPrefillDone = true;
         this->startLimitTimer.cancel();
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
     }
     const bool isStream = this->route->kind == RequestKind::Stream && isSuccess(this->head.status)
-        && this->head.isSealed && !this->isForeign;
+        && this->head.isSealed;
     if (isStream)
         return this->onStreamData(data);
     if (isSuccess(this->head.status) && this->head.isSealed)
@@ -180,8 +192,6 @@
     this->call = nullptr;
     if (this->isFinished)
         return;
-    if (this->isForeign)
-        return this->endAttempt(AttemptOutcome::Broken, "foreign_answer");
     if (this->head.isNotRun)
         return this->endAttempt(AttemptOutcome::Refused,
                                 "status_" + std::to_string(this->head.status));
@@ -253,6 +263,7 @@
               {"end", toString(outcome)},
               {"reason", reason},
               {"begun", this->hasBegun ? 1 : 0},
+              {"answer_id", idOwner(this->head, this->request.id)},
               {"shared_parts", joined(this->signature.sharedParts())},
               {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
               {"table", this->table->version()}});
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -178,7 +178,6 @@
     this->head = {};
     this->body.clear();
     this->splitter.reset();
-    this->isForeign = false;
     this->hasBegun = false;
     this->isPrefillDone = false;
     this->uncachedTokens
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -238,7 +238,6 @@
     http::Timer startLimitTimer; ///< runs until the attempt has begun
     std::optional<std::int64_t> expectedWeights; ///< that the attempt requires
     bool isPrefillDone = false;
-    bool isForeign = false; ///< the answer of this attempt belongs to another request
     bool hasBegun = false; ///< this attempt has sent a part of a successful answer
     AnswerHead head;
     std::string body;
