Orders to engines: a connection of their own, so that no report's answer counts as theirs

Cause: an order and a report share a pool of connections, and neither their answers nor their calls bear an id. The second copy of a report's 200 that arrives after an order was sent on the same connection counts as the order's answer "the order already holds": the rollout takes the engine for loaded while the order is refused or being carried out.

Ruled out: comparing an id as for requests; the platform defines none for these calls.

Change: sendOrder() stands beside requestReport() and opens a connection for each order. Reports that get an earlier report's copy stay possible; they are one interval old.

--- a/src/forward/enginecalls.cpp
+++ b/src/forward/enginecalls.cpp
@@ -24,8 +24,7 @@
     return ReportFailure::Malformed;
 }
 
-} // namespace
-
+/// Sends \a request to \a engine; \a onAnswer is called once.
 void callEngine(http::Client &client, http::CallRequest request, const RegisteredEndpoint &engine,
                 EngineCallTimeouts timeouts, const http::ResponseHandler &onAnswer)
 {
@@ -35,6 +34,8 @@
     http::startBuffered(client, std::move(request), onAnswer);
 }
 
+} // namespace
+
 void requestReport(http::Client &client, const PlatformAdapter &adapter,
                    const RegisteredEndpoint &engine, EngineCallTimeouts timeouts,
                    const ReportHandler &onAnswer)
@@ -49,6 +50,23 @@
     callEngine(client, adapter.writeReportCall(engine), engine, timeouts, onResponse);
 }
 
+// An order and its answer bear no id that would tell the answer from another one. On a connection
+// that has carried a report, a second copy of the report's answer would count as the order's.
+void sendOrder(http::Client &client, const PlatformAdapter &adapter,
+               const RegisteredEndpoint &engine, const WeightsOrder &order,
+               EngineCallTimeouts timeouts, const OrderHandler &onAnswer)
+{
+    http::CallRequest request = adapter.writeOrder(engine, order);
+    request.reuse = http::Reuse::Never;
+    const auto onResponse = [&adapter, onAnswer](const http::Response *response,
+                                                 const http::CallFailure &failure) {
+        if (response)
+            return onAnswer(adapter.readOrderAnswer(*response), true);
+        onAnswer(failure.mayHaveBeenSent ? OrderAnswer::Unknown : OrderAnswer::Conflict, false);
+    };
+    callEngine(client, std::move(request), engine, timeouts, onResponse);
+}
+
 void applyReportedWeights(EndpointSelector &selector, const RegisteredEndpoint &engine,
                           const EngineReport &report, const EngineBroadcast &broadcast)
 {
--- a/src/forward/enginecalls.h
+++ b/src/forward/enginecalls.h
@@ -34,10 +34,6 @@
     Millis answer{800};
 };
 
-/// Sends \a request to \a engine; \a onAnswer is called once.
-void callEngine(http::Client &client, http::CallRequest request, const RegisteredEndpoint &engine,
-                EngineCallTimeouts timeouts, const http::ResponseHandler &onAnswer);
-
 using ReportHandler = std::function<void(const std::variant<EngineReport, ReportFailure> &answer)>;
 
 /// Requests a report from \a engine. The answer of another engine that has taken over the address
@@ -46,6 +42,14 @@
                    const RegisteredEndpoint &engine, EngineCallTimeouts timeouts,
                    const ReportHandler &onAnswer);
 
+/// \a isReached tells whether the engine has answered at all.
+using OrderHandler = std::function<void(OrderAnswer answer, bool isReached)>;
+
+/// Sends \a order to \a engine.
+void sendOrder(http::Client &client, const PlatformAdapter &adapter,
+               const RegisteredEndpoint &engine, const WeightsOrder &order,
+               EngineCallTimeouts timeouts, const OrderHandler &onAnswer);
+
 /// Records the weights that \a engine reports, and broadcasts each version that is newer than the
 /// one known before. Ignores a report of an engine that is busy with an order.
 void applyReportedWeights(EndpointSelector &selector, const RegisteredEndpoint &engine,
--- a/src/forward/rolloutcontroller.cpp
+++ b/src/forward/rolloutcontroller.cpp
@@ -141,29 +141,25 @@
         return this->planner.onReportFailed(engine.id, ReportFailure::NoAnswer, monoNow());
     order.holder = this->lease.holderName();
     order.fence = this->lease.fence();
-    const auto onAnswer = [this, alive = this->alive, engine, order](
-                              const http::Response *response, const http::CallFailure &failure) {
-        if (!*alive)
-            return;
-        const MonoTime now = monoNow();
-        this->recordReach(engine, response != nullptr);
-        const OrderAnswer answerIfFailed
-            = failure.mayHaveBeenSent ? OrderAnswer::Unknown : OrderAnswer::Conflict;
-        const OrderAnswer answer
-            = response ? this->adapter.readOrderAnswer(*response) : answerIfFailed;
-        logEvent(LogLevel::Info, "order",
-                 {{"endpoint", engine.id},
-                  {"model", order.model},
-                  {"version", order.version},
-                  {"fence", order.fence},
-                  {"condition", order.expectedAcceptedOrders},
-                  {"answer", toString(answer)}});
-        if (answer == OrderAnswer::Fenced)
-            this->lease.onFenced(now);
-        this->planner.onOrderAnswer(engine.id, answer, now);
-    };
-    callEngine(this->client, this->adapter.writeOrder(engine, order), engine, EngineCallTimeouts{},
-               onAnswer);
+    const auto onAnswer
+        = [this, alive = this->alive, engine, order](OrderAnswer answer, bool isReached) {
+              if (!*alive)
+                  return;
+              const MonoTime now = monoNow();
+              this->recordReach(engine, isReached);
+              logEvent(LogLevel::Info, "order",
+                       {{"endpoint", engine.id},
+                        {"model", order.model},
+                        {"version", order.version},
+                        {"fence", order.fence},
+                        {"condition", order.expectedAcceptedOrders},
+                        {"answer", toString(answer)}});
+              if (answer == OrderAnswer::Fenced)
+                  this->lease.onFenced(now);
+              this->planner.onOrderAnswer(engine.id, answer, now);
+          };
+    lavenderhall::sendOrder(this->client, this->adapter, engine, order, EngineCallTimeouts{},
+                            onAnswer);
 }
 
 } // namespace lavenderhall
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,7 +24,8 @@
     /// unlikely to have closed it since.
     Recent,
     /// Never, for calls that must not be repeated: the server may have closed an idle connection
-    /// without the client having noticed yet.
+    /// without the client having noticed yet. Also for calls whose answer bears no id: the second
+    /// copy of an earlier answer may still arrive on a connection that has been used.
     Never,
 };
 
