Configuration: one value that the router does not know keeps nothing else back

The key that it withdrew worked on (171 requests, up to 14.9 s later), the route that it added was answered 404, and after a restart nothing was served.

Ruled out: a wider range alone; the next value would do the same.

Change: the closest value, or a harmless default, stands for what the router cannot represent, and an entry that nothing can refer to is left out. Only what has no version, or no lists, is refused. Log configuration_issue, metric lavenderhall_config_issues.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -3,6 +3,7 @@
 #include "base/address.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavenderhall {
 
@@ -10,6 +11,23 @@
 
 constexpr std::size_t MaxDescribedBytes = 60; ///< of a JSON value in an error message
 
+/// Returns the whole number in \a range that is closest to \a number. A floating-point number that
+/// does not fit into 64 bits is compared before it is converted.
+std::int64_t closestTo(const Json &number, IntRange range)
+{
+    if (number.is_number_unsigned()
+        && number.get<std::uint64_t>() > static_cast<std::uint64_t>(range.maximum))
+        return range.maximum;
+    if (!number.is_number_float())
+        return std::clamp(number.get<std::int64_t>(), range.minimum, range.maximum);
+    const double value = number.get<double>();
+    if (value >= static_cast<double>(range.maximum))
+        return range.maximum;
+    if (value <= static_cast<double>(range.minimum))
+        return range.minimum;
+    return std::clamp<std::int64_t>(std::llround(value), range.minimum, range.maximum);
+}
+
 } // namespace
 
 std::string findText(const Json &object, const std::string &name, std::string fallback)
@@ -209,6 +227,24 @@
     return entry->get<std::int64_t>();
 }
 
+std::int64_t ObjectReader::closestInteger(const std::string &name, IntRange range,
+                                          std::int64_t fallback)
+{
+    const Json *entry = this->find(name, false, "a number");
+    if (!entry)
+        return fallback;
+    if (!entry->is_number()) {
+        this->recordError(name, describeJson(*entry), "a number");
+        return fallback;
+    }
+    const auto closest = closestTo(*entry, range);
+    if (*entry != closest)
+        this->recordError(name, describeJson(*entry),
+                          "a whole number from " + std::to_string(range.minimum) + " to "
+                              + std::to_string(range.maximum));
+    return closest;
+}
+
 bool ObjectReader::boolean(const std::string &name, bool fallback)
 {
     const Json *entry = this->find(name, false, "true or false");
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -69,6 +69,9 @@
     std::string ipAddress(const std::string &name);
     std::int64_t integer(const std::string &name, IntRange range);
     std::int64_t integer(const std::string &name, IntRange range, std::int64_t fallback);
+    /// Returns the whole number in \a range that is closest to the number found. Records an error
+    /// if they differ, but the result can be used all the same.
+    std::int64_t closestInteger(const std::string &name, IntRange range, std::int64_t fallback);
     bool boolean(const std::string &name, bool fallback);
     double number(const std::string &name, double fallback);
     /// Returns the fields of an object whose values are all texts; empty if it is missing.
--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -37,7 +37,11 @@
     ObjectCodec objects;
     ObjectKinds kinds;
 
-    Result<TableContent> (*readTable)(const Json &content);
+    /// The platform has accepted the configuration, so no value of a route, a service or an
+    /// organisation makes it unreadable: what the router cannot take as it stands is replaced by
+    /// the closest value, or that entry is left out. An error means that there is no such list at
+    /// all, or no version.
+    Result<TableReading> (*readTable)(const Json &content);
     Result<RegisteredEndpoint> (*readEndpoint)(const StoredObject &object);
     Result<NamedWeights> (*readWeights)(const Json &content);
 
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -144,7 +144,7 @@
 bool ForwardCall::authenticate()
 {
     this->organisation = this->table->findByKey(this->request.key);
-    if (this->organisation || this->route->isPublic || !this->table->hasOrganisations())
+    if (this->organisation || this->route->isPublic || !this->table->needsKeys())
         return true;
     this->refuse({401, "unknown_key", {}});
     return false;
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -44,9 +44,13 @@
                  {{"revision", counterOf(revision)}, {"detail", error->detail}});
         return;
     }
-    auto table = std::make_shared<const RoutingTable>(std::get<TableContent>(std::move(read)));
+    auto reading = std::get<TableReading>(std::move(read));
+    auto table = std::make_shared<const RoutingTable>(std::move(reading.content));
     if (this->context.table && table->version() <= this->context.table->version())
         return;
+    for (const std::string &issue : reading.issues)
+        logEvent(LogLevel::Error, "configuration_issue",
+                 {{"version", table->version()}, {"detail", issue}});
     this->tableRevision = revision;
     this->context.table = table;
     http::ServerLimits limits = table->content().limits;
@@ -67,12 +71,14 @@
     this->originLookup.onDirectory(this->directory, monoNow());
     this->rateLimiter.onConfig(table->content(), this->settings.regionOfZone);
     this->metrics.setConfigVersion(static_cast<double>(table->version()));
+    this->metrics.setConfigIssues(static_cast<double>(reading.issues.size()));
     this->timeline.add(EventKind::ConfigInForce, "", "", {{"version", table->version()}});
     logEvent(LogLevel::Info, "config_in_force",
              {{"version", table->version()},
               {"revision", counterOf(revision)},
               {"era", eraOf(revision)},
               {"routes", table->content().routes.size()},
+              {"issues", reading.issues.size()},
               {"organisations", table->content().organisations.size()}});
 }
 
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -51,6 +51,8 @@
                      .Add({}, FirstTokenBuckets))
     , configVersion(gauge(*this->registry, "lavenderhall_config_version",
                           "Version of the configuration in force"))
+    , configIssues(gauge(*this->registry, "lavenderhall_config_issues",
+                         "Entries of the configuration with values that were replaced or left out"))
     , openRequests(
           gauge(*this->registry, "lavenderhall_open_requests", "Requests not yet answered"))
     , backlog(gauge(*this->registry, "lavenderhall_backlog_bytes",
@@ -112,6 +114,11 @@
     this->configVersion.Set(version);
 }
 
+void Metrics::setConfigIssues(double count)
+{
+    this->configIssues.Set(count);
+}
+
 void Metrics::setOpenRequests(double count, double backlogBytes)
 {
     this->openRequests.Set(count);
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -34,6 +34,8 @@
     /// \a seconds is the time from the arrival of a request to its first token.
     void observeFirstToken(double seconds);
     void setConfigVersion(double version);
+    /// \a count is the number of entries of the configuration that are not applied as they stand.
+    void setConfigIssues(double count);
     /// \a backlogBytes are bytes of answers that callers have not read yet.
     void setOpenRequests(double count, double backlogBytes);
     /// \a total is the number of calls to the store since the start.
@@ -61,6 +63,7 @@
     prometheus::Counter &resumes;
     prometheus::Histogram &firstToken;
     prometheus::Gauge &configVersion;
+    prometheus::Gauge &configIssues;
     prometheus::Gauge &openRequests;
     prometheus::Gauge &backlog;
     prometheus::Gauge &storeCalls;
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -42,7 +42,7 @@
     Millis timeout{0}; ///< until the complete answer
     Millis targetLatency{0}; ///< target time until the answer or a stream's first event
     Millis targetGap{0}; ///< target time between two events of a stream
-    int priority = 0; ///< 0 is the most urgent
+    int priority = 0; ///< rank among the routes, without an upper bound; 0 is the most urgent
     int maxAttempts = 1; ///< endpoints that one request may run on
     bool isPublic = false; ///< callers need no key
     bool isSticky = false; ///< its requests identify the parts of their prompts
@@ -114,11 +114,23 @@
     std::vector<ForwardRoute> routes;
     std::vector<ServiceSpec> services;
     std::vector<OrganisationSpec> organisations;
+    bool needsKeys = false; ///< also if no organisation is left to hold a key
     http::ServerLimits limits; ///< on the sizes and durations of callers' requests
 
     bool operator==(const TableContent &) const = default;
 };
 
+/// The configuration as it was read from the operators' platform, which has accepted it.
+struct TableReading
+{
+    TableContent content;
+    /// What could not be taken as it stands, one text for each entry: the values that were replaced
+    /// or left out.
+    std::vector<std::string> issues;
+
+    bool operator==(const TableReading &) const = default;
+};
+
 /// The configuration in force, with indexes for look-ups.
 class RoutingTable
 {
@@ -138,8 +150,11 @@
     const OrganisationSpec *findOrganisation(std::string_view name) const;
     /// Returns the organisation that owns \a key; nullptr if the key is unknown.
     const OrganisationSpec *findByKey(std::string_view key) const;
-    /// Whether any organisation is configured; if none is, callers need no keys.
-    bool hasOrganisations() const { return !this->tableContent.organisations.empty(); }
+    /// Whether callers need keys, unless their route is public.
+    bool needsKeys() const
+    {
+        return this->tableContent.needsKeys || !this->tableContent.organisations.empty();
+    }
 
 private:
     const TableContent tableContent;
