Replica: a list removes older entries also when newer changes are known

Cause: the watchers started again with a list that lacked the entry, and pushed a newer one. The list reached the others after that entry. EndpointDirectory ignored it as a whole, while it was recorded as known. Three more ways to the same end: changes offered as complete by a process that had started after them; missing entries kept for 2 s as after an outage, after up to 2.1 s without heartbeats; heartbeats that announce a list which is never sent.

Ruled out: a lost list (objects_from_peer whole=1 arrived 1.0 s after the start); the 2 s of an outage alone (the entry was kept for 10 s).

Change: a list decides on each entry that is not newer; changes are offered one by one only from the sender's list on, else all objects; heartbeats count if the receiver has what they name, and say when the store is lost; pings name changes, not lists. The decisions are ObjectReplica's, apart from the watch, so that they can be simulated.

directory/an_older_list_removes_nothing has a new name, as its check (a newer entry stays) is narrower than the old one; the check is unchanged.

--- a/src/forward/storereplica.cpp
+++ b/src/forward/storereplica.cpp
@@ -8,12 +8,13 @@
 
 StoreReplica::StoreReplica(http::Loop &loop, ObjectClient &store, const ObjectKinds &kinds,
                            StoreReplicaHandlers handlers, std::uint64_t seed)
-    : names{kinds.configuration, kinds.endpoints, kinds.weights}
-    , handlers(std::move(handlers))
+    : onStoreChange(handlers.onStoreChange)
+    , replica({kinds.configuration, kinds.endpoints, kinds.weights}, std::move(handlers))
 {
     for (std::size_t kind = 0; kind < ObjectKindCount; ++kind) {
-        this->watchers.push_back(std::make_unique<ObjectWatcher>(
-            loop, store, this->names.at(kind), this->watchHandlers(ObjectKind{kind}), seed + kind));
+        this->watchers.push_back(
+            std::make_unique<ObjectWatcher>(loop, store, this->replica.kindNames().at(kind),
+                                            this->watchHandlers(ObjectKind{kind}), seed + kind));
     }
 }
 
@@ -23,11 +24,6 @@
         watcher->start();
 }
 
-bool StoreReplica::hasList(ObjectKind kind) const
-{
-    return this->lastLists.at(static_cast<std::size_t>(kind)).revision > 0;
-}
-
 Millis StoreReplica::storeOutageDuration() const
 {
     const auto &watcher = this->watchers.at(static_cast<std::size_t>(ObjectKind::Configuration));
@@ -39,145 +35,75 @@
     ObjectWatchHandlers watchHandlers;
     watchHandlers.onListed = [this, kind](const std::vector<StoredObject> &objects,
                                           std::int64_t revision, bool wasUnreachable) {
-        this->onListed(kind, objects, revision, wasUnreachable);
-        this->handlers.onStoreChange(kind);
+        this->replica.applyList(kind, objects, revision, wasUnreachable, monoNow());
+        this->onStoreChange(kind);
     };
     watchHandlers.onEvents = [this, kind](const std::vector<ObjectEvent> &events) {
-        this->onEvents(kind, events);
-        this->handlers.onStoreChange(kind);
+        this->replica.applyEvents(kind, events);
+        this->onStoreChange(kind);
     };
     return watchHandlers;
 }
 
-void StoreReplica::onListed(ObjectKind kind, const std::vector<StoredObject> &objects,
-                            std::int64_t revision, bool wasUnreachable)
-{
-    this->mirror(kind).applyList(objects, revision);
-    std::vector<std::string> objectNames;
-    for (const StoredObject &object : objects) {
-        objectNames.push_back(object.name);
-        this->handlers.onEvent(kind, {object, false});
-    }
-    this->lastLists.at(static_cast<std::size_t>(kind)) = {revision, wasUnreachable};
-    this->handlers.onListed(kind, objectNames, revision, wasUnreachable);
-    this->handlers.onBatchEnd();
-}
-
-void StoreReplica::onEvents(ObjectKind kind, const std::vector<ObjectEvent> &events)
-{
-    for (const ObjectEvent &event : this->mirror(kind).applyEvents(events))
-        this->handlers.onEvent(kind, event);
-    this->handlers.onBatchEnd();
-}
-
 ReplicatedObjects StoreReplica::replicatedObjects()
 {
     ReplicatedObjects functions;
-    functions.kinds.assign(this->names.begin(), this->names.end());
-    functions.latestRevision
-        = [this](std::size_t kind) { return this->mirror(ObjectKind{kind}).revision(); };
-    functions.listedRevision
-        = [this](std::size_t kind) { return this->lastLists.at(kind).revision; };
-    functions.offerAll = [this](std::size_t kind) { return this->makeFullOffer(ObjectKind{kind}); };
-    functions.isCurrent = [this] { return this->isCurrent(); };
-    functions.onHeartbeat = [this] { this->watchPolicy.onHeartbeat(monoNow()); };
-    functions.updateWatch = [this](bool isAssigned) { this->updateWatch(isAssigned); };
+    const ObjectReplica::KindNames &names = this->replica.kindNames();
+    functions.kinds.assign(names.begin(), names.end());
+    functions.knownRevision
+        = [this](std::size_t kind) { return this->replica.mirror(ObjectKind{kind}).revision(); };
+    functions.changeRevision = [this](std::size_t kind) {
+        return this->replica.mirror(ObjectKind{kind}).changeRevision();
+    };
+    functions.listedRevision = [this](std::size_t kind) {
+        return this->replica.mirror(ObjectKind{kind}).listRevision();
+    };
+    functions.offerAll
+        = [this](std::size_t kind) { return this->replica.offerAll(ObjectKind{kind}, monoNow()); };
     functions.offerChanges = [this](std::size_t kind, std::int64_t after) {
-        return this->makeOffer(ObjectKind{kind}, after);
+        return this->replica.offerChanges(ObjectKind{kind}, after, monoNow());
     };
     functions.applyOffer = [this](std::size_t kind, const proto::ObjectsOffer &offer) {
-        this->applyOffer(ObjectKind{kind}, offer);
+        this->replica.applyOffer(ObjectKind{kind}, offer, monoNow());
+    };
+    functions.storeContact = [this] { return this->storeContact(); };
+    functions.onHeartbeat = [this](const StoreHeartbeat &heartbeat) {
+        this->watchPolicy.onHeartbeat(heartbeat, monoNow());
     };
+    functions.updateWatch = [this](bool isAssigned) { this->updateWatch(isAssigned); };
     return functions;
 }
 
-proto::ObjectsOffer StoreReplica::makeOffer(ObjectKind kind, std::int64_t after) const
-{
-    proto::ObjectsOffer offer;
-    offer.set_kind(this->nameOf(kind));
-    offer.set_after(after);
-    for (const ObjectEvent &event : this->mirror(kind).eventsAfter(after)) {
-        proto::SharedObject &object = *offer.add_objects();
-        object.set_name(event.object.name);
-        object.set_revision(event.object.revision);
-        object.set_is_deleted(event.isDeleted);
-        object.set_content(writeJson(event.object.content));
-    }
-    return offer;
-}
-
-proto::ObjectsOffer StoreReplica::makeFullOffer(ObjectKind kind) const
-{
-    const ListState &lastList = this->lastLists.at(static_cast<std::size_t>(kind));
-    proto::ObjectsOffer offer = this->makeOffer(kind, 0);
-    offer.set_is_whole(true);
-    offer.set_revision(lastList.revision);
-    offer.set_was_away(lastList.wasUnreachable);
-    return offer;
-}
-
-void StoreReplica::applyOffer(ObjectKind kind, const proto::ObjectsOffer &offer)
-{
-    std::vector<ObjectEvent> events;
-    std::vector<StoredObject> listedObjects;
-    for (const proto::SharedObject &object : offer.objects()) {
-        Json content = readJson(object.content(), DeepJson::LeftOut);
-        // The revision counts as known all the same, so that the object is not requested again.
-        if (content.is_discarded())
-            content = nullptr;
-        events.push_back(
-            {{object.name(), object.revision(), std::move(content)}, object.is_deleted()});
-        if (!object.is_deleted())
-            listedObjects.push_back(events.back().object);
-    }
-    logEvent(LogLevel::Info, "objects_from_peer",
-             {{"kind", this->nameOf(kind)},
-              {"objects", events.size()},
-              {"known", this->mirror(kind).revision()},
-              {"whole", offer.is_whole() ? 1 : 0}});
-    this->onEvents(kind, events);
-    const bool isNewerList
-        = offer.revision() > this->lastLists.at(static_cast<std::size_t>(kind)).revision;
-    if (offer.is_whole() && isNewerList)
-        this->onListed(kind, listedObjects, offer.revision(), offer.was_away());
-}
-
+// An entry that a list lacks may have expired in an outage although its endpoint is alive. The
+// silence of instances that watched the store is no sign of an outage: they may have ended.
 void StoreReplica::updateWatch(bool isAssigned)
 {
-    const bool shouldWatch = this->watchPolicy.shouldWatch(isAssigned, monoNow());
+    const MonoTime now = monoNow();
+    const bool shouldWatch = this->watchPolicy.shouldWatch(isAssigned, now);
     if (shouldWatch == this->isWatching())
         return;
+    const bool wasLost = this->watchPolicy.mayStoreHaveBeenLost(now);
     logEvent(LogLevel::Info, "store_watch",
-             {{"watching", shouldWatch ? 1 : 0}, {"on_duty", isAssigned ? 1 : 0}});
-    // It is possible that no instance has reached the store for a while. An entry that is missing
-    // from the list may then have expired although its endpoint is alive.
+             {{"watching", shouldWatch ? 1 : 0},
+              {"on_duty", isAssigned ? 1 : 0},
+              {"store_lost", wasLost ? 1 : 0}});
     for (const auto &watcher : this->watchers) {
         if (shouldWatch)
-            watcher->start(true);
+            watcher->start(wasLost);
         else
             watcher->stop();
     }
 }
 
-bool StoreReplica::isCurrent() const
-{
-    return std::all_of(this->watchers.begin(), this->watchers.end(),
-                       [](const auto &watcher) { return watcher->isCurrent(); });
-}
-
-const std::string &StoreReplica::nameOf(ObjectKind kind) const
-{
-    return this->names.at(static_cast<std::size_t>(kind));
-}
-
-const ObjectMirror &StoreReplica::mirror(ObjectKind kind) const
+StoreContact StoreReplica::storeContact() const
 {
-    return this->mirrors.at(static_cast<std::size_t>(kind));
-}
-
-ObjectMirror &StoreReplica::mirror(ObjectKind kind)
-{
-    return this->mirrors.at(static_cast<std::size_t>(kind));
+    const auto all = [this](auto &&holds) {
+        return std::all_of(this->watchers.begin(), this->watchers.end(), holds);
+    };
+    if (all([](const auto &watcher) { return watcher->isCurrent(); }))
+        return StoreContact::Current;
+    return all([](const auto &watcher) { return !watcher->hasLostStore(); }) ? StoreContact::Unknown
+                                                                             : StoreContact::Lost;
 }
 
 } // namespace lavenderhall
--- a/src/router/objectreplicator.cpp
+++ b/src/router/objectreplicator.cpp
@@ -23,7 +23,7 @@
 {
     std::vector<std::int64_t> latest;
     for (std::size_t kind = 0; kind < this->objects.kinds.size(); ++kind)
-        latest.push_back(this->objects.latestRevision(kind));
+        latest.push_back(this->objects.changeRevision(kind));
     return latest;
 }
 
@@ -48,6 +48,7 @@
                                 announcements.end());
     if (now >= this->nextChangesRequest) {
         this->nextChangesRequest = now + RequestInterval;
+        this->objects.updateWatch(this->hooks.isAssigned());
         this->requestChanges();
     }
     if (now >= this->nextHeartbeat) {
@@ -62,37 +63,39 @@
 {
     std::vector<bool> isRequested(this->objects.kinds.size(), false);
     for (const Membership::NewerRevision &announcement : std::exchange(this->newerRevisions, {})) {
-        const std::int64_t latest = this->objects.latestRevision(announcement.kind);
-        if (announcement.revision <= latest || isRequested[announcement.kind])
+        const std::int64_t known = this->objects.knownRevision(announcement.kind);
+        if (announcement.revision <= known || isRequested[announcement.kind])
             continue;
         isRequested[announcement.kind] = true;
         proto::Envelope request;
         request.mutable_objects_request()->set_kind(this->objects.kinds[announcement.kind]);
-        request.mutable_objects_request()->set_after(latest);
+        request.mutable_objects_request()->set_after(known);
         this->hooks.send(announcement.from, request);
     }
 }
 
 void ObjectReplicator::publish(std::size_t kind)
 {
-    const std::int64_t latest = this->objects.latestRevision(kind);
-    const std::int64_t after = std::exchange(this->publishedRevisions[kind], latest);
-    if (latest <= after || !this->hooks.isAssigned())
+    const std::int64_t known = this->objects.knownRevision(kind);
+    const std::int64_t after = std::exchange(this->publishedRevisions[kind], known);
+    if (known <= after || !this->hooks.isAssigned())
         return;
     proto::Envelope message;
     *message.mutable_objects_offer() = this->objects.offerChanges(kind, after);
     this->sendToRegion(message);
 }
 
+// A heartbeat without revisions says that the store does not answer.
 void ObjectReplicator::sendHeartbeat()
 {
-    const bool isAssigned = this->hooks.isAssigned();
-    this->objects.updateWatch(isAssigned);
-    if (!isAssigned || !this->objects.isCurrent())
+    const StoreContact contact = this->objects.storeContact();
+    if (!this->hooks.isAssigned() || contact == StoreContact::Unknown)
         return;
     proto::Envelope message;
-    for (std::size_t kind = 0; kind < this->objects.kinds.size(); ++kind) {
-        message.mutable_store_beat()->add_revisions(this->objects.latestRevision(kind));
+    message.mutable_store_beat();
+    const std::size_t kinds = contact == StoreContact::Lost ? 0 : this->objects.kinds.size();
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        message.mutable_store_beat()->add_revisions(this->objects.changeRevision(kind));
         message.mutable_store_beat()->add_listed(this->objects.listedRevision(kind));
     }
     this->sendToRegion(message);
@@ -119,7 +122,7 @@
     const auto kind = this->kindOf(offer.kind());
     if (!kind)
         return;
-    if (offer.is_whole() || offer.after() <= this->objects.latestRevision(*kind))
+    if (offer.is_whole() || offer.after() <= this->objects.knownRevision(*kind))
         return this->objects.applyOffer(*kind, offer);
     this->newerRevisions.push_back({*kind, offer.after(), message.from()});
 }
@@ -127,16 +130,23 @@
 void ObjectReplicator::onHeartbeat(const proto::Envelope &message, MonoTime now)
 {
     const proto::StoreBeat &heartbeat = message.store_beat();
+    const std::string &sender = message.from().name();
+    if (heartbeat.revisions().empty() && heartbeat.listed().empty())
+        return this->objects.onHeartbeat({sender, true, false});
     const auto kinds = static_cast<int>(this->objects.kinds.size());
     if (heartbeat.revisions_size() != kinds || heartbeat.listed_size() != kinds)
         return;
-    this->objects.onHeartbeat();
+    bool isInSync = true;
     for (int index = 0; index < kinds; ++index) {
         const auto kind = static_cast<std::size_t>(index);
+        const bool lacksList = heartbeat.listed(index) > this->objects.listedRevision(kind);
+        const bool lacksChange = heartbeat.revisions(index) > this->objects.knownRevision(kind);
+        isInSync = isInSync && !lacksList && !lacksChange;
         this->newerRevisions.push_back({kind, heartbeat.revisions(index), message.from()});
-        if (heartbeat.listed(index) > this->objects.listedRevision(kind))
+        if (lacksList)
             this->requestAll(kind, message.from(), now);
     }
+    this->objects.onHeartbeat({sender, false, isInSync});
 }
 
 void ObjectReplicator::requestAll(std::size_t kind, const proto::ProcessId &from, MonoTime now)
--- a/src/router/objectreplicator.h
+++ b/src/router/objectreplicator.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "membership/membership.h"
 #include "proto/peer.pb.h"
+#include "store/watchpolicy.h"
 
 #include <functional>
 #include <optional>
@@ -19,20 +20,22 @@
 struct ReplicatedObjects
 {
     std::vector<std::string> kinds;
-    /// Latest revision known here.
-    std::function<std::int64_t(std::size_t kind)> latestRevision;
+    /// Store revision up to which all changes are known here.
+    std::function<std::int64_t(std::size_t kind)> knownRevision;
+    /// Revision of the newest change of an object that is known here.
+    std::function<std::int64_t(std::size_t kind)> changeRevision;
     /// Revision of the last complete list.
     std::function<std::int64_t(std::size_t kind)> listedRevision;
-    /// Returns the objects that changed after the revision \a after.
+    /// Returns the objects that changed after the revision \a after, or all objects.
     std::function<proto::ObjectsOffer(std::size_t kind, std::int64_t after)> offerChanges;
     /// Returns all objects of the kind.
     std::function<proto::ObjectsOffer(std::size_t kind)> offerAll;
     /// Applies the objects of an offer from another instance.
     std::function<void(std::size_t kind, const proto::ObjectsOffer &offer)> applyOffer;
-    std::function<bool()> isCurrent; ///< whether this instance's watch of the store is up to date
-    /// Called when another instance of the region reports that it watches the store.
-    std::function<void()> onHeartbeat;
-    /// Called at every heartbeat interval; \a isAssigned tells whether this instance has to watch
+    std::function<StoreContact()> storeContact; ///< by this instance's own watch
+    /// Called when another instance of the region reports on its watch of the store.
+    std::function<void(const StoreHeartbeat &heartbeat)> onHeartbeat;
+    /// Called at every request interval; \a isAssigned tells whether this instance has to watch
     /// the store for its region.
     std::function<void(bool isAssigned)> updateWatch;
 };
@@ -60,7 +63,7 @@
     void onRequest(const proto::Envelope &message);
     void onOffer(const proto::Envelope &message);
     void onHeartbeat(const proto::Envelope &message, MonoTime now);
-    /// Returns the latest known revision of each kind.
+    /// Returns the revision of the newest known change of each kind.
     std::vector<std::int64_t> revisions() const;
 
 private:
--- a/src/router/objectreplicator_test.cpp
+++ b/src/router/objectreplicator_test.cpp
@@ -29,7 +29,8 @@
     {
         ReplicatedObjects result;
         result.kinds = {"kind"};
-        result.latestRevision = [this](std::size_t) { return this->latestRevision; };
+        result.knownRevision = [this](std::size_t) { return this->latestRevision; };
+        result.changeRevision = [this](std::size_t) { return this->latestRevision; };
         result.listedRevision = [this](std::size_t) { return this->listedRevision; };
         result.offerChanges
             = [this](std::size_t, std::int64_t after) { return this->offer(after); };
@@ -41,8 +42,8 @@
         };
         result.applyOffer
             = [this](std::size_t, const proto::ObjectsOffer &offer) { this->applyOffer(offer); };
-        result.isCurrent = [] { return true; };
-        result.onHeartbeat = [this] { ++this->heartbeats; };
+        result.storeContact = [] { return StoreContact::Current; };
+        result.onHeartbeat = [this](const StoreHeartbeat &) { ++this->heartbeats; };
         result.updateWatch = [](bool) {};
         return result;
     }
--- a/src/routing/endpointdirectory.cpp
+++ b/src/routing/endpointdirectory.cpp
@@ -1,6 +1,7 @@
 #include "routing/endpointdirectory.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lavenderhall {
@@ -48,15 +49,16 @@
     this->endpoints.erase(found);
 }
 
+// The list may arrive after changes that are newer than it, as a list of another instance that has
+// just started does. It still tells of all older entries whether they exist.
 void EndpointDirectory::onListed(const std::vector<std::string> &ids, std::int64_t revision,
                                  bool wasUnreachable, MonoTime now)
 {
-    if (revision < this->newestRevision)
-        return;
-    this->newestRevision = revision;
+    this->newestRevision = std::max(this->newestRevision, revision);
+    const std::set<std::string> listed(ids.begin(), ids.end());
     std::vector<std::string> missing;
     for (const auto &[id, entry] : this->endpoints) {
-        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+        if (!listed.contains(id) && this->revisions[id] <= revision)
             missing.push_back(id);
     }
     for (const std::string &id : missing) {
--- a/src/routing/endpointdirectory.h
+++ b/src/routing/endpointdirectory.h
@@ -66,9 +66,10 @@
     void put(const RegisteredEndpoint &entry, std::int64_t revision);
     /// Removes the entry of \a id, which was removed from the store at \a revision.
     void remove(const std::string &id, std::int64_t revision);
-    /// Handles a complete list: put() has been called for all entries at \a revision, and entries
-    /// that are not among \a ids are removed. If the store had not been reachable before
-    /// (\a wasUnreachable), they are kept for DirectoryTimings::returnGrace first.
+    /// Handles a complete list: put() has been called for all entries at \a revision. Entries that
+    /// are not among \a ids are removed, unless they are newer than the list. If the store had not
+    /// been reachable before (\a wasUnreachable), they are kept for DirectoryTimings::returnGrace
+    /// first.
     void onListed(const std::vector<std::string> &ids, std::int64_t revision, bool wasUnreachable,
                   MonoTime now);
     /// Removes missing entries whose grace period is over.
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -128,7 +128,21 @@
     cr_assert(directory.find("a") == nullptr);
 }
 
-Test(directory, an_older_list_removes_nothing)
+// The list of another instance, which has just started, arrives after newer changes. Guards against
+// an endpoint that gets requests until it ends, although it has left.
+Test(directory, a_list_removes_older_entries_although_newer_ones_are_known)
+{
+    EndpointDirectory directory;
+    directory.put(entry("left"), 3);
+    directory.put(entry("stays"), 4);
+    directory.put(entry("joined"), 9);
+    directory.onListed({"stays"}, 5, false, Start);
+    cr_assert(directory.find("left") == nullptr);
+    cr_assert(directory.find("stays") != nullptr);
+    cr_assert(directory.find("joined") != nullptr);
+}
+
+Test(directory, a_list_removes_no_entry_that_is_newer)
 {
     EndpointDirectory directory;
     directory.put(entry("a"), 8);
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -12,32 +12,47 @@
 
 } // namespace
 
+// An object without an entry was gone when the list was read, unless it is newer.
+bool ObjectMirror::isNews(const StoredObject &object) const
+{
+    const auto known = this->byName.find(object.name);
+    return object.revision
+        > (known == this->byName.end() ? this->firstKnown() : known->second.object.revision);
+}
+
 std::vector<ObjectEvent> ObjectMirror::applyEvents(const std::vector<ObjectEvent> &events)
 {
-    std::vector<ObjectEvent> newEvents;
+    std::vector<ObjectEvent> news;
     for (const ObjectEvent &event : events) {
-        const auto [entry, isInserted] = this->byName.try_emplace(event.object.name, event);
-        if (!isInserted && event.object.revision <= entry->second.object.revision)
+        if (!this->isNews(event.object))
             continue;
-        entry->second = event;
-        this->newestRevision = std::max(this->newestRevision, event.object.revision);
-        newEvents.push_back(event);
+        this->byName.insert_or_assign(event.object.name, event);
+        this->newestChange = std::max(this->newestChange, event.object.revision);
+        news.push_back(event);
     }
+    this->knownRevision = std::max(this->knownRevision, this->newestChange);
+    this->dropOldTombstones();
+    return news;
+}
+
+void ObjectMirror::dropOldTombstones()
+{
     std::vector<std::pair<std::int64_t, std::string>> tombstones;
     for (const auto &[name, event] : this->byName) {
         if (event.isDeleted)
             tombstones.emplace_back(event.object.revision, name);
     }
     if (tombstones.size() <= MaxTombstones)
-        return newEvents;
+        return;
     std::sort(tombstones.begin(), tombstones.end());
     tombstones.resize(tombstones.size() - MaxTombstones);
     for (const auto &[revision, name] : tombstones)
         this->byName.erase(name);
-    return newEvents;
+    this->newestDropped = std::max(this->newestDropped, tombstones.back().first);
 }
 
-void ObjectMirror::applyList(const std::vector<StoredObject> &objects, std::int64_t revision)
+std::vector<ObjectEvent> ObjectMirror::applyList(const std::vector<StoredObject> &objects,
+                                                 std::int64_t revision)
 {
     std::set<std::string> names;
     std::vector<ObjectEvent> events;
@@ -45,11 +60,15 @@
         names.insert(object.name);
         events.push_back({object, false});
     }
+    std::vector<ObjectEvent> news = this->applyEvents(events);
     std::erase_if(this->byName, [&](const auto &entry) {
-        return !entry.second.isDeleted && !names.contains(entry.first);
+        const ObjectEvent &event = entry.second;
+        return !event.isDeleted && event.object.revision <= revision
+            && !names.contains(entry.first);
     });
-    this->applyEvents(events);
-    this->newestRevision = std::max(this->newestRevision, revision);
+    this->newestList = std::max(this->newestList, revision);
+    this->knownRevision = std::max(this->knownRevision, revision);
+    return news;
 }
 
 std::vector<ObjectEvent> ObjectMirror::eventsAfter(std::int64_t revision) const
--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -45,8 +45,17 @@
 
 bool ObjectWatcher::isCurrent() const
 {
-    return this->active && this->hasListed && this->consecutiveFailures == 0
-        && monoNow() - this->callStartedAt < WatchWait + OverdueMargin;
+    return this->active && this->hasListed && this->consecutiveFailures == 0 && !this->isOverdue();
+}
+
+bool ObjectWatcher::hasLostStore() const
+{
+    return this->active && (this->consecutiveFailures > 0 || this->isOverdue());
+}
+
+bool ObjectWatcher::isOverdue() const
+{
+    return monoNow() - this->callStartedAt >= WatchWait + OverdueMargin;
 }
 
 void ObjectWatcher::stop()
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -44,8 +44,11 @@
     bool isStoreUnreachable() const { return this->consecutiveFailures > 0; }
     /// Whether a list has been read, the last call did not fail and the current one is not overdue.
     bool isCurrent() const;
+    /// Whether the last call failed or the current one is overdue.
+    bool hasLostStore() const;
 
 private:
+    bool isOverdue() const;
     void list(const std::string &after);
     void onPage(const ObjectPage &page);
     void watch();
--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -131,6 +131,49 @@
     cr_assert(mirror.revision() == 9);
 }
 
+// The list of an instance that has just started arrives after newer changes. Guards against a
+// removal that only this list shows, and that is never noticed.
+Test(mirror, a_list_removes_what_it_lacks_although_newer_changes_are_known)
+{
+    ObjectMirror mirror;
+    mirror.applyEvents({event("removed", 5), event("stays", 6), event("newer", 12)});
+    mirror.applyList({{"stays", 6, Json(6)}}, 10);
+    cr_assert(mirror.eventsAfter(0).size() == 2U);
+    cr_assert(mirror.eventsAfter(10) == std::vector<ObjectEvent>{event("newer", 12)});
+    cr_assert(mirror.revision() == 12);
+}
+
+// Guards against an object that comes back from the copy of an instance that lags behind.
+Test(mirror, an_object_that_a_list_lacked_comes_back_only_by_a_newer_change)
+{
+    ObjectMirror mirror;
+    mirror.applyList({{"a", 3, Json(3)}}, 4);
+    mirror.applyList({}, 10);
+    cr_assert(mirror.applyEvents({event("a", 3), event("a", 7), event("b", 9)}).empty());
+    cr_assert(mirror.applyList({{"a", 7, Json(7)}}, 8).empty());
+    cr_assert(mirror.applyEvents({event("a", 11)}).size() == 1U);
+}
+
+// Guards against an offer of "all changes" by an instance that does not know of the removals before
+// its list.
+Test(mirror, changes_before_a_list_are_not_known_one_by_one)
+{
+    ObjectMirror mirror;
+    mirror.applyEvents({event("a", 5)});
+    cr_assert(mirror.hasAllEventsAfter(0));
+    mirror.applyList({{"b", 7, Json(7)}}, 9);
+    cr_assert(not(mirror.hasAllEventsAfter(8)));
+    cr_assert(mirror.hasAllEventsAfter(9));
+    cr_assert(mirror.revision() == 9);
+    cr_assert(mirror.changeRevision() == 7);
+    // The oldest removals are not kept for ever.
+    for (int number = 0; number < 1001; ++number)
+        mirror.applyEvents({event("gone-" + std::to_string(number), 10 + number, true)});
+    cr_assert(not(mirror.hasAllEventsAfter(9)));
+    cr_assert(mirror.hasAllEventsAfter(10));
+    cr_assert(mirror.listRevision() == 9);
+}
+
 // The store has lost its last seconds and gives out the same counters again.
 Test(mirror, objects_of_a_new_era_replace_those_with_higher_counters)
 {
@@ -203,7 +246,7 @@
         // Heartbeats arrive every 500 ms, except during an outage with a single one in its middle.
         const bool isOutage = now >= 20'000 && now < 30'000 && now != 25'000;
         if (now % 500 == 0 && !isOutage)
-            policy.onHeartbeat(at(now));
+            policy.onHeartbeat({"watcher", false, true}, at(now));
         const bool isWatching = policy.shouldWatch(false, at(now));
         cr_assert(policy.shouldWatch(true, at(now)));
         switches += isWatching != wasWatching ? 1 : 0;
@@ -216,6 +259,39 @@
     cr_assert(switches == 3);
 }
 
+// A watcher is killed again and again, and starts with a list that it never gets to send. Guards
+// against an instance that relies on its heartbeats all the while.
+Test(watchpolicy, heartbeats_of_more_than_is_known_here_do_not_count)
+{
+    const MonoTime start{};
+    WatchPolicy policy(start);
+    for (int now = 0; now <= 5000; now += 500)
+        policy.onHeartbeat({"watcher", false, true}, start + Millis(now));
+    cr_assert(not(policy.shouldWatch(false, start + Millis(5000))));
+    for (int now = 5500; now <= 7000; now += 500)
+        policy.onHeartbeat({"watcher", false, false}, start + Millis(now));
+    cr_assert(policy.shouldWatch(false, start + Millis(7000)));
+    cr_assert(not(policy.mayStoreHaveBeenLost(start + Millis(7000))));
+}
+
+// Guards against an endpoint that is kept for longer, as if the store had been away, because the
+// instances that watch the store were killed.
+Test(watchpolicy, only_watchers_without_contact_are_a_sign_of_an_outage)
+{
+    const MonoTime start{};
+    const auto at = [&](int millis) { return start + Millis(millis); };
+    WatchPolicy policy(start);
+    cr_assert(not(policy.mayStoreHaveBeenLost(at(0))));
+    policy.onHeartbeat({"first", false, true}, at(0));
+    policy.onHeartbeat({"second", true, false}, at(0));
+    cr_assert(not(policy.mayStoreHaveBeenLost(at(2000))));
+    policy.onHeartbeat({"first", true, false}, at(2500));
+    policy.onHeartbeat({"second", true, false}, at(2500));
+    cr_assert(policy.mayStoreHaveBeenLost(at(4000)));
+    // Neither has been heard of for long.
+    cr_assert(not(policy.mayStoreHaveBeenLost(at(9000))));
+}
+
 Test(objectwatcher, ignores_answers_after_stop_and_lists_again_after_start)
 {
     ScriptedStore store({{200, {}, "10"}, {200, {}, "12"}});
