Simulation of the replica: watchers are killed at any time after a heartbeat

The simulation killed the watchers just before a heartbeat only.

With the old rules for lists, offers and heartbeats it fails now: "50/0/700/ 1100: instance 2 has engine-a 2510 ms after its removal".

No functional change.

--- a/src/forward/objectreplica_test.cpp
+++ b/src/forward/objectreplica_test.cpp
@@ -383,38 +383,55 @@
     std::string label; ///< for messages
 };
 
+/// When the watchers of a region are killed and what happens then, in milliseconds.
+struct RestartMoments
+{
+    int sinceHeartbeat = 0; ///< from the watchers' last heartbeat to their end
+    // From their end:
+    int removed = 0; ///< an endpoint leaves
+    int started = 0; ///< they start again
+    int joined = 0; ///< another endpoint joins
+
+    std::string text() const
+    {
+        return std::to_string(this->sinceHeartbeat) + "/" + std::to_string(this->removed) + "/"
+            + std::to_string(this->started) + "/" + std::to_string(this->joined);
+    }
+
+    auto operator<=>(const RestartMoments &) const = default;
+};
+
+void playRestart(const RestartMoments &moments)
+{
+    Region region(4, 7);
+    region.label = moments.text();
+    region.run(Millis(7500 + moments.sinceHeartbeat));
+    const MonoTime killedAt = region.now + Millis(500);
+    std::multimap<int, std::function<void()>> happenings;
+    happenings.emplace(moments.removed, [&] { region.store.remove("engine-a", region.now); });
+    happenings.emplace(0, [&] {
+        for (std::size_t number = 0; number < WatcherCount; ++number)
+            region.kill(number, Millis(moments.started));
+    });
+    happenings.emplace(moments.joined, [&] { region.store.put("engine-d"); });
+    for (const auto &[millis, happen] : happenings) {
+        region.run(std::chrono::duration_cast<Millis>(killedAt + Millis(millis) - region.now));
+        happen();
+    }
+    region.run(Millis(6000));
+}
+
 } // namespace
 
 // The watchers are killed, an endpoint leaves meanwhile, they start again and push one that joins.
 // Guards against an instance that never learns of the removal.
 Test(objectreplica, an_endpoint_that_leaves_while_the_watchers_start_again_is_gone_in_time)
 {
-    for (const int removedAfter : {-400, -100, 0, 100, 400, 700, 1000}) {
-        for (const int startedAfter : {300, 700, 1200, 1500, 2000, 3500}) {
-            for (const int joinedAfter : {0, 300, 1100, 1600}) {
-                Region region(4, 7);
-                region.label = std::to_string(removedAfter) + "/" + std::to_string(startedAfter)
-                    + "/" + std::to_string(joinedAfter);
-                region.run(Millis(8000));
-                const MonoTime killedAt = region.now + Millis(500);
-                std::map<int, std::function<void()>> happenings;
-                const auto at = [&](int millis) -> std::function<void()> & {
-                    while (happenings.contains(millis))
-                        ++millis;
-                    return happenings[millis];
-                };
-                at(removedAfter) = [&] { region.store.remove("engine-a", region.now); };
-                at(0) = [&] {
-                    for (std::size_t number = 0; number < WatcherCount; ++number)
-                        region.kill(number, Millis(startedAfter));
-                };
-                at(joinedAfter) = [&] { region.store.put("engine-d"); };
-                for (const auto &[millis, happen] : happenings) {
-                    region.run(
-                        std::chrono::duration_cast<Millis>(killedAt + Millis(millis) - region.now));
-                    happen();
-                }
-                region.run(Millis(6000));
+    for (const int sinceHeartbeat : {0, 50, 250, 450}) {
+        for (const int removedAfter : {-400, -100, 0, 100, 400, 700, 1000}) {
+            for (const int startedAfter : {300, 700, 1200, 1500, 2000, 3500}) {
+                for (const int joinedAfter : {0, 300, 1100, 1600})
+                    playRestart({sinceHeartbeat, removedAfter, startedAfter, joinedAfter});
             }
         }
     }
