--- a/src/forward/objectreplica.cpp
+++ b/src/forward/objectreplica.cpp
@@ -22,6 +22,7 @@
 
 } // namespace
 
+// Only what the copy did not know is reported, so that a list never undoes a later removal.
 void ObjectReplica::applyList(ObjectKind kind, const std::vector<StoredObject> &objects,
                               std::int64_t revision, bool wasUnreachable, MonoTime now)
 {
--- a/src/forward/storereplica.h
+++ b/src/forward/storereplica.h
@@ -16,12 +16,14 @@
 /// changes.
 namespace lavenderhall {
 
+/// Callbacks for changes, and where they come from.
 struct StoreReplicaHandlers : ObjectReplicaHandlers
 {
     /// Changes have been received from the store itself, not from another instance.
     std::function<void(ObjectKind kind)> onStoreChange;
 };
 
+/// Connects the copies of the objects with the watch of the store and with the fleet.
 class StoreReplica
 {
 public:
