Simulation of the replica: at its end all instances have just the store's endpoints

Its only check was that removed endpoints are gone in time, which a replica that drops everything would pass. Names and comments read again.

No functional change.

--- a/src/forward/objectreplica_test.cpp
+++ b/src/forward/objectreplica_test.cpp
@@ -104,7 +104,6 @@
     }
 
     const EndpointDirectory &endpoints() const { return this->directory; }
-    bool watches() const { return this->isWatching; }
 
     const std::size_t number;
     const std::string name;
@@ -249,7 +248,7 @@
         this->slots.at(number).frozenUntil = this->now + duration;
     }
 
-    /// Does one of all things that may happen.
+    /// Does one of all things that may happen, at random.
     void disturb()
     {
         const auto any = [this] { return this->random(static_cast<unsigned>(this->slots.size())); };
@@ -273,9 +272,26 @@
         }
     }
 
+    /// Checks that all instances have just the endpoints of the store, once nothing has happened
+    /// for a while.
+    void checkEqual() const
+    {
+        for (const Slot &slot : this->slots) {
+            std::set<std::string> known;
+            for (const auto &[id, entry] : slot.process->endpoints().entries())
+                known.insert(id);
+            std::set<std::string> stored;
+            for (const auto &[name, changedAt] : this->store.objects)
+                stored.insert(name);
+            cr_assert(known == stored, "seed %s: instance %s has %zu endpoints of %zu",
+                      this->label.c_str(), slot.process->name.c_str(), known.size(), stored.size());
+        }
+    }
+
     SimulatedStore store;
     pcg32 random;
     MonoTime now = Start;
+    std::string label; ///< for messages
 
 private:
     struct Slot
@@ -333,7 +349,7 @@
         }
     }
 
-    // Messages between two instances keep their order.
+    // Messages between two instances keep their order. Those to a process that has ended are lost.
     void deliver()
     {
         std::deque<Mail> waiting;
@@ -378,9 +394,6 @@
 
     std::vector<Slot> slots;
     std::deque<Mail> mails;
-
-public:
-    std::string label; ///< for messages
 };
 
 /// When the watchers of a region are killed and what happens then, in milliseconds.
@@ -419,6 +432,7 @@
         happen();
     }
     region.run(Millis(6000));
+    region.checkEqual();
 }
 
 } // namespace
@@ -450,6 +464,7 @@
             region.disturb();
             region.run(Millis(region.random(1500)));
         }
-        region.run(Millis(6000));
+        region.run(Millis(8000));
+        region.checkEqual();
     }
 }
