--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -107,7 +107,8 @@
         if (dropped == 0)
             return;
         writeLine("level=WARN instance=" + quoteIfNeeded(instanceName())
-                  + " event=log_lines_lost lines=" + std::to_string(dropped) + "\n");
+                  + " event=log_lines_lost lines=" + std::to_string(dropped)
+                  + " unix_ms=" + std::to_string(wallMillis()) + "\n");
     }
 
     log4cxx::LayoutPtr layout;
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -26,16 +26,6 @@
     return status >= 200 && status < 300;
 }
 
-/// Returns whose id an answer bears: "own", "none" or "other"; "" if no answer has arrived.
-const char *idOwner(const AnswerHead &head, const std::string &requestId)
-{
-    if (head.status == 0)
-        return "";
-    if (head.requestId.empty())
-        return "none";
-    return head.requestId == requestId ? "own" : "other";
-}
-
 std::string joined(const std::vector<PartId> &parts)
 {
     std::string text;
@@ -263,7 +253,9 @@
               {"end", toString(outcome)},
               {"reason", reason},
               {"begun", this->hasBegun ? 1 : 0},
-              {"answer_id", idOwner(this->head, this->request.id)},
+              {"answer_id", toString(answerOwner(this->head, this->request.id))},
+              {"sealed", this->head.isSealed ? 1 : 0},
+              {"states_not_run", this->head.isNotRun ? 1 : 0},
               {"shared_parts", joined(this->signature.sharedParts())},
               {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
               {"table", this->table->version()}});
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -305,6 +305,9 @@
               {"status", status},
               {"outcome", outcome},
               {"attempts", this->retryState.attempts()},
+              {"reached", this->retryState.reachedAttempts()},
+              {"possible_runs", this->retryState.possibleRuns()},
+              {"relays", this->relayCount},
               {"endpoint", this->triedEndpoints.empty() ? "" : this->triedEndpoints.back()},
               {"ms", elapsed.count()},
               {"table", this->table ? this->table->version() : 0}});
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -167,6 +167,7 @@
     /// The same for a request that has failed here and may have run. Counts as a retry.
     bool relayAsRetry();
     void onRelayEnd(const RelayResult &result);
+    void logRelayEnd(const RelayResult &result) const;
     /// Ends the relay in progress, if any.
     void cancelRelay();
     /// Records whether the endpoint gave a sign of itself, by how an attempt has failed.
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/descriptorplan.h"
+#include "base/logratelimiter.h"
 #include "forward/crashmonitor.h"
 #include "forward/forwarder.h"
 #include "forward/loadmonitor.h"
@@ -40,6 +41,9 @@
     void drain();
 
 private:
+    static constexpr double ServerRefusalLinesPerSecond = 5;
+    static constexpr double ServerRefusalLinesBurst = 20;
+
     StoreReplicaHandlers storeReplicaHandlers();
     EngineBroadcast engineBroadcast();
     CrashMonitorHooks crashMonitorHooks();
@@ -104,6 +108,7 @@
     http::MemoryBudgetPtr requestMemory; ///< of the servers
     std::uint64_t memoryRefusals = 0; ///< since the last log line about them
     MonoTime nextMemoryLine{};
+    LogRateLimiter serverRefusalLines{ServerRefusalLinesPerSecond, ServerRefusalLinesBurst};
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -100,15 +100,28 @@
     this->context.relayTargets.onEnded(this->relayInstance);
 }
 
+void ForwardCall::logRelayEnd(const RelayResult &result) const
+{
+    logEvent(LogLevel::Info, "relay_ended",
+             {{"request", this->request.id},
+              {"to", this->relayInstance.toString()},
+              {"end", toString(result.kind)},
+              {"status", result.head.status},
+              {"answer_id", toString(answerOwner(result.head, this->request.id))},
+              {"sealed", result.head.isSealed ? 1 : 0},
+              {"reason", result.reason}});
+}
+
 void ForwardCall::onRelayEnd(const RelayResult &result)
 {
+    this->logRelayEnd(result);
     this->activeRelay.reset();
     this->context.relayTargets.onEnded(this->relayInstance);
     if (this->isFinished)
         return;
     switch (result.kind) {
     case RelayResult::Kind::Answered:
-        return this->finish(result.status, "relayed");
+        return this->finish(result.head.status, "relayed");
     case RelayResult::Kind::Broken:
         return this->finish(0, "broken_stream");
     case RelayResult::Kind::Unknown:
--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -24,6 +24,21 @@
 
 } // namespace
 
+const char *toString(RelayResult::Kind kind)
+{
+    switch (kind) {
+    case RelayResult::Kind::Answered:
+        return "answered";
+    case RelayResult::Kind::NotRun:
+        return "not_run";
+    case RelayResult::Kind::Unknown:
+        return "unknown";
+    case RelayResult::Kind::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 void Relay::start(http::Client &client, const Address &instance, Millis timeLeft, std::string body)
 {
     http::CallRequest outgoing = this->adapter.writeRelayed(this->exchange->request(), timeLeft);
@@ -93,12 +108,12 @@
         return this->onFailed({true, true, false, true, "closed by the other instance"});
     const bool isRefusal = !this->head.isSealed && statesNotRun(this->head.status);
     if (isRefusal && (this->head.status == UnableStatus || this->mayHaveRun))
-        return this->end({RelayResult::Kind::NotRun, 0});
+        return this->end({RelayResult::Kind::NotRun, this->head, {}});
     if (this->exchange->hasBegun())
         this->exchange->end();
     else
         this->exchange->respond({this->head.status, this->head.headers, std::move(this->body)});
-    this->end({RelayResult::Kind::Answered, this->head.status});
+    this->end({RelayResult::Kind::Answered, this->head, {}});
 }
 
 void Relay::onFailed(const http::CallFailure &failure)
@@ -109,11 +124,11 @@
         this->call->cancel();
     this->call = nullptr;
     if (!failure.mayHaveBeenSent)
-        return this->end({RelayResult::Kind::NotRun, 0});
+        return this->end({RelayResult::Kind::NotRun, this->head, failure.reason});
     if (!this->exchange->hasBegun())
-        return this->end({RelayResult::Kind::Unknown, 0});
+        return this->end({RelayResult::Kind::Unknown, this->head, failure.reason});
     this->exchange->abort();
-    this->end({RelayResult::Kind::Broken, 0});
+    this->end({RelayResult::Kind::Broken, this->head, failure.reason});
 }
 
 void Relay::end(const RelayResult &result)
--- a/src/forward/relay.h
+++ b/src/forward/relay.h
@@ -24,7 +24,8 @@
     };
 
     Kind kind = Kind::Unknown;
-    int status = 0; ///< Answered
+    AnswerHead head; ///< of the other instance's answer, if one has arrived
+    std::string reason; ///< why there is none, if so
 
     bool operator==(const RelayResult &) const = default;
 };
@@ -33,6 +34,9 @@
 /// endpoint either and has not run the request. It is never passed on to a caller.
 inline constexpr int UnableStatus = 421;
 
+/// Returns the name of \a kind in logs.
+const char *toString(RelayResult::Kind kind);
+
 /// One request at another instance, and the answer on its way back.
 class Relay : public std::enable_shared_from_this<Relay>
 {
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -92,6 +92,20 @@
     bool operator==(const AnswerHead &) const = default;
 };
 
+/// Whose request an answer belongs to, by the id that it bears.
+enum class AnswerOwner {
+    NoAnswer, ///< no head has arrived
+    Unnamed, ///< the answer bears no id
+    OwnRequest,
+    OtherRequest,
+};
+
+/// Returns the name of \a owner in logs; "" for none.
+const char *toString(AnswerOwner owner);
+
+/// Returns whose answer \a head is, as seen by the request with \a requestId.
+AnswerOwner answerOwner(const AnswerHead &head, const std::string &requestId);
+
 /// The router's own answer to a request that it refuses or that failed.
 struct ForwardRefusal
 {
--- a/src/routing/retrystate.cpp
+++ b/src/routing/retrystate.cpp
@@ -33,7 +33,7 @@
 {
     const bool isWithinBudget = conditions.hasBudget || !this->hasReachedEndpoint();
     return this->attemptCount < std::max(MaxTotalAttempts, this->maxAttempts)
-        && this->possibleRuns < this->maxAttempts && isWithinBudget && conditions.hasCandidate
+        && this->runCount < this->maxAttempts && isWithinBudget && conditions.hasCandidate
         && conditions.hasTime;
 }
 
@@ -44,14 +44,14 @@
         ++this->arrivals;
     switch (outcome) {
     case AttemptOutcome::Succeeded:
-        ++this->possibleRuns;
+        ++this->runCount;
         return RetryDecision::PassOn;
     case AttemptOutcome::Failed:
-        ++this->possibleRuns;
+        ++this->runCount;
         return this->mayRepeat && this->mayRetry(conditions) ? RetryDecision::Retry
                                                              : RetryDecision::PassOn;
     case AttemptOutcome::Broken:
-        ++this->possibleRuns;
+        ++this->runCount;
         return this->mayRepeat && this->mayRetry(conditions) ? RetryDecision::Retry
                                                              : RetryDecision::Fail;
     case AttemptOutcome::NeverSent:
@@ -72,7 +72,7 @@
 {
     ++this->attemptCount;
     ++this->arrivals;
-    ++this->possibleRuns;
+    ++this->runCount;
     return this->mayRepeat && this->mayRetry(conditions);
 }
 
--- a/src/routing/retrystate.h
+++ b/src/routing/retrystate.h
@@ -55,16 +55,20 @@
     bool mayResume(RetryConditions conditions);
 
     /// Whether an endpoint may have run the request.
-    bool mayHaveRun() const { return this->possibleRuns > 0; }
+    bool mayHaveRun() const { return this->runCount > 0; }
     /// Whether so many further attempts may run the request.
     bool mayRunMore(int attempts) const
     {
-        return this->possibleRuns + attempts <= (this->mayRepeat ? this->maxAttempts : 1);
+        return this->runCount + attempts <= (this->mayRepeat ? this->maxAttempts : 1);
     }
     /// Returns the number of attempts, also of those that did not reach an endpoint.
     int attempts() const { return this->attemptCount; }
     /// Returns the number of attempts that certainly did not reach an endpoint.
     int unsentAttempts() const { return this->attemptCount - this->arrivals; }
+    /// Returns the number of attempts that may have reached an endpoint.
+    int reachedAttempts() const { return this->arrivals; }
+    /// Returns the number of attempts that may have run the request.
+    int possibleRuns() const { return this->runCount; }
     /// Whether the request has reached an endpoint, so that the next attempt counts as a retry.
     bool hasReachedEndpoint() const { return this->arrivals > 0; }
 
@@ -73,7 +77,7 @@
 
     bool mayRepeat;
     int maxAttempts;
-    int possibleRuns = 0; ///< attempts that may have run
+    int runCount = 0; ///< attempts that may have run
     int attemptCount = 0;
     int arrivals = 0; ///< attempts that reached an endpoint
 };
