Relay: another instance's answer counts only for its own request, its refusal only without a seal

Seen by callers: a request that another instance serves, because this one reaches no endpoint, could run at a second instance, or be refused though it ran: TWICE and REFUSED by reading; by the tests, "421: relayed" for an answer to another request, and "503: the caller got 503" for an endpoint's refusal that states nothing.

A relay took any 408, 421, 429 or 503 as the other instance's statement that nothing ran, compared no id, and with a possible run behind it asked another instance. An answer that belongs to another request, or that an earlier build passes on for an endpoint, states nothing about this one.

Ruled out: that the other instance's own refusals can be told by their missing id. Its HTTP server refused without one, so its refusals bear the request's id now, as far as the head could be read; without an id they count as a request that may have run.

Change: an answer with another id, or none, ends the relay as one that may have run, and closes the connection; a status that promises "not run" counts only without an endpoint's seal.

--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -46,6 +46,8 @@
     Result<NamedWeights> (*readWeights)(const Json &content);
 
     Result<ForwardRequest> (*readRequest)(const http::Request &request);
+    /// Returns the id of a request that need not be complete; "" if it has none.
+    std::string (*readRequestId)(const http::Request &request);
     http::CallRequest (*writeAttempt)(const ForwardRequest &request,
                                       const AttemptMetadata &metadata);
     /// Writes the caller's request for another instance, where it has \a timeLeft.
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -189,8 +189,8 @@
                                                  [this, source](const http::ExchangePtr &exchange) {
                                                      this->forwarder.onRequest(exchange, source);
                                                  });
-    server->setRefusal([this](int status, std::string_view reason) {
-        return this->writeServerRefusal(status, reason);
+    server->setRefusal([this](int status, std::string_view reason, const http::Request &received) {
+        return this->writeServerRefusal(status, reason, received);
     });
     server->setMemoryBudget(this->requestMemory);
     return server;
@@ -242,7 +242,8 @@
                  {{"address", this->settings.metrics->toString()}});
 }
 
-http::Response ForwardDaemon::writeServerRefusal(int status, std::string_view reason)
+http::Response ForwardDaemon::writeServerRefusal(int status, std::string_view reason,
+                                                 const http::Request &received)
 {
     ForwardRefusal refusal{status, std::string(reason), {}};
     if (status != ServiceUnavailable)
@@ -256,7 +257,7 @@
         this->recordMemoryRefusal();
         refusal.retryAfter = NoMemoryRetryAfter;
     }
-    return this->adapter.writeRefusal(refusal, "");
+    return this->adapter.writeRefusal(refusal, this->adapter.readRequestId(received));
 }
 
 void ForwardDaemon::recordMemoryRefusal()
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -74,7 +74,8 @@
     /// Tells the other instances when weights were named lately, if it is this instance's task.
     void tellNamedTimes(MonoTime now);
     /// Writes the answer to a request that a server refuses by itself.
-    http::Response writeServerRefusal(int status, std::string_view reason);
+    http::Response writeServerRefusal(int status, std::string_view reason,
+                                      const http::Request &received);
     void recordMemoryRefusal();
     void tick(); ///< called periodically
     void checkDrained();
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -75,8 +75,9 @@
     const auto onEnd = [self = this->shared_from_this()](const RelayResult &result) {
         self->onRelayEnd(result);
     };
-    this->activeRelay = std::make_shared<Relay>(this->context.adapter, this->exchange,
-                                                this->retryState.mayHaveRun(), onEnd);
+    this->activeRelay
+        = std::make_shared<Relay>(this->context.adapter, this->exchange, this->request.id,
+                                  this->retryState.mayHaveRun(), onEnd);
     this->activeRelay->start(this->context.client, *instance, timeLeft, this->request.body);
     return true;
 }
--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -11,17 +11,6 @@
 constexpr Millis ConnectTimeout{300};
 constexpr Millis AnswerMargin{40}; ///< the other instance answers in time by itself
 
-constexpr int RequestTimeout = 408; ///< HTTP status
-constexpr int TooManyRequests = 429; ///< HTTP status
-constexpr int ServiceUnavailable = 503; ///< HTTP status
-
-/// Whether an instance's own answer with this HTTP status states that the request has not run.
-bool statesNotRun(int status)
-{
-    return status == UnableStatus || status == RequestTimeout || status == TooManyRequests
-        || status == ServiceUnavailable;
-}
-
 } // namespace
 
 const char *toString(RelayResult::Kind kind)
@@ -64,10 +53,15 @@
         std::exchange(this->call, nullptr)->cancel();
 }
 
+// Whatever the answer to another request states, this one may be running.
 void Relay::onHead(int status, const http::Headers &headers)
 {
     this->head = this->adapter.readAnswerHead(status, headers);
-    this->isStream = http::findHeader(headers, "content-type").starts_with("text/event-stream");
+    if (answerOwner(this->head, this->requestId) != AnswerOwner::OwnRequest)
+        return this->onFailed({true, true, false, false, "foreign_answer"});
+    const bool isEventStream
+        = http::findHeader(headers, "content-type").starts_with("text/event-stream");
+    this->isStream = isEventStream && !promisesNotRun(status);
 }
 
 void Relay::onData(std::string_view data)
@@ -98,6 +92,8 @@
 }
 
 // An instance always announces the end of its answers, so an end with the connection is a break.
+// Only an instance states that a request has not run, so such a status under an endpoint's seal,
+// which earlier builds pass on, states nothing.
 void Relay::onAnswerEnd()
 {
     if (!this->onEnd)
@@ -106,7 +102,9 @@
     this->call = nullptr;
     if (isBroken)
         return this->onFailed({true, true, false, true, "closed by the other instance"});
-    const bool isRefusal = !this->head.isSealed && statesNotRun(this->head.status);
+    const bool isRefusal = promisesNotRun(this->head.status);
+    if (isRefusal && this->head.isSealed)
+        return this->end({RelayResult::Kind::Unknown, this->head, "unstated_refusal"});
     if (isRefusal && (this->head.status == UnableStatus || this->mayHaveRun))
         return this->end({RelayResult::Kind::NotRun, this->head, {}});
     if (this->exchange->hasBegun())
--- a/src/forward/relay.h
+++ b/src/forward/relay.h
@@ -44,11 +44,12 @@
     using Handler = std::function<void(const RelayResult &result)>;
 
     /// If the request \a mayHaveRun already, a refusal is not passed on, since it would state that
-    /// it has not.
-    Relay(const PlatformAdapter &adapter, http::ExchangePtr exchange, bool mayHaveRun,
-          Handler onEnd)
+    /// it has not. An answer counts only if it bears \a requestId.
+    Relay(const PlatformAdapter &adapter, http::ExchangePtr exchange, std::string requestId,
+          bool mayHaveRun, Handler onEnd)
         : adapter(adapter)
         , exchange(std::move(exchange))
+        , requestId(std::move(requestId))
         , mayHaveRun(mayHaveRun)
         , onEnd(std::move(onEnd))
     { }
@@ -67,6 +68,7 @@
 
     const PlatformAdapter &adapter;
     http::ExchangePtr exchange;
+    const std::string requestId;
     const bool mayHaveRun;
     Handler onEnd;
     http::CallPtr call;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -328,8 +328,10 @@
     {
         this->closesAfterAnswer = true;
         this->beginExchange();
-        this->exchange->respond(this->server.refusal ? this->server.refusal(status, reason)
-                                                     : defaultRefusal(status, reason));
+        const ExchangePtr refused = this->exchange;
+        refused->respond(this->server.refusal
+                             ? this->server.refusal(status, reason, refused->request())
+                             : defaultRefusal(status, reason));
     }
 
     /// Passes a complete request to the server's handler.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -115,8 +115,10 @@
 public:
     /// Called with each request. It answers at once or later.
     using Handler = std::function<void(const ExchangePtr &)>;
-    /// Builds the answer to a request that the server itself refuses, such as a malformed one.
-    using Refusal = std::function<Response(int status, std::string_view reason)>;
+    /// Builds the answer to a request that the server itself refuses, such as a malformed one. Of
+    /// \a received, only what could be read is set.
+    using Refusal
+        = std::function<Response(int status, std::string_view reason, const Request &received)>;
 
     /// Throws ListenError if the address cannot be bound.
     Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler);
