HTTP client: an idle connection with unread input carries no further call

Seen by callers: a call on a kept connection got the second copy of an earlier answer, or failed as possibly run because the server had ended the connection already. The router's callers see another request's refusal or answer, where it bears no id, or 502.

Cause: the client learns of late bytes and of the end of an idle connection only when the loop reads from it. A call that starts before that, for instance in the same turn of the loop, wrote its request first and then took what had been waiting in the kernel's buffer for its answer. The class: an answer counts by its place on the connection.

Change: before a connection is taken from the pool, one peek at its socket tells whether bytes, an end or a reset are waiting; such a connection is closed, and the next one is looked at. The copy can then count only if it is still on its way when the request is written, which no client can tell.

Evidence: answerowners_test, two tests, with a peer on plain sockets; the loop doesn't run between the late bytes and the call. Before: "answered by 1", and "closed by the peer" for the end, the reset and the half-close. Now both pass.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -108,6 +108,7 @@
     const Address &address() const { return this->to; }
     MonoTime lastAnswer() const { return this->lastAnswerAt; }
     bool isRecent(MonoTime now) const { return now - this->lastAnswerAt < RecentAnswerTime; }
+    bool hasInput() const { return this->socket->hasInput(); }
     void setReading(bool on) { this->socket->setReading(on); }
     /// Sets the timer that closes the connection while it is idle; an empty one stops it.
     void setIdleTimer(Timer timer) { this->idleTimer = std::move(timer); }
@@ -317,15 +318,23 @@
 
 Client::ConnectionPtr Client::takeIdle(const Address &to, Reuse reuse)
 {
-    const auto found = this->idleConnections.find(to);
-    if (reuse == Reuse::Never || found == this->idleConnections.end() || found->second.empty())
-        return nullptr;
-    ConnectionPtr latest = found->second.back();
-    if (reuse == Reuse::Recent && !latest->isRecent(monoNow()))
-        return nullptr;
-    found->second.pop_back();
-    latest->setIdleTimer({});
-    return latest;
+    while (reuse != Reuse::Never) {
+        const auto found = this->idleConnections.find(to);
+        if (found == this->idleConnections.end() || found->second.empty())
+            return nullptr;
+        ConnectionPtr latest = found->second.back();
+        if (reuse == Reuse::Recent && !latest->isRecent(monoNow()))
+            return nullptr;
+        // Its server has ended it, or has sent what would be taken for the answer to this call.
+        if (latest->hasInput()) {
+            latest->close();
+            continue;
+        }
+        found->second.pop_back();
+        latest->setIdleTimer({});
+        return latest;
+    }
+    return nullptr;
 }
 
 void Client::addIdle(const ConnectionPtr &connection)
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -38,15 +38,23 @@
 
     uv_stream_t *stream() { return reinterpret_cast<uv_stream_t *>(&this->tcp); }
 
-    // libuv reports a reset that directly follows data as the end of the stream. A further read
-    // from the socket tells the two apart.
-    bool isReset()
+    /// Returns what a read of one byte would return, and leaves the byte where it is.
+    ssize_t peek() const
     {
         uv_os_fd_t fd = -1;
-        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&this->tcp), &fd) != 0)
-            return true;
+        if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&this->tcp), &fd) != 0)
+            return -EBADF;
         char nextByte = 0;
-        return recv(fd, &nextByte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN;
+        const ssize_t size = recv(fd, &nextByte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size < 0 ? -errno : size;
+    }
+
+    // libuv reports a reset that directly follows data as the end of the stream. A further read
+    // from the socket tells the two apart.
+    bool isReset() const
+    {
+        const ssize_t size = this->peek();
+        return size < 0 && size != -EAGAIN;
     }
 
     // The system chooses the port of an outgoing connection, which may be one that an instance of
@@ -174,6 +182,11 @@
     uv_read_start(this->tcp->stream(), allocate, onRead);
 }
 
+bool Socket::hasInput() const
+{
+    return this->isClosing || this->tcp->peek() != -EAGAIN;
+}
+
 void Socket::setReading(bool on)
 {
     if (this->isClosing)
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -47,6 +47,8 @@
     void write(std::string data);
     /// Returns the number of queued bytes, which the kernel has not accepted yet.
     std::size_t backlog() const { return this->queuedBytes; }
+    /// Returns whether bytes, the end of the stream or a failure are waiting to be read.
+    bool hasInput() const;
     /// Starts or stops reading. While stopped, the peer is slowed down by TCP flow control.
     void setReading(bool on);
     /// Closes at once and drops queued bytes. No handler is called any more.
