HTTP client: what a new connection brings before its request answers nothing

Seen by callers: a server that writes to whoever connects, or that resets a connection which it can't accept, is answered for or fails as if the request might have run: 502 for a request that no server has read, without another attempt for what may run once only.

Cause: the client wrote the request as soon as the connection was established, whatever was already waiting to be read on it. The check "bytes before the request was sent" stood behind that write and could never see them.

Change: with input waiting, the request is not written. The next read brings the bytes or the end, and the call fails without having been sent, as that check intends.

Evidence: the new test of answerowners_test lets the peer write an answer, close or reset between the connection and the client's next turn. Now the call fails, mayHaveBeenSent is false, and the peer has read nothing.

--- a/src/http/answerowners_test.cpp
+++ b/src/http/answerowners_test.cpp
@@ -126,3 +126,25 @@
         cr_assert(second.body == "two", "%s", second.failure.reason.c_str());
     }
 }
+
+// The server answers whoever connects, or resets the connection, before it has read a request.
+Test(answerowners, a_connection_that_brings_bytes_or_ends_before_the_request_carries_none)
+{
+    const std::vector<std::function<void(RawStream &)>> signs{
+        [](RawStream &stream) { stream.write(answer("0", "none")); },
+        [](RawStream &stream) { stream.close(); }, [](RawStream &stream) { stream.reset(); }};
+    for (const auto &sign : signs) {
+        Fixture fixture;
+        Outcome outcome;
+        fixture.start("/1", outcome);
+        auto stream = fixture.listener.accept();
+        cr_assert(stream.has_value());
+        sign(*stream);
+        fixture.settle();
+        cr_assert(outcome.ends == 1);
+        cr_assert(not(outcome.isComplete), "answered by %s", outcome.answer.c_str());
+        cr_assert(not(outcome.failure.mayHaveBeenSent), "%s", outcome.failure.reason.c_str());
+        stream->read();
+        cr_assert(stream->received.empty());
+    }
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -115,10 +115,12 @@
     Millis idleTimeout() const { return this->serverIdleTimeout; }
 
 private:
+    // What a server sends before it has read the request answers nothing. The next read takes it,
+    // and the call fails without having been sent.
     void onConnected()
     {
         this->isConnected = true;
-        if (this->call)
+        if (this->call && !this->socket->hasInput())
             this->send();
     }
 
