HTTP client: a connection whose call paused at its end reads again

Seen by callers: a request on a kept connection had no answer within its time, although the endpoint had run and answered it.

Cause: a call stops reading while its caller is slow (forwarded streams, relays and the model dialect do). If it did so at the last part of its answer, the call ended in the same read, its resumption was without effect, and the connection went into the pool with reading stopped. The next call wrote its request and never saw the answer; late bytes and the end of the idle connection went unseen, too.

Change: reading is started again when a call completes, before the connection is pooled.

Evidence: the new test of answerowners_test pauses in onData and calls again. Before: the second call had no answer. Now it has its own.

--- a/src/http/answerowners_test.cpp
+++ b/src/http/answerowners_test.cpp
@@ -148,3 +148,26 @@
         cr_assert(stream->received.empty());
     }
 }
+
+// A call that waits for a slow caller stops reading, perhaps at the last part of its answer.
+Test(answerowners, a_call_that_pauses_at_the_end_of_its_answer_leaves_a_connection_that_reads)
+{
+    Fixture fixture;
+    CallRequest request;
+    request.to = fixture.listener.address;
+    CallPtr paused;
+    CallHandlers handlers;
+    handlers.onData = [&paused](std::string_view) { paused->setReading(false); };
+    paused = fixture.client.start(std::move(request), std::move(handlers));
+    fixture.settle();
+    fixture.streams[0].write(answer("1", "one"));
+    fixture.settle();
+    cr_assert(paused->isFinished());
+    Outcome next;
+    fixture.start("/2", next);
+    fixture.settle();
+    cr_assert(fixture.streams.size() == 1U);
+    fixture.streams[0].write(answer("2", "two"));
+    fixture.settle();
+    cr_assert(next.body == "two");
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -202,6 +202,7 @@
         completed->connection = nullptr;
         this->lastAnswerAt = monoNow();
         const auto self = this->shared_from_this();
+        this->socket->setReading(true); // the call may have stopped it at the answer's last part
         if (isInputConsumed && this->isReusable && this->socket->backlog() == 0
             && !this->socket->isClosed())
             this->client.addIdle(self);
