--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -108,16 +108,19 @@
     const Address &address() const { return this->to; }
     MonoTime lastAnswer() const { return this->lastAnswerAt; }
     bool isRecent(MonoTime now) const { return now - this->lastAnswerAt < RecentAnswerTime; }
+    bool hasInput() const { return this->socket->hasInput(); }
     void setReading(bool on) { this->socket->setReading(on); }
     /// Sets the timer that closes the connection while it is idle; an empty one stops it.
     void setIdleTimer(Timer timer) { this->idleTimer = std::move(timer); }
     Millis idleTimeout() const { return this->serverIdleTimeout; }
 
 private:
+    // What a server sends before it has read the request answers nothing. The next read takes it,
+    // and the call fails without having been sent.
     void onConnected()
     {
         this->isConnected = true;
-        if (this->call)
+        if (this->call && !this->socket->hasInput())
             this->send();
     }
 
@@ -199,6 +202,7 @@
         completed->connection = nullptr;
         this->lastAnswerAt = monoNow();
         const auto self = this->shared_from_this();
+        this->socket->setReading(true); // the call may have stopped it at the answer's last part
         if (isInputConsumed && this->isReusable && this->socket->backlog() == 0
             && !this->socket->isClosed())
             this->client.addIdle(self);
@@ -317,15 +321,23 @@
 
 Client::ConnectionPtr Client::takeIdle(const Address &to, Reuse reuse)
 {
-    const auto found = this->idleConnections.find(to);
-    if (reuse == Reuse::Never || found == this->idleConnections.end() || found->second.empty())
-        return nullptr;
-    ConnectionPtr latest = found->second.back();
-    if (reuse == Reuse::Recent && !latest->isRecent(monoNow()))
-        return nullptr;
-    found->second.pop_back();
-    latest->setIdleTimer({});
-    return latest;
+    while (reuse != Reuse::Never) {
+        const auto found = this->idleConnections.find(to);
+        if (found == this->idleConnections.end() || found->second.empty())
+            return nullptr;
+        ConnectionPtr latest = found->second.back();
+        if (reuse == Reuse::Recent && !latest->isRecent(monoNow()))
+            return nullptr;
+        // Its server has ended it, or has sent what would be taken for the answer to this call.
+        if (latest->hasInput()) {
+            latest->close();
+            continue;
+        }
+        found->second.pop_back();
+        latest->setIdleTimer({});
+        return latest;
+    }
+    return nullptr;
 }
 
 void Client::addIdle(const ConnectionPtr &connection)
