Router: an engine's 404 or 429 does not state that a request has not run

Seen by callers of the OpenAI dialect: a request on a route that may run it once was sent to two engines, and its caller got 503 with the outcome "not-run", if both answered 404 or 429 after they had run it.

Cause: ModelCall took these two statuses as the engine's statement that the request has not run, whatever had happened and whichever request the answer belonged to. What engines must speak has no such statement, and the documented meaning of "not-run" is that no byte of the request reached an endpoint.

Ruled out: 500 and above already counted as a run (503 passes the first assertion before the change too); plain services, whose answers are passed on with the outcome "ran".

Change: after 404 and 429 the request may have run, as after 500 and above. What may be repeated still goes to another engine; everyone else gets 502 with the outcome "unknown". Its prompt stays charged, since it may have run.

Test: foreignrefusals/a_status_alone... failed before ("404: ran 2 times, told "not-run""), and passes.

--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -20,6 +20,13 @@
     return jsonResponse(status, {{"error", {{"message", message}, {"type", "engine_error"}}}});
 }
 
+http::Response errorResponseTo(const std::string &requestId, int status, const std::string &message)
+{
+    http::Response response = errorResponse(status, message);
+    response.headers.push_back({"x-request-id", requestId});
+    return response;
+}
+
 } // namespace
 
 Engine::Engine(http::Loop &loop, EngineOptions options)
@@ -55,17 +62,18 @@
 void Engine::serveCompletion(const http::ExchangePtr &exchange)
 {
     const http::Request &request = exchange->request();
+    const std::string requestId(http::findHeader(request.headers, "x-request-id"));
     const Json body = Json::parse(request.body, nullptr, false);
     if (!body.is_object())
-        return exchange->respond(errorResponse(400, "the body is not a JSON object"));
+        return exchange->respond(errorResponseTo(requestId, 400, "the body is not a JSON object"));
     const std::string version = body.value("weights_version", this->options.version);
     if (!this->loadedWeights.contains(body.value("model", "") + "@" + version))
-        return exchange->respond(errorResponse(404, "model or version not loaded"));
+        return exchange->respond(errorResponseTo(requestId, 404, "model or version not loaded"));
 
     ++this->requests;
     const auto session = std::make_shared<Session>();
     session->exchange = exchange;
-    session->requestId = std::string(http::findHeader(request.headers, "x-request-id"));
+    session->requestId = requestId;
     session->model = body.value("model", "");
     session->isStream = body.value("stream", false);
     session->isChat = request.path == "/v1/chat/completions";
@@ -163,6 +171,8 @@
 void Engine::startDecode(const SessionPtr &session)
 {
     session->emittedTokens = session->resumeAfter;
+    if (this->faults.statusAfterRun > 0)
+        return this->respondWithStatusAfterRun(session);
     if (session->isStream)
         session->exchange->begin(
             200, {{"content-type", "text/event-stream"}, {"x-request-id", session->requestId}});
@@ -238,6 +248,13 @@
     this->remove(session);
 }
 
+void Engine::respondWithStatusAfterRun(const SessionPtr &session)
+{
+    session->exchange->respond(errorResponseTo(session->requestId, this->faults.statusAfterRun,
+                                               "the run of " + session->requestId + " failed"));
+    this->remove(session);
+}
+
 void Engine::remove(const SessionPtr &session)
 {
     const auto found = std::find(this->sessions.begin(), this->sessions.end(), session);
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -42,6 +42,7 @@
     int silentAfterTokens = 0; ///< stops the next answer, still open, after this many; 0: none
     bool abortAll = false; ///< aborts each connection instead of answering
     bool foreignIdNext = false; ///< gives the next answer another request's id
+    int statusAfterRun = 0; ///< answers requests with this status once they have run; 0: none
     int loseCacheEvents = 0; ///< number of next cache events that are lost
 };
 
@@ -101,6 +102,7 @@
     void emitToken(const SessionPtr &session);
     void endStream(const SessionPtr &session);
     void respondWithCompletion(const SessionPtr &session);
+    void respondWithStatusAfterRun(const SessionPtr &session);
     /// Frees the session's place in the queue or its slot.
     void remove(const SessionPtr &session);
     /// Caches \a blocks and returns how many of them, from the first on, were cached before.
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -14,6 +14,16 @@
 constexpr std::int64_t MaxTokensLimit = 1'000'000;
 constexpr Millis DefaultRetryAfter{1000};
 constexpr std::size_t MaxTimelineCandidates = 4;
+constexpr int NotFound = 404; ///< HTTP status
+constexpr int TooManyRequests = 429; ///< HTTP status
+constexpr int FirstServerError = 500; ///< HTTP status
+
+/// Returns whether another engine may serve a request that one has answered with \a status: it may
+/// have the model, or room for the request.
+bool isWorthRetrying(int status)
+{
+    return status == NotFound || status == TooManyRequests || status >= FirstServerError;
+}
 
 std::string describeCandidates(const std::vector<Candidate> &ranked)
 {
@@ -334,14 +344,12 @@
     this->onWholeAnswer();
 }
 
+// An engine that answers has got the request, and no status states that it has not run it.
 void ModelCall::onWholeAnswer()
 {
-    const std::string reason = "the engine answered " + std::to_string(this->status);
-    // With these an engine states that it has not run the request, as when it lacks the model.
-    if (this->status == 404 || this->status == 429)
-        return this->retryOrGiveUp(AttemptOutcome::Refused, reason);
-    if (this->status >= 500)
-        return this->retryOrGiveUp(AttemptOutcome::Failed, reason);
+    if (isWorthRetrying(this->status))
+        return this->retryOrGiveUp(AttemptOutcome::Failed,
+                                   "the engine answered " + std::to_string(this->status));
     const Json answer = readJson(this->wholeAnswer);
     if (this->status != 200) {
         this->attempts.finish(true);
