Router: an engine's error is passed on only if it bears the request's id

Seen by callers of the OpenAI dialect: the error answer to another request, as 400 or 422 with its text, which may quote another organisation's prompt, with the outcome "ran".

Cause: the id was compared in streams and in whole answers with status 200 only. An engine that mixes up its connections, or sends an answer twice on a connection that is used again, made its error count for whichever request was waiting.

Ruled out: routes that may run a request once get a new connection for each, so second copies can't reach them; an engine that mixes up connections can.

Engines that leave the header out of their errors now cost their callers the text of the error: they get 502 with the outcome "unknown".

--- a/src/router/foreignrefusals_test.cpp
+++ b/src/router/foreignrefusals_test.cpp
@@ -30,3 +30,35 @@
         }
     }
 }
+
+// Guards against a caller that gets the error answer to another request, which may quote its
+// prompt.
+Test(foreignrefusals, an_error_answer_to_another_request_is_not_delivered)
+{
+    for (const int status : {400, 404, 409, 422}) {
+        for (const char *route : {"review", "once"}) {
+            Fixture fixture;
+            fixture.firstEngine.faults.statusAfterRun = status;
+            fixture.secondEngine.faults.statusAfterRun = status;
+            fixture.firstEngine.faults.foreignIdNext = true;
+            fixture.secondEngine.faults.foreignIdNext = true;
+            const Answer answer = fixture.complete(route, 4, false);
+            cr_assert(answer.body.find("another-request") == std::string::npos, "%s, %d: %s", route,
+                      status, answer.body.c_str());
+            cr_assert(answer.outcome() != "not-run");
+        }
+    }
+}
+
+// The caller's own mistake is its own to know.
+Test(foreignrefusals, an_error_answer_to_the_request_itself_is_delivered)
+{
+    Fixture fixture;
+    fixture.firstEngine.faults.statusAfterRun = 400;
+    fixture.secondEngine.faults.statusAfterRun = 400;
+    for (const char *route : {"review", "once"}) {
+        const Answer answer = fixture.complete(route, 4, false);
+        cr_assert(answer.status == 400, "%d", answer.status);
+        cr_assert(answer.outcome() == "ran");
+    }
+}
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -232,9 +232,14 @@
     return request;
 }
 
+// Only the id tells whether an error is the answer to this request: on a connection that is used
+// again, it may be the second copy of an earlier answer. The connection is closed, as the answers
+// on it belong to other requests from now on.
 void ModelCall::onHead(int code, const http::Headers &headers)
 {
     this->status = code;
+    if (code != 200 && http::findHeader(headers, RequestIdHeader) != this->caller.id)
+        return this->retryOrGiveUp(AttemptOutcome::Broken, "an error without the request's id");
     const std::string_view type = http::findHeader(headers, "content-type");
     this->isEventStream = code == 200 && type.starts_with("text/event-stream");
     if (this->isEventStream)
