--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -34,12 +34,17 @@
     return "unknown";
 }
 
+// Each call uses a connection of its own. An answer does not name its object: on a connection that
+// is used again, the second copy of an earlier answer would count. And if an idle one has been
+// closed unnoticed, the outcome of a write is unknown.
 http::CallRequest StoreRequestBuilder::read(const std::string &name) const
 {
     http::CallRequest call;
     call.to = this->address;
     call.path = ObjectPath + name;
     call.headTimeout = this->timeout;
+    call.headers = {{"connection", "close"}};
+    call.reuse = http::Reuse::Never;
     return call;
 }
 
@@ -52,15 +57,12 @@
     return call;
 }
 
-// A write uses a new connection: if an idle one has been closed unnoticed, the outcome of the
-// write is unknown.
 http::CallRequest StoreRequestBuilder::write(const std::string &name, std::string body,
                                              std::int64_t expected) const
 {
     http::CallRequest call = this->read(name);
     call.method = http::Method::Put;
     call.body = std::move(body);
-    call.reuse = http::Reuse::Never;
     if (expected == CreateVersion)
         call.headers.push_back({"if-none-match", "*"});
     else
@@ -72,7 +74,6 @@
 {
     http::CallRequest call = this->read(name);
     call.method = http::Method::Delete;
-    call.reuse = http::Reuse::Never;
     call.headers.push_back({"if-match", std::to_string(expected)});
     return call;
 }
