Client: an error from an admin address is no answer of an instance

Seen by operators: "lavenderhall drain" printed "draining" and ended with exit code 0 although a process that is no instance, or another listener of one, had answered 404; "status" and "timeline" ended with 0 as well.

Cause: any complete answer counted as the instance's, whatever its status. And where an answer was lost, "not reached" was printed for a call that may have been carried out.

Ruled out elsewhere in the client: it repeats a change of the configuration only after a conflict that a read of the root confirms, never on a status alone.

Change: only an answer with a status from 200 to 299 counts. All else is "no answer", with the reason, which is true whether the call arrived or not.

Test: adminanswers/* failed before ("127.0.0.1:18117: draining" for 404), and passes.

--- a/src/client/instancecommands.cpp
+++ b/src/client/instancecommands.cpp
@@ -15,7 +15,7 @@
 
 constexpr Millis AdminTimeout = std::chrono::seconds(3);
 
-/// Answer of one instance, or the reason why there is none.
+/// Answer of one instance, or the reason why there is none. An error is no answer of an instance.
 struct AdminAnswer
 {
     Address address;
@@ -23,6 +23,16 @@
     std::string body; ///< without an answer, the reason
 };
 
+AdminAnswer answerOf(const Address &address, const http::SyncResult &result)
+{
+    if (!result.ok)
+        return {address, false, result.failure.reason};
+    const int status = result.response.status;
+    if (status < 200 || status >= 300)
+        return {address, false, "status " + std::to_string(status)};
+    return {address, true, result.response.body};
+}
+
 /// Calls \a path at the admin addresses of all instances, one after the other.
 Result<std::vector<AdminAnswer>> callAll(const Arguments &arguments, http::Method method,
                                          const std::string &path)
@@ -37,9 +47,7 @@
         request.method = method;
         request.path = path;
         request.headTimeout = AdminTimeout;
-        const http::SyncResult result = http::callAndWait(std::move(request));
-        answers.push_back(
-            {address, result.ok, result.ok ? result.response.body : result.failure.reason});
+        answers.push_back(answerOf(address, http::callAndWait(std::move(request))));
     }
     return answers;
 }
@@ -145,7 +153,7 @@
     BOOST_LEAF_AUTO(answers, callAll(arguments, http::Method::Post, "/drain"));
     for (const AdminAnswer &answer : answers)
         std::cout << answer.address.toString() << ": "
-                  << (answer.hasAnswered ? "draining" : "not reached: " + answer.body) << "\n";
+                  << (answer.hasAnswered ? "draining" : "no answer: " + answer.body) << "\n";
     return haveAllAnswered(answers) ? ExitDone : ExitFailed;
 }
 
@@ -158,7 +166,7 @@
     std::vector<Json> events;
     for (const AdminAnswer &answer : answers) {
         if (!answer.hasAnswered) {
-            std::cerr << answer.address.toString() << ": not reached: " << answer.body << "\n";
+            std::cerr << answer.address.toString() << ": no answer: " << answer.body << "\n";
             continue;
         }
         std::istringstream lines(answer.body);
