--- /dev/null
+++ b/src/router/foreignrefusals_test.cpp
@@ -0,0 +1,64 @@
+#include "router/routerfixture.h"
+
+using namespace lavenderhall;
+
+namespace {
+
+std::size_t requestsAtEngines(const Fixture &fixture)
+{
+    return fixture.firstEngine.requestCount() + fixture.secondEngine.requestCount();
+}
+
+} // namespace
+
+// Guards against a request that ran and was sent again, or was reported as not run, because its
+// engine answered 404 or 429.
+Test(foreignrefusals, a_status_alone_does_not_state_that_a_request_has_not_run)
+{
+    for (const int status : {404, 408, 429, 503}) {
+        for (const bool streams : {false, true}) {
+            Fixture fixture;
+            fixture.firstEngine.faults.statusAfterRun = status;
+            fixture.secondEngine.faults.statusAfterRun = status;
+            const Answer once = fixture.complete("once", 4, streams);
+            const std::size_t runs = requestsAtEngines(fixture);
+            cr_assert(runs == 1U && once.outcome() != "not-run", "%d: ran %zu times, told \"%s\"",
+                      status, runs, once.outcome().c_str());
+            const Answer repeatable = fixture.complete("review", 4, streams);
+            cr_assert(requestsAtEngines(fixture) > runs);
+            cr_assert(repeatable.outcome() != "not-run", "%d: %s", status, repeatable.body.c_str());
+        }
+    }
+}
+
+// Guards against a caller that gets the error answer to another request, which may quote its
+// prompt.
+Test(foreignrefusals, an_error_answer_to_another_request_is_not_delivered)
+{
+    for (const int status : {400, 404, 409, 422}) {
+        for (const char *route : {"review", "once"}) {
+            Fixture fixture;
+            fixture.firstEngine.faults.statusAfterRun = status;
+            fixture.secondEngine.faults.statusAfterRun = status;
+            fixture.firstEngine.faults.foreignIdNext = true;
+            fixture.secondEngine.faults.foreignIdNext = true;
+            const Answer answer = fixture.complete(route, 4, false);
+            cr_assert(answer.body.find("another-request") == std::string::npos, "%s, %d: %s", route,
+                      status, answer.body.c_str());
+            cr_assert(answer.outcome() != "not-run");
+        }
+    }
+}
+
+// The caller's own mistake is its own to know.
+Test(foreignrefusals, an_error_answer_to_the_request_itself_is_delivered)
+{
+    Fixture fixture;
+    fixture.firstEngine.faults.statusAfterRun = 400;
+    fixture.secondEngine.faults.statusAfterRun = 400;
+    for (const char *route : {"review", "once"}) {
+        const Answer answer = fixture.complete(route, 4, false);
+        cr_assert(answer.status == 400, "%d", answer.status);
+        cr_assert(answer.outcome() == "ran");
+    }
+}
