HTTP server: nothing behind the last answer of a connection runs

What callers see: a request that was pipelined behind one whose answer closes the connection ran, its answer was lost, and the close without an answer told the caller that it had not been read, so that it may send it again. A request behind one that the server itself had refused (413, 503 for memory) could run in the same way, also while the process drains. The answer to the first request was cut if a few bytes of it were still queued.

Cause: the loop over pipelined requests ends when the socket is closed, and isClosed() was false while the socket is being closed gracefully. An answer that the handler gave at once began such a close in the middle of this loop, and the next request was passed on. Its exchange pointed to a connection that the server had dropped already, and writing its answer to the socket failed, upon which the socket and the queued rest of the first answer were dropped.

Change: isClosed() is true from the beginning of a graceful close.

--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -59,8 +59,8 @@
     /// a second after the last byte was sent. Received bytes are dropped, and onDrained and onEnd
     /// are not called any more. Keeps \a whileUnsent until the last byte has been sent.
     void closeGracefully(std::shared_ptr<void> whileUnsent = nullptr);
-    /// Returns whether the socket is closed or is being closed.
-    bool isClosed() const { return this->isClosing; }
+    /// Returns whether the socket is closed or is being closed, also gracefully.
+    bool isClosed() const { return this->isClosing || this->isClosingGracefully; }
 
 private:
     struct Handle;
