Test: a refusal elsewhere bears the request's id, so that it is judged as a refusal

Since an answer of another instance without an id ends the relay before its status is looked at, so the test no longer reached the decision that it guards: with "|| this->mayHaveRun" taken out of Relay::onAnswerEnd, forwarderrelay_test passed 9 of 9. The other instance's refusal bears the id now, as real ones do, for all four statuses that promise "not run" and also as an event stream; the same mutant fails it ("408: the caller got 408").

No functional change.

--- a/src/forward/forwarderrelay_test.cpp
+++ b/src/forward/forwarderrelay_test.cpp
@@ -86,16 +86,25 @@
 // caller that it has not run.
 Test(forwarderrelay, a_refusal_elsewhere_does_not_hide_that_a_read_may_have_run)
 {
-    CutOffFixture fixture;
-    fixture.join(fixture.first, "desk");
-    fixture.first.onRequest = [](const http::ExchangePtr &exchange) { exchange->abort(); };
-    fixture.other.onRequest = [](const http::ExchangePtr &exchange) {
-        exchange->respond({503, {}, ""});
-    };
-    const auto result = fixture.call("read");
-    cr_assert(result.ok);
-    cr_assert(fixture.other.exchanges.size() == 1U);
-    cr_assert(result.response.status == 502, "%d", result.response.status);
+    for (const int status : {408, 421, 429, 503}) {
+        for (const char *type : {"application/json", "text/event-stream"}) {
+            CutOffFixture fixture;
+            fixture.join(fixture.first, "desk");
+            fixture.first.onRequest = [](const http::ExchangePtr &exchange) { exchange->abort(); };
+            fixture.other.onRequest = [&](const http::ExchangePtr &exchange) {
+                const auto id = http::findHeader(exchange->request().headers, "request-id");
+                const http::Headers headers{{"request-id", std::string(id)},
+                                            {"content-type", type}};
+                exchange->respond({status, headers, "no"});
+            };
+            const auto result = fixture.call("read");
+            cr_assert(result.ok, "%d, %s", status, type);
+            cr_assert(fixture.other.exchanges.size() == 1U);
+            cr_assert(result.response.status == 502, "%d, %s: the caller got %d", status, type,
+                      result.response.status);
+            cr_assert(http::findHeader(result.response.headers, "retry-after").empty());
+        }
+    }
 }
 
 // Requests are in flight on open connections when the cut begins, and nothing comes back. Endpoints
