--- a/src/http/requestowners_test.cpp
+++ b/src/http/requestowners_test.cpp
@@ -196,7 +196,7 @@
         for (int count = 0; count < LastTurns; ++count)
             this->turn();
         for (const Caller &caller : this->callers) {
-            const std::string fault = this->faultOf(caller);
+            std::string fault = this->faultOf(caller);
             if (!fault.empty())
                 return fault;
         }
