HTTP server: a gracefully closed connection frees its socket

What users see: memory grows with each connection that the server closes after an answer (Connection: close, refusals, a drain). The sanitizer reports 304 bytes for one.

Cause: closeGracefully() keeps a weak pointer to an object whose deleter holds the socket. A weak pointer keeps the control block, and with it the deleter, so that socket and control block kept each other. The descriptor and the lease were released.

Change: close() resets that weak pointer.

The leak was found by the address sanitizer on makeroom_test and requestowners_test, where it made no test fail, as the check of leaks runs after the test has reported.

No functional change.

--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -252,6 +252,7 @@
         return;
     this->isClosing = true;
     this->unsentMark = nullptr;
+    this->closer.reset(); // also a weak pointer keeps its deleter, and that this socket
     this->lingerTimer.cancel();
     // The caller may be one of these handlers, so they are destroyed later from the loop.
     auto oldHandlers = std::make_shared<SocketHandlers>(std::move(this->handlers));
