HTTP server: a request whose method is not known is refused

Cause: methods that the parser knows and we don't name were all passed on under one name, and after CONNECT the parser ends the message at its head, as what follows is no HTTP.

Change: the server answers 501 and closes the connection, in both dialects; the gateway's own check is gone with it.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -8,6 +8,8 @@
 /// HTTP requests and answers as plain values, shared by the server and the client.
 namespace lavenderhall::http {
 
+/// Other stands for all methods that the server refuses: it can't pass them on as they came, and
+/// after CONNECT the bytes are no HTTP.
 enum class Method { Get, Head, Post, Put, Patch, Delete, Options, Other };
 
 /// Returns the name of \a method on the wire, e.g. "GET"; "OTHER" for a method not listed here.
--- a/src/http/requestowners_test.cpp
+++ b/src/http/requestowners_test.cpp
@@ -181,7 +181,7 @@
     {
         constexpr std::size_t Budget = 1500;
         this->server.setMemoryBudget(std::make_shared<MemoryBudget>(Budget));
-        this->server.setRefusal([](int status, std::string_view) {
+        this->server.setRefusal([](int status, std::string_view, const Request &) {
             return Response{status, {{"x-refused", "1"}}, "refused"};
         });
     }
@@ -399,3 +399,38 @@
     cr_assert(refused > Schedules / 4, "%zu", refused);
     cr_assert(unhandled > Schedules / 4, "%zu", unhandled);
 }
+
+// Guards against a request that runs under another method than its caller's, and against the body
+// of CONNECT that runs as the next request.
+Test(requestowners, a_request_whose_method_is_not_known_does_not_run)
+{
+    const std::string inside = get("/inside");
+    const std::string length = "Content-Length: " + std::to_string(inside.size()) + "\r\n\r\n";
+    for (const std::string start :
+         {"CONNECT h.example:80", "TRACE /now", "PROPFIND /now", "LINK /now"}) {
+        Fixture fixture;
+        fixture.caller.write(start + " HTTP/1.1\r\n" + length + inside);
+        fixture.settle();
+        cr_assert(fixture.handled.empty(), "%s: %s ran", start.c_str(),
+                  fixture.handled.front().c_str());
+        cr_assert(fixture.caller.received.starts_with("HTTP/1.1 501 "), "%s: %s", start.c_str(),
+                  fixture.caller.received.c_str());
+        cr_assert(answerCount(fixture.caller.received) == 1U);
+    }
+}
+
+// Guards against a refusal that another instance can't tell from the answer to an earlier request,
+// as it bears no id.
+Test(requestowners, a_refusal_knows_the_headers_of_its_request)
+{
+    Fixture fixture;
+    fixture.server.setRefusal([](int status, std::string_view, const Request &received) {
+        return Response{
+            status, {{"request-id", std::string(findHeader(received.headers, "request-id"))}}, ""};
+    });
+    fixture.caller.write("POST /large HTTP/1.1\r\nRequest-Id: r7\r\nContent-Length: 2000\r\n\r\n"
+                         + std::string(2000, 'x'));
+    fixture.settle();
+    cr_assert(fixture.caller.received.find("request-id: r7") != std::string::npos, "%s",
+              fixture.caller.received.c_str());
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -51,6 +51,8 @@
         return "Request Header Fields Too Large";
     case 500:
         return "Internal Server Error";
+    case 501:
+        return "Not Implemented";
     case 502:
         return "Bad Gateway";
     case 503:
@@ -337,6 +339,8 @@
     /// Passes a complete request to the server's handler.
     void dispatch()
     {
+        if (this->received.method == Method::Other)
+            return this->refuse(501, "the method is not known");
         if (this->isTooLarge)
             return this->refuse(413, "the request body is too large");
         this->beginExchange();
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -243,8 +243,6 @@
             caller,
             notFound("unknown_route",
                      "there is no service route \"" + name.substr(0, MaxQuotedNameLength) + "\""));
-    if (request.method == http::Method::Other)
-        return this->refuse(caller, methodNotAllowed("the usual HTTP methods"));
     caller.route = *route;
     if (!this->authenticate(caller))
         return;
