--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -91,9 +91,9 @@
     this->call->setReading(false);
 }
 
-// An instance always announces the end of its answers, so an end with the connection is a break.
-// Only an instance states that a request has not run, so such a status under an endpoint's seal,
-// which earlier builds pass on, states nothing.
+// An instance always announces the end of its answers, so an end with the connection is a break. A
+// sealed answer is the endpoint's: the other instance states nothing by it. Earlier builds pass on
+// sealed refusals that state nothing.
 void Relay::onAnswerEnd()
 {
     if (!this->onEnd)
--- a/src/forward/relay.h
+++ b/src/forward/relay.h
@@ -25,7 +25,7 @@
 
     Kind kind = Kind::Unknown;
     AnswerHead head; ///< of the other instance's answer, if one has arrived
-    std::string reason; ///< why there is none, if so
+    std::string reason; ///< why it does not count, or why none has arrived
 
     bool operator==(const RelayResult &) const = default;
 };
