--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -246,18 +246,26 @@
                                                  const http::Request &received)
 {
     ForwardRefusal refusal{status, std::string(reason), {}};
-    if (status != ServiceUnavailable)
-        this->metrics.countRefusal("http_" + std::to_string(status));
-    if (status != ServiceUnavailable && this->serverRefusalLines.tryAcquire(monoNow()))
-        logEvent(LogLevel::Info, "request_rejected",
-                 {{"status", status},
-                  {"reason", refusal.reason},
-                  {"lines_left_out", this->serverRefusalLines.takeDroppedCount()}});
-    if (status == ServiceUnavailable) {
-        this->recordMemoryRefusal();
-        refusal.retryAfter = NoMemoryRetryAfter;
+    const std::string requestId = this->adapter.readRequestId(received);
+    if (status != ServiceUnavailable) {
+        this->recordRejection(refusal, requestId);
+        return this->adapter.writeRefusal(refusal, requestId);
     }
-    return this->adapter.writeRefusal(refusal, this->adapter.readRequestId(received));
+    this->recordMemoryRefusal();
+    refusal.retryAfter = NoMemoryRetryAfter;
+    return this->adapter.writeRefusal(refusal, requestId);
+}
+
+void ForwardDaemon::recordRejection(const ForwardRefusal &refusal, const std::string &requestId)
+{
+    this->metrics.countRefusal("http_" + std::to_string(refusal.status));
+    if (!this->rejectionLines.tryAcquire(monoNow()))
+        return;
+    logEvent(LogLevel::Info, "request_rejected",
+             {{"request", requestId},
+              {"status", refusal.status},
+              {"reason", refusal.reason},
+              {"lines_left_out", this->rejectionLines.takeDroppedCount()}});
 }
 
 void ForwardDaemon::recordMemoryRefusal()
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -41,8 +41,8 @@
     void drain();
 
 private:
-    static constexpr double ServerRefusalLinesPerSecond = 5;
-    static constexpr double ServerRefusalLinesBurst = 20;
+    static constexpr double RejectionLinesPerSecond = 5;
+    static constexpr double RejectionLinesBurst = 20;
 
     StoreReplicaHandlers storeReplicaHandlers();
     EngineBroadcast engineBroadcast();
@@ -76,6 +76,8 @@
     /// Writes the answer to a request that a server refuses by itself.
     http::Response writeServerRefusal(int status, std::string_view reason,
                                       const http::Request &received);
+    /// Counts and logs a request that the HTTP server has refused by itself.
+    void recordRejection(const ForwardRefusal &refusal, const std::string &requestId);
     void recordMemoryRefusal();
     void tick(); ///< called periodically
     void checkDrained();
@@ -109,7 +111,7 @@
     http::MemoryBudgetPtr requestMemory; ///< of the servers
     std::uint64_t memoryRefusals = 0; ///< since the last log line about them
     MonoTime nextMemoryLine{};
-    LogRateLimiter serverRefusalLines{ServerRefusalLinesPerSecond, ServerRefusalLinesBurst};
+    LogRateLimiter rejectionLines{RejectionLinesPerSecond, RejectionLinesBurst};
     std::unique_ptr<Admin> admin;
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
