--- a/src/forward/notrunpromises_test.cpp
+++ b/src/forward/notrunpromises_test.cpp
@@ -45,7 +45,7 @@
     fixture.first.onRequest = [&](const http::ExchangePtr &exchange) {
         exchange->respond(falseRefusalTo(exchange, refusal));
     };
-    const http::Response response = fixture.call(route).response;
+    http::Response response = fixture.call(route).response;
     runs = fixture.first.exchanges.size();
     return response;
 }
