Log: what an answer's statement rests on

attempt_failed could not tell a statement of one message from one that is put together from two: it now has the text of the statement, a header that stands twice though endpoints send it once, and how many answers the connection had carried before. endpoint_chosen has the kind of route that the instance found, which tells an instance on an older configuration from the others.

No functional change

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -26,6 +26,13 @@
     return status >= 200 && status < 300;
 }
 
+// For the log, as a header may be long.
+std::string excerpt(const std::string &text)
+{
+    constexpr std::size_t MaxBytes = 40;
+    return text.substr(0, MaxBytes);
+}
+
 std::string joined(const std::vector<PartId> &parts)
 {
     std::string text;
@@ -259,6 +266,9 @@
               {"answer_id", toString(answerOwner(this->head, this->request.id))},
               {"sealed", this->head.isSealed ? 1 : 0},
               {"states_not_run", this->head.isNotRun ? 1 : 0},
+              {"not_run_text", excerpt(this->head.notRunText)},
+              {"repeated_header", this->head.repeatedHeader},
+              {"earlier_answers", this->earlierAnswers},
               {"shared_parts", joined(this->signature.sharedParts())},
               {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
               {"table", this->table->version()}});
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -107,6 +107,7 @@
               {"endpoint", this->choice.endpointId},
               {"build", this->choice.build},
               {"attempt", this->retryState.attempts() + 1},
+              {"kind", toString(this->route->kind)},
               {"waited_ms", waited.count()},
               {"cost_ms", std::llround(this->choice.costMillis)},
               {"prompt_tokens", this->chain.totalTokens()},
@@ -201,6 +202,7 @@
     handlers.onEnd = [self] { self->onAnswerEnd(); };
     handlers.onFailed = [self](const http::CallFailure &failure) { self->onCallFailed(failure); };
     this->call = this->context.client.start(std::move(outgoing), std::move(handlers));
+    this->earlierAnswers = this->call->earlierAnswers();
     this->armStartLimit();
 }
 
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -231,6 +231,7 @@
     Address relayInstance; ///< that has it
     int relayCount = 0;
     http::CallPtr call;
+    int earlierAnswers = 0; ///< that the attempt's connection had carried before
     Choice choice;
     Incarnation incarnation; ///< of the endpoint that the attempt was sent to
     MonoTime sentAt{}; ///< when the attempt was sent
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -81,6 +81,10 @@
     std::string requestId; ///< id of the request that it answers, as the endpoint states
     bool isSealed = false; ///< has the seal by which an endpoint marks its own answers
     bool isNotRun = false; ///< the endpoint states that it has not run the request
+    std::string notRunText; ///< what stands in the header that states it; "" without one
+    /// A header that an endpoint sends once and that this answer has more often; "" if there is
+    /// none.
+    std::string repeatedHeader;
     bool isLeaving = false; ///< the endpoint states that it stops soon
     /// For this long the endpoint wants no requests from this instance; only with status 503.
     std::optional<Millis> pause;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -83,6 +83,7 @@
     void begin(const CallPtr &next)
     {
         this->call = next;
+        this->call->earlierAnswerCount = this->answerCount;
         if (this->isConnected)
             this->send();
     }
@@ -201,6 +202,7 @@
         this->call = nullptr;
         completed->connection = nullptr;
         this->lastAnswerAt = monoNow();
+        ++this->answerCount;
         const auto self = this->shared_from_this();
         this->socket->setReading(true); // the call may have stopped it at the answer's last part
         if (isInputConsumed && this->isReusable && this->socket->backlog() == 0
@@ -239,6 +241,7 @@
     Millis serverIdleTimeout = DefaultIdleTimeout;
     std::size_t bodyBytes = 0; ///< received of the current answer's body
     MonoTime lastAnswerAt{};
+    int answerCount = 0; ///< calls completed
     bool isConnected = false;
     bool isReusable = false;
 };
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -80,6 +80,8 @@
     /// Returns whether the answer has ended with its connection, as it had neither a length nor
     /// chunks. A server that crashes may end an answer in this way, too.
     bool hasEndedByClose() const { return this->endedByClose; }
+    /// Returns how many calls the connection had completed before this one.
+    int earlierAnswers() const { return this->earlierAnswerCount; }
 
 private:
     friend class Client;
@@ -93,6 +95,7 @@
     CallFailure progress; ///< passed to onFailed if the call fails
     bool finished = false;
     bool endedByClose = false;
+    int earlierAnswerCount = 0;
 };
 
 using CallPtr = std::shared_ptr<Call>;
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -15,6 +15,19 @@
 
 } // namespace
 
+const char *toString(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Idempotent:
+        return "idempotent";
+    case RequestKind::NonIdempotent:
+        return "non_idempotent";
+    case RequestKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
 RoutingTable::RoutingTable(TableContent content)
     : tableContent(std::move(content))
 {
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -23,6 +23,9 @@
     Stream, ///< answered by a stream of events; runs at most once unless the route is resumable
 };
 
+/// Returns the name of \a kind in logs.
+const char *toString(RequestKind kind);
+
 /// The share of a route's traffic that goes to one service.
 struct TrafficShare
 {
