--- a/src/forward/unframedanswers_test.cpp
+++ b/src/forward/unframedanswers_test.cpp
@@ -1,12 +1,11 @@
 #include "forward/forwarder.h"
-#include "http/socket.h"
+#include "forward/rawendpoint.h"
 #include "platform.h"
 
 #include <algorithm>
 #include <array>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
-#include <uv.h>
 
 using namespace lavenderhall;
 
@@ -53,110 +52,28 @@
     std::vector<Attempt> attempts;
 };
 
-/// An endpoint that writes the script's bytes as they are, unlike http::Server.
-class RawEndpoint
+/// Writes the answer that \a script has for the request of \a connection at the endpoint with
+/// \a index.
+void answerFrom(Script &script, std::size_t index, http::Loop &loop,
+                const RawEndpoint::ConnectionPtr &connection)
 {
-public:
-    RawEndpoint(http::Loop &loop, Script &script, std::size_t index)
-        : loop(loop)
-        , script(script)
-        , index(index)
-    {
-        uv_tcp_init(loop.handle(), this->listener);
-        this->listener->data = this;
-        sockaddr_in address{};
-        uv_ip4_addr("127.0.0.1", EndpointPorts.at(index), &address);
-        int code = uv_tcp_bind(this->listener, reinterpret_cast<const sockaddr *>(&address), 0);
-        if (code == 0)
-            code = uv_listen(reinterpret_cast<uv_stream_t *>(this->listener), 16,
-                             [](uv_stream_t *stream, int) {
-                                 static_cast<RawEndpoint *>(stream->data)->onConnection();
-                             });
-        cr_assert(code == 0, "%s", uv_strerror(code));
-    }
-    ~RawEndpoint()
-    {
-        for (const auto &connection : this->connections)
-            connection->socket->close();
-        uv_close(reinterpret_cast<uv_handle_t *>(this->listener),
-                 [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
-    }
-    RawEndpoint(const RawEndpoint &) = delete;
-    RawEndpoint &operator=(const RawEndpoint &) = delete;
-
-    RegisteredEndpoint entry(const std::string &service, std::int64_t weights) const
-    {
-        RegisteredEndpoint registered;
-        registered.id = "endpoint" + std::to_string(this->index);
-        registered.startMillis = 1;
-        registered.service = service;
-        registered.address = {"127.0.0.1", EndpointPorts.at(this->index)};
-        registered.zone = Zone;
-        registered.slots = 4;
-        if (weights > 0)
-            registered.weights = {{Model, weights}};
-        return registered;
-    }
-
-private:
-    /// One connection, with the parser of its requests.
-    struct Connection
-    {
-        http::Socket::Ptr socket;
-        std::unique_ptr<http::Parser> parser;
-        http::Headers headers; ///< of the request
-        http::Timer timer;
+    const std::size_t number = script.attempts.size();
+    script.attempts.push_back({index, connection->headers});
+    const RawAnswer &answer = script.answers.at(std::min(number, script.answers.size() - 1));
+    std::string bytes = "HTTP/1.1 200 OK\r\nresponse-seal: seal\r\nrequest-id: ";
+    bytes.append(connection->requestId()).append("\r\n");
+    bytes.append(answer.framing).append("\r\n").append(answer.body);
+    connection->socket->write(std::move(bytes));
+    const auto endConnection = [socket = connection->socket, end = answer.end] {
+        if (end == ConnectionEnd::Reset)
+            socket->reset();
+        else
+            socket->closeGracefully();
     };
-
-    void onConnection()
-    {
-        const auto connection = std::make_shared<Connection>();
-        const std::weak_ptr<Connection> weak = connection;
-        connection->parser = std::make_unique<http::Parser>(
-            http::MessageKind::Request,
-            http::ParserHandlers{[weak](const http::MessageHead &head) {
-                                     weak.lock()->headers = head.headers;
-                                     return false;
-                                 },
-                                 {}});
-        http::SocketHandlers handlers;
-        handlers.onData = [this, weak](std::string_view data) {
-            const auto self = weak.lock();
-            if (self->parser->feed(data).state == http::ParseState::Complete)
-                this->answer(self);
-        };
-        connection->socket = http::Socket::accept(
-            this->loop, reinterpret_cast<uv_stream_t *>(this->listener), std::move(handlers));
-        this->connections.push_back(connection);
-    }
-
-    void answer(const std::shared_ptr<Connection> &connection)
-    {
-        const std::size_t number = this->script.attempts.size();
-        this->script.attempts.push_back({this->index, connection->headers});
-        const RawAnswer &answer
-            = this->script.answers.at(std::min(number, this->script.answers.size() - 1));
-        std::string bytes = "HTTP/1.1 200 OK\r\nresponse-seal: seal\r\nrequest-id: ";
-        bytes.append(http::findHeader(connection->headers, "request-id")).append("\r\n");
-        bytes.append(answer.framing).append("\r\n").append(answer.body);
-        connection->socket->write(std::move(bytes));
-        const auto endConnection = [socket = connection->socket, end = answer.end] {
-            if (end == ConnectionEnd::Reset)
-                socket->reset();
-            else
-                socket->closeGracefully();
-        };
-        if (answer.endDelay == Millis(0))
-            return endConnection();
-        connection->timer = this->loop.after(answer.endDelay, endConnection);
-    }
-
-    http::Loop &loop;
-    Script &script;
-    std::size_t index;
-    uv_tcp_t *listener = new uv_tcp_t;
-    std::vector<std::shared_ptr<Connection>> connections;
-};
+    if (answer.endDelay == Millis(0))
+        return endConnection();
+    connection->timer = loop.after(answer.endDelay, endConnection);
+}
 
 ForwardRoute route(const std::string &name, RequestKind kind, bool isResumable,
                    const std::string &service)
@@ -226,8 +143,24 @@
         [this](const http::ExchangePtr &exchange) { this->forwarder.onRequest(exchange); }};
     http::Client caller{this->loop};
     Script script;
-    RawEndpoint first{this->loop, this->script, 0};
-    RawEndpoint second{this->loop, this->script, 1};
+    RawEndpoint first{this->loop, Address{"127.0.0.1", EndpointPorts[0]}, this->answering(0)};
+    RawEndpoint second{this->loop, Address{"127.0.0.1", EndpointPorts[1]}, this->answering(1)};
+
+    /// Lets the endpoint with \a index follow the script.
+    RawEndpoint::Handler answering(std::size_t index)
+    {
+        return [this, index](const RawEndpoint::ConnectionPtr &connection) {
+            answerFrom(this->script, index, this->loop, connection);
+        };
+    }
+
+    void join(const RawEndpoint &endpoint, const std::string &id, const std::string &service)
+    {
+        RegisteredEndpoint entry = endpoint.entry(id, service, Zone);
+        if (service == "models")
+            entry.weights = {{Model, 1}};
+        this->selector.onChange({EndpointChange::Kind::Joined, entry});
+    }
 
     /// \a service is "models" for the routes "stream" and "once", "desk" for "read" and "book".
     Fixture(const std::string &service, std::vector<RawAnswer> answers)
@@ -244,10 +177,8 @@
         engine.slots = 4;
         engine.cacheTokens = 100'000;
         this->selector.setEngines("models", engine);
-        const std::int64_t weights = service == "models" ? 1 : 0;
-        for (const RawEndpoint *endpoint : {&this->first, &this->second})
-            this->selector.onChange(
-                {EndpointChange::Kind::Joined, endpoint->entry(service, weights)});
+        this->join(this->first, "endpoint0", service);
+        this->join(this->second, "endpoint1", service);
     }
 
     /// Sends a request on \a routeName and waits for the end of its answer.
