HTTP: an answer whose lines are not those of one answer is malformed

Callers saw: a request that must run once ran twice, or was refused though it had run, or came back with 200 under the seal of an endpoint that had answered 500.

Cause: the beginning of an extra answer waits on a kept connection, and the next answer follows in the same bytes. The HTTP library takes both for one head: it is built without its strict checks on Debian, so that any bytes pass as the end of a line, of a chunk or of a head, and no build of it minds a status line inside a line. The statement 'not run' was then the extra answer's and the id the running request's.

The lines of an answer around its body are now checked before the library gets them: each ends with CR and LF, none contains a status line, names are names, a chunk ends where it should. This holds for all answers that the process reads: of endpoints, other instances, the store, and in the OpenAI dialect. What is not one answer fails the call as one that may have run, and its connection is closed.

Ruled out: comparing more of the id (it is the own one) and closing connections by time (both answers are in the same read).

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -1,5 +1,7 @@
 #include "http/parser.h"
 
+#include "http/answerlines.h"
+
 #include <algorithm>
 #include <http_parser.h>
 
@@ -42,6 +44,8 @@
     MessageKind kind = MessageKind::Request;
     ParserHandlers handlers;
     MessageHead head;
+    AnswerLines lines; ///< of an answer
+    const char *checkedUntil = nullptr; ///< where the bytes behind the head were checked up to
     std::size_t headBytes = 0;
     bool isInHead = true;
     bool isNewHeader = true; ///< the next part of a header name begins a new header
@@ -53,6 +57,7 @@
     void reset()
     {
         this->head = {};
+        this->lines.reset();
         this->headBytes = 0;
         this->isInHead = true;
         this->isNewHeader = true;
@@ -83,6 +88,18 @@
             && (this->head.status == NoContent || this->head.status == NotModified);
     }
 
+    /// Checks the bytes of an answer between the last part of its body and \a end. Returns whether
+    /// they are in order.
+    bool checkFraming(const char *end)
+    {
+        if (this->kind != MessageKind::Response || !this->checkedUntil)
+            return true;
+        this->lines.readFraming(
+            {this->checkedUntil, static_cast<std::size_t>(end - this->checkedUntil)});
+        this->checkedUntil = end;
+        return !this->lines.isMalformed();
+    }
+
     bool isInterim() const
     {
         return this->kind == MessageKind::Response && this->head.status < FirstFinalStatus;
@@ -128,6 +145,10 @@
         = [](http_parser *parser) { return State::of(parser).onHeadersComplete(); };
     settings.on_body = [](http_parser *parser, const char *data, std::size_t length) {
         State &state = State::of(parser);
+        if (!state.checkFraming(data))
+            return 1;
+        if (state.checkedUntil)
+            state.checkedUntil = data + length;
         if (state.handlers.onBody && !state.isInterim())
             state.handlers.onBody({data, length});
         return 0;
@@ -160,15 +181,49 @@
 Parser::~Parser() = default;
 
 ParseStep Parser::feed(std::string_view data)
+{
+    if (this->state->kind == MessageKind::Request)
+        return this->execute(data);
+    ParseStep step;
+    do {
+        const std::string_view rest = data.substr(step.consumed);
+        const ParseStep next = this->feedAnswer(rest);
+        step = {step.consumed + next.consumed, next.state};
+    } while (step.state == ParseState::NeedsMore && step.consumed < data.size());
+    return step;
+}
+
+// The library gets the head of an answer after it has been checked, and the rest by itself.
+ParseStep Parser::feedAnswer(std::string_view data)
+{
+    this->beginMessage();
+    State &answer = *this->state;
+    const bool isHead = answer.isInHead;
+    const std::string_view piece = isHead ? data.substr(0, answer.lines.readHead(data)) : data;
+    if (answer.lines.isMalformed())
+        return {0, ParseState::Malformed};
+    answer.checkedUntil = isHead ? nullptr : piece.data();
+    const ParseStep step = this->execute(piece);
+    if (!answer.checkFraming(piece.data() + step.consumed))
+        return {step.consumed, ParseState::Malformed};
+    return step;
+}
+
+void Parser::beginMessage()
+{
+    if (this->isInMessage)
+        return;
+    this->isInMessage = true;
+    this->state->reset();
+    const auto type = static_cast<http_parser_type>(this->state->parser.type);
+    http_parser_init(&this->state->parser, type);
+}
+
+ParseStep Parser::execute(std::string_view data)
 {
     static const http_parser_settings Settings = makeSettings<State>();
+    this->beginMessage();
     State &parserState = *this->state;
-    if (!this->isInMessage) {
-        parserState.reset();
-        const auto type = parserState.parser.type;
-        http_parser_init(&parserState.parser, static_cast<http_parser_type>(type));
-    }
-    this->isInMessage = true;
     const bool wasInHead = parserState.isInHead;
     const std::size_t consumed
         = http_parser_execute(&parserState.parser, &Settings, data.data(), data.size());
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -72,6 +72,13 @@
     bool isInsideMessage() const { return this->isInMessage; }
 
 private:
+    /// Parses \a data of an answer, at most to the end of its head.
+    ParseStep feedAnswer(std::string_view data);
+    /// Passes \a data to the library.
+    ParseStep execute(std::string_view data);
+    /// Starts with a new message unless one has begun.
+    void beginMessage();
+
     struct State;
     std::unique_ptr<State> state;
     std::size_t maxHeadBytes = 80U << 10U; ///< 80 KiB, the default limit of http_parser
