Relay: a request goes to each other instance once

Cause: an instance that could not serve a relayed request is asked again a second later, also for the same request. On its kept connection to an endpoint, a second copy of the refusal of the first round may wait, which bears this request's id: the request runs there, counts as refused and runs once more. No part of an answer can tell the copy from the refusal, so the request must not come back.

The instances that a request was sent to are kept with it. Test: a booking that two instances cannot serve, one of them after 1.2 s, reached the first one twice (4 times for two bookings), now once.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -309,7 +309,7 @@
               {"attempts", this->retryState.attempts()},
               {"reached", this->retryState.reachedAttempts()},
               {"possible_runs", this->retryState.possibleRuns()},
-              {"relays", this->relayCount},
+              {"relays", this->askedInstances.size()},
               {"endpoint", this->triedEndpoints.empty() ? "" : this->triedEndpoints.back()},
               {"ms", elapsed.count()},
               {"table", this->table ? this->table->version() : 0}});
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -162,6 +162,8 @@
     /// Whether another instance should serve the request: connections could not be opened, or the
     /// service is out of reach and the request is not the next one to find out whether it still is.
     bool shouldRelay() const;
+    /// Returns the instances that this request has not been sent to.
+    std::vector<Address> unaskedInstances() const;
     /// Has another instance serve the request. Returns false if none can.
     bool relay();
     /// The same for a request that has failed here and may have run. Counts as a retry.
@@ -229,7 +231,7 @@
 
     std::shared_ptr<Relay> activeRelay; ///< nullptr unless another instance has the request
     Address relayInstance; ///< that has it
-    int relayCount = 0;
+    std::vector<Address> askedInstances; ///< that the request was sent to, one after the other
     http::CallPtr call;
     int earlierAnswers = 0; ///< that the attempt's connection had carried before
     Choice choice;
--- a/src/forward/forwarderrelay_test.cpp
+++ b/src/forward/forwarderrelay_test.cpp
@@ -177,3 +177,33 @@
     cr_assert(result.response.body == "id: 1\ndata: x\n\nid: 2\ndata: end\n\n");
     cr_assert(fixture.first.exchanges.size() == 1U);
 }
+
+// Guards against a booking that runs twice: an endpoint had refused it on its first way over the
+// instance, and a second copy of that refusal, with the booking's own id, waits there.
+Test(forwarderrelay, a_request_does_not_go_to_an_instance_again_that_was_unable)
+{
+    constexpr Millis LateAnswer{1200}; // by then, the first instance may be asked for others again
+    const Address lateAddress{TestHost, 18137};
+    CutOffFixture fixture;
+    TestEndpoint late(fixture.loop, "late", lateAddress.port);
+    fixture.context.relayInstances = [lateAddress] {
+        return std::vector<Address>{RelayAddress, lateAddress};
+    };
+    const auto refuseAsUnable = [](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.pop_back(); // the seal
+        exchange->respond({421, headers, ""});
+    };
+    http::Timer timer;
+    fixture.other.onRequest = refuseAsUnable;
+    late.onRequest = [&](const http::ExchangePtr &exchange) {
+        timer = fixture.loop.after(LateAnswer, [=] { refuseAsUnable(exchange); });
+    };
+    // Whichever is asked first, the other one is asked after it and nobody a third time.
+    for (int count = 0; count < 2; ++count) {
+        cr_assert(fixture.call("book").response.status == 503);
+        fixture.loop.runFor(LateAnswer);
+    }
+    cr_assert(fixture.other.exchanges.size() == 2U, "%zu", fixture.other.exchanges.size());
+    cr_assert(late.exchanges.size() == 2U, "%zu", late.exchanges.size());
+}
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -2,12 +2,14 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+
 /// The part of ForwardCall that has another instance serve a request.
 namespace lavenderhall {
 
 namespace {
 
-constexpr int MaxRelays = 3; ///< instances that one request is sent to
+constexpr std::size_t MaxRelays = 3; ///< instances that one request is sent to
 /// Attempts without a connection, each of which may take its whole timeout, before another instance
 /// is asked.
 constexpr int MaxUnsentAttempts = 2;
@@ -43,6 +45,18 @@
         || !this->context.reach.takeProbe(this->service, this->route->mayRepeat(), monoNow());
 }
 
+// An instance is asked once: on its connections, copies of the refusals of the first time may wait,
+// and they bear the id of this request.
+std::vector<Address> ForwardCall::unaskedInstances() const
+{
+    std::vector<Address> instances = this->context.relayInstances();
+    std::erase_if(instances, [this](const Address &instance) {
+        return std::find(this->askedInstances.begin(), this->askedInstances.end(), instance)
+            != this->askedInstances.end();
+    });
+    return instances;
+}
+
 // The other instance asks for the tokens of the request itself.
 bool ForwardCall::relay()
 {
@@ -52,15 +66,15 @@
         this->refuse({UnableStatus, "endpoints_out_of_reach", {}});
         return true;
     }
-    if (this->relayCount >= MaxRelays || timeLeft < MinRelayTime)
+    if (this->askedInstances.size() >= MaxRelays || timeLeft < MinRelayTime)
         return false;
-    const auto instance = this->context.relayTargets.choose(this->context.relayInstances(),
-                                                            this->context.random(), now);
+    const auto instance
+        = this->context.relayTargets.choose(this->unaskedInstances(), this->context.random(), now);
     if (!instance)
         return false;
     this->releaseTokens();
     this->forgetUnbegunStream();
-    ++this->relayCount;
+    this->askedInstances.push_back(*instance);
     logEvent(LogLevel::Info, "request_relayed",
              {{"request", this->request.id},
               {"service", this->service},
@@ -68,7 +82,7 @@
               {"cut_off", this->isCutOff() ? 1 : 0},
               {"attempts", this->retryState.attempts()},
               {"unsent", this->retryState.unsentAttempts()},
-              {"relays", this->relayCount},
+              {"relays", this->askedInstances.size()},
               {"time_left_ms", timeLeft.count()}});
     this->relayInstance = *instance;
     this->context.relayTargets.onSent(*instance);
