--- a/src/forward/joinedanswers_test.cpp
+++ b/src/forward/joinedanswers_test.cpp
@@ -220,7 +220,7 @@
     SentAnswer runAnswer(const std::string &id, bool isStream)
     {
         const int status = this->random(4) == 0 ? 500 : 200;
-        const SentAnswer own = isStream && status == 200 ? ownStream(id) : ownAnswer(status, id);
+        SentAnswer own = isStream && status == 200 ? ownStream(id) : ownAnswer(status, id);
         Run &run = this->runs[id];
         ++run.count;
         run.status = status;
