HTTP: a line of an answer is searched once for its end

Read again as a newcomer: each piece of a long line was searched from the line's beginning. The new test answerlines/a_line_without_end... shows that memory is bounded for heads, chunk sizes and trailers; it passes without a bound of our own, as the library has one for all three.

--- a/src/http/answerlines.cpp
+++ b/src/http/answerlines.cpp
@@ -84,12 +84,14 @@
 {
     const std::size_t lineFeed = bytes.find('\n');
     const std::size_t size = lineFeed == std::string_view::npos ? bytes.size() : lineFeed;
+    // The last byte that has arrived before may be a CR.
+    const std::size_t uncheckedFrom = this->line.empty() ? 0 : this->line.size() - 1;
     this->line.append(bytes.substr(0, size));
-    const std::size_t carriageReturn = this->line.find('\r');
+    const std::size_t carriageReturn = this->line.find('\r', uncheckedFrom);
     const bool isEnded = lineFeed != std::string_view::npos;
     const bool hasReturnAtEnd = !this->line.empty() && carriageReturn == this->line.size() - 1;
-    if (isEnded ? !hasReturnAtEnd : carriageReturn != std::string::npos && !hasReturnAtEnd)
-        this->malformed = true;
+    const bool hasReturnInside = carriageReturn != std::string::npos && !hasReturnAtEnd;
+    this->malformed = hasReturnInside || (isEnded && !hasReturnAtEnd);
     if (!isEnded || this->malformed)
         return size;
     this->line.pop_back();
--- a/src/http/answerlines_test.cpp
+++ b/src/http/answerlines_test.cpp
@@ -75,6 +75,20 @@
     }
 }
 
+// Guards against memory for a line without end. The library bounds lines, also behind the head.
+Test(answerlines, a_line_without_end_is_malformed)
+{
+    const std::string endless(1U << 20U, 'x');
+    constexpr std::size_t PieceSize = 4096;
+    for (const std::string &answer : {Status + "A: " + endless, Chunked + "3;" + endless,
+                                      Chunked + "3\r\nabc\r\n0\r\nA: " + endless}) {
+        const Parsed parsed = parse(answer, PieceSize);
+        cr_assert(parsed.state == ParseState::Malformed
+                  || parsed.state == ParseState::HeadTooLarge);
+        cr_assert(parsed.consumed < endless.size() / 2);
+    }
+}
+
 // Guards against a body that foreign bytes complete.
 Test(answerlines, a_chunked_body_with_bytes_that_are_not_of_one_answer_is_malformed)
 {
