--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -55,7 +55,7 @@
     this->head = this->context.adapter.readAnswerHead(status, headers);
     this->context.reach.onHeard(this->service, this->choice.endpointId, monoNow());
     this->statement = endpointStatement(this->head, this->request.id);
-    if (this->statement == RunStatement::NoStatement)
+    if (this->statement == RunStatement::None)
         return this->giveUpAttempt("foreign_answer");
     if (this->statement == RunStatement::Contradictory)
         return this->giveUpAttempt("contradictory_answer");
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -177,7 +177,7 @@
     if (this->route->kind == RequestKind::Stream && !this->isStreaming)
         this->context.streamOrigins.onSent(this->streamId(), this->service, chosen.build);
     this->head = {};
-    this->statement = RunStatement::NoStatement;
+    this->statement = RunStatement::None;
     this->body.clear();
     this->splitter.reset();
     this->hasBegun = false;
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -244,7 +244,7 @@
     bool isPrefillDone = false;
     bool hasBegun = false; ///< this attempt has sent a part of a successful answer
     AnswerHead head;
-    RunStatement statement = RunStatement::NoStatement; ///< of the head
+    RunStatement statement = RunStatement::None; ///< of the head
     std::string body;
     std::vector<std::string> triedEndpoints;
 
--- a/src/forward/notrunstatement.cpp
+++ b/src/forward/notrunstatement.cpp
@@ -63,7 +63,7 @@
         return "not_run";
     case RunStatement::Contradictory:
         return "contradictory";
-    case RunStatement::NoStatement:
+    case RunStatement::None:
         return "";
     }
     return "";
@@ -74,7 +74,7 @@
 RunStatement endpointStatement(const AnswerHead &head, const std::string &requestId)
 {
     if (answerOwner(head, requestId) != AnswerOwner::OwnRequest)
-        return RunStatement::NoStatement;
+        return RunStatement::None;
     if (isContradictory(head))
         return RunStatement::Contradictory;
     const bool isMisdirected = head.status == MisdirectedRequest && !head.isSealed;
@@ -87,7 +87,7 @@
 RunStatement instanceStatement(const AnswerHead &head, const std::string &requestId)
 {
     if (answerOwner(head, requestId) != AnswerOwner::OwnRequest)
-        return RunStatement::NoStatement;
+        return RunStatement::None;
     if (isContradictory(head))
         return RunStatement::Contradictory;
     return promisesNotRun(head.status) && !head.isSealed ? RunStatement::NotRun
--- a/src/forward/notrunstatement.h
+++ b/src/forward/notrunstatement.h
@@ -25,10 +25,10 @@
 
 /// What an answer states about the request that it answers.
 enum class RunStatement {
+    None, ///< no answer to this request has arrived, at most one to another request
     MayHaveRun, ///< it does not state that the request has not run
     NotRun,
     Contradictory, ///< its parts cannot be of one answer, so that nothing in it counts
-    NoStatement, ///< it belongs to another request, or to none
 };
 
 /// Returns the name of \a statement in logs.
--- a/src/forward/notrunstatement_test.cpp
+++ b/src/forward/notrunstatement_test.cpp
@@ -64,10 +64,10 @@
     for (const char *id : {"", "r", "r11"}) {
         AnswerHead head = answerOf(503, NotRunMark::Present);
         head.requestId = id;
-        cr_assert(endpointStatement(head, "r1") == RunStatement::NoStatement);
-        cr_assert(instanceStatement(head, "r1") == RunStatement::NoStatement);
+        cr_assert(endpointStatement(head, "r1") == RunStatement::None);
+        cr_assert(instanceStatement(head, "r1") == RunStatement::None);
     }
-    cr_assert(endpointStatement({}, "r1") == RunStatement::NoStatement);
+    cr_assert(endpointStatement({}, "r1") == RunStatement::None);
 }
 
 Test(notrunstatement, an_answer_with_a_header_twice_states_nothing)
--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -58,7 +58,7 @@
 {
     this->head = this->adapter.readAnswerHead(status, headers);
     this->statement = instanceStatement(this->head, this->requestId);
-    if (this->statement == RunStatement::NoStatement)
+    if (this->statement == RunStatement::None)
         return this->onFailed({true, true, false, false, "foreign_answer"});
     if (this->statement == RunStatement::Contradictory)
         return this->onFailed({true, true, false, false, "contradictory_answer"});
--- a/src/forward/relay.h
+++ b/src/forward/relay.h
@@ -74,7 +74,7 @@
     Handler onEnd;
     http::CallPtr call;
     AnswerHead head;
-    RunStatement statement = RunStatement::NoStatement; ///< of the head
+    RunStatement statement = RunStatement::None; ///< of the head
     std::string body;
     bool isStream = false;
     bool isPaused = false;
