Forward: an endpoint that sends bytes is in reach, whatever they are

Cause: an attempt without the head of an answer counted as one that did not reach its endpoint, also if the bytes that came back were no answer. An instance whose endpoints spoil many answers so took them for cut off and sent its callers' requests to others. Now such an attempt says nothing about reach.

Test: joinedanswers/endpoints_that_spoil_all_answers_are_in_reach failed before.

--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -153,11 +153,10 @@
 }
 
 // An endpoint that refuses a connection, or resets it before it has answered, cannot be told from
-// one that is cut off.
+// one that is cut off. One that sends bytes is in reach, even if they are no answer.
 void ForwardCall::recordReach(const http::CallFailure &failure)
 {
-    const bool hasSign = failure.headReceived || this->hasBegun;
-    if (hasSign)
+    if (failure.bytesReceived)
         return;
     this->context.reach.onUnreachable(this->service, this->choice.endpointId, monoNow());
     if (this->isCutOff())
--- a/src/forward/joinedanswers_test.cpp
+++ b/src/forward/joinedanswers_test.cpp
@@ -383,6 +383,18 @@
     }
 }
 
+// Guards against an instance that takes its endpoints for cut off, and has others serve its
+// callers, because answers are not of one message.
+Test(joinedanswers, endpoints_that_spoil_all_answers_are_in_reach)
+{
+    JoinedFixture fixture("desk", [](const std::string &id) {
+        return JoinedFixture::Sent{"HTTP/1.1 503 X\r\nA: b" + plainAnswer(id), false};
+    });
+    for (const char *route : {"book", "read", "book", "read"})
+        cr_assert(fixture.call(route).response.status == 502);
+    cr_assert(not(fixture.context.reach.isCutOff("desk", 2, monoNow())));
+}
+
 // Guards against TWICE, REFUSED, MIXED and ORDER, whatever endpoints make of their answers.
 Test(joinedanswers, plain_requests_run_once_beside_answers_that_are_spoilt_at_random)
 {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -156,6 +156,7 @@
                 return this->client.failCall(this->call, "bytes before the request was sent");
             return this->close();
         }
+        this->call->progress.bytesReceived = true;
         const ParseStep step = this->parser.feed(data);
         if (!this->call)
             return; // a handler has cancelled the call
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -52,6 +52,7 @@
     bool timedOut = false;
     bool connectionLost = false; ///< an established connection ended before the answer did
     std::string reason;
+    bool bytesReceived = false; ///< something has come back, whether it is an answer or not
 };
 
 /// Callbacks of a call. The last one is either onEnd or onFailed, and each of them is called at
