Tests: an endpoint does not seal what it has not run

The seal came with the fixture's headers and is not what these tests are about (the weights that a resumed stream requires; the pause that an endpoint asks for).

No functional change

--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -179,15 +179,14 @@
     const auto onRequest = [&](const http::ExchangePtr &exchange) {
         const http::Headers &asked = exchange->request().headers;
         required.emplace_back(http::findHeader(asked, "expected-version"));
-        http::Headers headers = sealedHeaders(exchange);
         if (required.size() == 1) {
-            headers.push_back({"not-executed", "1"});
-            headers.push_back({"weight-versions", "7"});
-            return exchange->respond({503, headers, ""});
+            http::Headers refusal = refusalHeaders(exchange);
+            refusal.push_back({"weight-versions", "7"});
+            return exchange->respond({503, refusal, ""});
         }
         if (required.size() == 3)
             return answerStream(exchange);
-        exchange->begin(200, headers);
+        exchange->begin(200, sealedHeaders(exchange));
         exchange->write("id: 1\ndata: x\n\n");
         crashTimer = fixture.loop.after(Millis(50), [exchange] { exchange->abort(); });
     };
@@ -288,8 +287,7 @@
     Fixture fixture;
     fixture.join(fixture.first, "desk");
     fixture.first.onRequest = [](const http::ExchangePtr &exchange) {
-        http::Headers headers = sealedHeaders(exchange);
-        headers.push_back({"not-executed", "1"});
+        http::Headers headers = refusalHeaders(exchange);
         headers.push_back({"retry-after", "1.2"});
         exchange->respond({503, headers, ""});
     };
--- a/src/forward/forwarderfixture.h
+++ b/src/forward/forwarderfixture.h
@@ -71,6 +71,15 @@
             {"response-seal", "seal"}};
 }
 
+/// Returns the headers by which an endpoint states that it has not run the request of \a exchange.
+/// It seals only what it has run.
+inline http::Headers refusalHeaders(const http::ExchangePtr &exchange)
+{
+    const http::Headers &asked = exchange->request().headers;
+    return {{"request-id", std::string(http::findHeader(asked, "request-id"))},
+            {"not-executed", "1"}};
+}
+
 inline void answerStream(const http::ExchangePtr &exchange)
 {
     http::Headers headers = sealedHeaders(exchange);
