--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -45,7 +45,8 @@
     ParserHandlers handlers;
     MessageHead head;
     AnswerLines lines; ///< of an answer
-    const char *checkedUntil = nullptr; ///< where the bytes behind the head were checked up to
+    /// Behind the head of an answer: end of the bytes that are checked or part of the body.
+    const char *checkedUntil = nullptr;
     std::size_t headBytes = 0;
     bool isInHead = true;
     bool isNewHeader = true; ///< the next part of a header name begins a new header
