Settings: switches for service rollouts, load balancing and the platform's features

The parts that follow take effect only where the settings call for them. The expected time to the first event is kept apart from the preferences in the cost of a choice.

--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -30,12 +30,21 @@
     std::string limits; ///< the router's own: which instance decides on organisations' rates
 };
 
+/// Names of the parts of the platform's contract that switch on parts of the router.
+struct FeatureNames
+{
+    std::string overload; ///< callers compete for too few endpoints: admission control
+
+    auto operator<=>(const FeatureNames &) const = default;
+};
+
 /// Functions that translate between the platform's formats and the router's types. Unless stated
 /// otherwise, an error means that the input is malformed.
 struct PlatformAdapter
 {
     ObjectCodec objects;
     ObjectKinds kinds;
+    FeatureNames features;
 
     /// The platform has accepted the configuration, so no value of a route, a service or an
     /// organisation makes it unreadable: what the router cannot take as it stands is replaced by
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -252,8 +252,10 @@
     choice.cachedTokens = cached;
     choice.home = group.home ? group.home->entry.id : std::string();
     choice.costMillis += static_cast<double>(endpoint.pendingPrefillTokens + total - cached)
-            / this->settings.prefillTokensPerMilli
-        + static_cast<double>(duplicateTokens) * this->settings.duplicateMillisPerToken;
+        / this->settings.prefillTokensPerMilli;
+    choice.expectedMillis = choice.costMillis;
+    choice.costMillis
+        += static_cast<double>(duplicateTokens) * this->settings.duplicateMillisPerToken;
 }
 
 EndpointSelector::Candidates EndpointSelector::candidatesFor(const ChoiceQuery &query,
@@ -316,6 +318,7 @@
             choice.requiredWeights = query.newestWeights;
         choice.startLimit = query.oldWeightsLimits.limitOf(choice.requiredWeights);
         choice.costMillis = this->baseCost(*endpoint, now);
+        choice.expectedMillis = choice.costMillis;
         const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
             this->addPromptCost(*endpoint, query,
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -87,6 +87,8 @@
     std::string endpointId;
     std::string build; ///< of the endpoint's software
     double costMillis = 0;
+    /// Expected time until the first event, without the preferences that are part of the cost.
+    double expectedMillis = 0;
     std::int64_t cachedTokens = 0; ///< estimated number cached there, or fetched to there
     std::optional<Address> source; ///< engine or store from which cached parts may be fetched
     std::optional<Address> target; ///< store to which the engine sends the parts that it reads
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -85,6 +85,15 @@
     return bounds;
 }
 
+RolloutBounds readRolloutBounds(ObjectReader &reader)
+{
+    RolloutBounds bounds;
+    bounds.exposureShare = readNumber(reader, "exposure_share", 0, 1, bounds.exposureShare);
+    bounds.exposureSlack = readCount(reader, "exposure_slack", bounds.exposureSlack);
+    bounds.rollback = readDuration(reader, "rollback_ms", Millis(1), bounds.rollback);
+    return bounds;
+}
+
 /// Reads what both dialects have in common. \a readOne(reader, name) reads an address.
 template <typename ReadAddress>
 Settings readCommonSettings(ObjectReader &reader, Dialect dialect, ReadAddress &&readOne)
@@ -120,6 +129,10 @@
     settings.memoryMegabytes = readCount(reader, "memory_mb", 0);
     settings.logLevel = static_cast<LogLevel>(reader.choice("log_level", LogLevelNames, 1));
     reader.object("bounds", [&](ObjectReader &entry) { settings.bounds = readBounds(entry); });
+    reader.object("rollouts",
+                  [&](ObjectReader &entry) { settings.rollouts = readRolloutBounds(entry); });
+    settings.balancesLoad = reader.object("balance", [](ObjectReader &) {});
+    settings.features = reader.texts("features");
     return settings;
 }
 
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -44,11 +44,25 @@
     bool operator==(const ForwardBounds &) const = default;
 };
 
+/// Bounds on what a service's version under test may get while its rollout runs.
+struct RolloutBounds
+{
+    double exposureShare = 0.1; ///< of the service's requests from the order until its time is over
+    std::int64_t exposureSlack = 0; ///< additional requests
+    Millis rollback{5000}; ///< from the bad answer that is one too many until the last request
+
+    bool operator==(const RolloutBounds &) const = default;
+};
+
 /// Settings of either dialect.
 struct Settings
 {
     Dialect dialect = Dialect::OpenAi;
     ForwardBounds bounds; ///< forward dialect only
+    std::optional<RolloutBounds> rollouts; ///< set where services are rolled out by version
+    bool balancesLoad = false; ///< whether the load of engines is estimated, see src/balance
+    /// The parts of the platform's contract that are in force, in the platform's words.
+    std::vector<std::string> features;
     std::map<std::string, std::string> regionOfZone; ///< forward dialect only
     /// For requests that other instances relay; the port is the same at all instances.
     std::optional<Address> relay;
--- a/src/router/settings_test.cpp
+++ b/src/router/settings_test.cpp
@@ -7,17 +7,26 @@
 
 namespace {
 
-/// Returns the settings with \a bounds; nothing if they are refused.
-std::optional<ForwardBounds> boundsOf(const std::string &bounds)
+/// Returns settings of the forward dialect with \a entries; nothing if they are refused.
+std::optional<Settings> settingsWith(const std::string &entries)
 {
     const std::string text = R"({"dialect":"forward","instance":"a","region":"r","zone":"z",
         "listen":"10.0.0.1:1","admin":"10.0.0.1:2","peer":"10.0.0.1:3","store":"10.0.0.2:4",
-        "metrics":"10.0.0.1:5","seeds":[],"zones":{"z":"r"},"bounds":)"
-        + bounds + "}";
+        "metrics":"10.0.0.1:5","seeds":[],"zones":{"z":"r"},)"
+        + entries + "}";
     const Result<Settings> read = parseSettings(text, "test");
     if (!read)
         return std::nullopt;
-    return read.value().bounds;
+    return read.value();
+}
+
+/// Returns the settings with \a bounds; nothing if they are refused.
+std::optional<ForwardBounds> boundsOf(const std::string &bounds)
+{
+    const auto settings = settingsWith("\"bounds\":" + bounds);
+    if (!settings)
+        return std::nullopt;
+    return settings->bounds;
 }
 
 } // namespace
@@ -42,3 +51,23 @@
                                 R"({"weights_ms":1e300})", R"({"unknown":1})"})
         cr_assert(not(boundsOf(refused).has_value()), "%s", refused);
 }
+
+// A deployment whose settings do not ask for a part must not get it by default.
+Test(settings, optional_parts_are_off_unless_they_are_stated)
+{
+    const auto plain = settingsWith(R"("bounds":{})");
+    cr_assert(plain.has_value());
+    cr_assert(not(plain->rollouts.has_value()));
+    cr_assert(not(plain->balancesLoad));
+    cr_assert(plain->features.empty());
+    const auto full = settingsWith(
+        R"("rollouts":{"exposure_share":0.2,"exposure_slack":7,"rollback_ms":900},"balance":{},
+        "features":["base","pressure"])");
+    cr_assert(full.has_value());
+    const RolloutBounds expected{0.2, 7, Millis(900)};
+    cr_assert(full->rollouts == expected);
+    cr_assert(full->balancesLoad);
+    cr_assert(full->features == std::vector<std::string>{"base", "pressure"});
+    cr_assert(not(settingsWith(R"("rollouts":{"exposure_share":2})").has_value()));
+    cr_assert(not(settingsWith(R"("balance":{"unknown":1})").has_value()));
+}
