Store: records of seats are read with one list where a process starts

Change: reads of one turn of the event loop are answered from one list of the kind; one or two are made one by one as before. Ruled out: relying on the hints of other instances alone, as all of them may start at once.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -123,7 +123,7 @@
               rolloutTimingsOf(this->settings))
     , storeReplica(loop, this->store, adapter.kinds, this->storeReplicaHandlers(), randomSeed())
     , fleet(loop, this->settings,
-            objectSeatStore(this->store, adapter.kinds.limits,
+            objectSeatStore(loop, this->store, adapter.kinds.limits,
                             [this] { return this->storeReplica.storeOutageDuration(); }),
             std::nullopt, this->timeline, this->metrics, seatTimingsOf(this->settings))
     , rateLimiter(this->fleet)
--- a/src/forward/ratelimiter.cpp
+++ b/src/forward/ratelimiter.cpp
@@ -1,5 +1,7 @@
 #include "forward/ratelimiter.h"
 
+#include "store/groupedreads.h"
+
 #include <algorithm>
 #include <set>
 
@@ -48,14 +50,16 @@
 
 } // namespace
 
-SeatStore objectSeatStore(ObjectClient &store, const std::string &kind,
+SeatStore objectSeatStore(http::Loop &loop, ObjectClient &store, const std::string &kind,
                           std::function<Millis()> outageDuration)
 {
     SeatStore seats;
     seats.outageDuration = std::move(outageDuration);
-    seats.read = [&store, kind](const std::string &object, const StoreHandler &handler) {
-        store.read(kind, recordName(object),
-                   [handler](const ObjectReply &reply) { handler(toStoreReply(reply)); });
+    const auto post = [&loop](std::function<void()> task) { loop.post(std::move(task)); };
+    const auto reads = std::make_shared<GroupedReads<ObjectClient>>(store, kind, post);
+    seats.read = [reads](const std::string &object, const StoreHandler &handler) {
+        reads->read(recordName(object),
+                    [handler](const ObjectReply &reply) { handler(toStoreReply(reply)); });
     };
     seats.write = [&store, kind](const std::string &object, std::string text, std::int64_t expected,
                                  const StoreHandler &handler) {
--- a/src/forward/ratelimiter.h
+++ b/src/forward/ratelimiter.h
@@ -14,7 +14,7 @@
 
 /// Returns a store that keeps the records of seats as objects of \a kind, each named after its
 /// region and seat. \a outageDuration returns how long the store has not answered.
-SeatStore objectSeatStore(ObjectClient &store, const std::string &kind,
+SeatStore objectSeatStore(http::Loop &loop, ObjectClient &store, const std::string &kind,
                           std::function<Millis()> outageDuration);
 
 class RateLimiter
--- a/src/router/settings_test.cpp
+++ b/src/router/settings_test.cpp
@@ -67,7 +67,8 @@
     const RolloutBounds expected{0.2, 7, Millis(900)};
     cr_assert(full->rollouts == expected);
     cr_assert(full->balancesLoad);
-    cr_assert(full->features == std::vector<std::string>{"base", "pressure"});
+    const std::vector<std::string> features{"base", "pressure"};
+    cr_assert(full->features == features);
     cr_assert(not(settingsWith(R"("rollouts":{"exposure_share":2})").has_value()));
     cr_assert(not(settingsWith(R"("balance":{"unknown":1})").has_value()));
 }
--- /dev/null
+++ b/src/store/groupedreads.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "store/objects.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Reads of single objects of one kind, combined into few calls to the store.
+namespace lavenderhall {
+
+/// Answers reads that are requested in the same turn of the event loop from one list of the kind.
+/// A process that starts reads the records of all seats of its region; each call to the store has
+/// its price, and all instances of a fleet may start at once. \a Client is an ObjectClient.
+template <typename Client> class GroupedReads
+{
+public:
+    /// Runs its argument after the current turn of the event loop.
+    using Post = std::function<void(std::function<void()>)>;
+
+    GroupedReads(Client &client, std::string kind, Post post)
+        : client(client)
+        , kind(std::move(kind))
+        , post(std::move(post))
+    { }
+    ~GroupedReads() { *this->alive = false; }
+    GroupedReads(const GroupedReads &) = delete;
+    GroupedReads &operator=(const GroupedReads &) = delete;
+
+    /// Reads the object \a name; \a handler is called once.
+    void read(const std::string &name, ObjectClient::ReplyHandler handler)
+    {
+        this->requested.push_back({name, std::move(handler)});
+        if (this->requested.size() > 1)
+            return;
+        this->post([this, isAlive = this->alive] {
+            if (*isAlive)
+                this->send();
+        });
+    }
+
+private:
+    // A list has the records of all regions, so a few reads take less.
+    static constexpr std::size_t MinReadsPerList = 3;
+
+    struct Read
+    {
+        std::string name;
+        ObjectClient::ReplyHandler handler;
+    };
+
+    /// Reads that wait for the pages of one list.
+    struct Group
+    {
+        std::vector<Read> reads;
+        std::vector<StoredObject> objects; ///< of the pages so far
+    };
+
+    void send()
+    {
+        auto group = std::make_shared<Group>();
+        group->reads = std::exchange(this->requested, {});
+        if (group->reads.size() >= MinReadsPerList)
+            return this->list(group, {});
+        for (const Read &read : group->reads)
+            this->client.read(this->kind, read.name, read.handler);
+    }
+
+    void list(const std::shared_ptr<Group> &group, const std::string &after)
+    {
+        const auto onPage = [this, isAlive = this->alive, group](const ObjectPage &page) {
+            if (*isAlive)
+                this->onPage(group, page);
+        };
+        this->client.list(this->kind, after, onPage);
+    }
+
+    void onPage(const std::shared_ptr<Group> &group, const ObjectPage &page)
+    {
+        group->objects.insert(group->objects.end(), page.objects.begin(), page.objects.end());
+        if (page.status == StoreStatus::Ok && page.hasMore && !page.objects.empty())
+            return this->list(group, page.objects.back().name);
+        for (const Read &read : group->reads)
+            read.handler(replyFor(read.name, *group, page));
+    }
+
+    /// Returns what a read of \a name would have been answered; \a last is the last page.
+    static ObjectReply replyFor(const std::string &name, const Group &group, const ObjectPage &last)
+    {
+        ObjectReply reply;
+        reply.status = last.status;
+        reply.era = eraOf(last.revision);
+        if (last.status != StoreStatus::Ok)
+            return reply;
+        const auto found
+            = std::find_if(group.objects.begin(), group.objects.end(),
+                           [&](const StoredObject &object) { return object.name == name; });
+        if (found == group.objects.end())
+            reply.status = StoreStatus::NotFound;
+        else
+            reply.object = *found;
+        return reply;
+    }
+
+    Client &client;
+    const std::string kind;
+    const Post post;
+    std::vector<Read> requested; ///< in this turn of the event loop
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace lavenderhall
