--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build check check-asan lint format soak startstop churn demo up bench-path bench-capacity proto clean
+.PHONY: all packages build check check-asan lint format soak startstop crowds churn demo up bench-path bench-capacity proto clean
 
 all: build
 
@@ -42,6 +42,12 @@
 startstop: build
 	python3 platform/soak/startstop.py --build $(BUILD)
 
+# Lets crowds of careless clients loose on real processes with little memory, one after the other. CROWDS holds the
+# options of crowds.py.
+CROWDS ?= --seed 1
+crowds: build
+	python3 platform/soak/crowds.py --build $(BUILD) $(CROWDS)
+
 # Kills, stops and starts real processes at random, and fails for each that ends by itself. CHURN holds
 # the options of churn.py.
 CHURN ?= --seed 20 --seconds 22
