HTTP: one account of the memory held for requests and answers

Heads with unparsed bytes, bodies, collected answers and backlogs are charged by kind to MemoryBudget; each kind and all together have a limit that follows from memory_mb. For room, callers that stall and then the slowest readers are closed. A collected answer without room ends with 502 and is not tried again. Answers are moved into the socket's write instead of copied twice.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -137,6 +137,8 @@
         this->onAnswerBegun();
     if (this->body.size() + data.size() > MaxBufferedBytes)
         return this->giveUpAttempt("answer_too_large");
+    if (!this->exchange->holdAnswer(this->body.size() + data.size()))
+        return this->giveUpAnswer();
     this->body.append(data);
 }
 
@@ -335,7 +337,7 @@
         this->exchange->end();
         return this->finish(this->head.status, "ran");
     }
-    this->exchange->respond({this->head.status, this->head.headers, this->body});
+    this->exchange->respond({this->head.status, this->head.headers, std::move(this->body)});
     this->finish(this->head.status, "ran");
 }
 
@@ -348,6 +350,17 @@
     this->releaseAttempt();
 }
 
+// Another attempt would need the same memory, and the endpoint is not at fault.
+void ForwardCall::giveUpAnswer()
+{
+    constexpr const char *Reason = "no_memory_for_answer";
+    if (this->call)
+        std::exchange(this->call, nullptr)->cancel();
+    this->logFailedAttempt(AttemptOutcome::Broken, Reason);
+    this->releaseAttempt();
+    this->fail(Reason);
+}
+
 // The engine may not have noticed yet that the connection is closed, so the request may still run.
 void ForwardCall::giveUpAttempt(const char *reason)
 {
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -196,6 +196,8 @@
     void fail(const std::string &reason);
     void avoidEndpoint(AttemptOutcome outcome);
     void releaseAttempt();
+    /// Ends the request as there is no memory for its answer.
+    void giveUpAnswer();
     /// Ends the attempt in progress without an answer, for \a reason.
     void giveUpAttempt(const char *reason);
     /// Cancels the attempt in progress, if any.
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -173,6 +173,8 @@
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         if (this->callers)
             this->metrics.setRefusedConnections("callers", this->callers->refusedConnections());
+        if (this->requestMemory)
+            this->metrics.setMemory(*this->requestMemory);
         if (this->relayServer)
             this->metrics.setRefusedConnections("relays", this->relayServer->refusedConnections());
         this->processWatch.updateMetrics();
@@ -200,7 +202,7 @@
 // process that used the address before is dead.
 bool ForwardDaemon::openListeners()
 {
-    this->requestMemory = std::make_shared<http::MemoryBudget>(
+    this->requestMemory = makeMemoryBudget(
         requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes));
     const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
         return openWhenFree(this->loop, listener, open, [this] { return this->isDraining; });
--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -72,7 +72,8 @@
     if (!this->call || !this->onEnd)
         return;
     if (!this->isStream) {
-        if (this->body.size() + data.size() <= MaxBufferedBytes)
+        const std::size_t bytes = this->body.size() + data.size();
+        if (bytes <= MaxBufferedBytes && this->exchange->holdAnswer(bytes))
             this->body.append(data);
         else
             this->onFailed({true, true, false, false, "answer too large"});
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -62,6 +62,7 @@
 void Exchange::sendHead(int status, const Headers &headers)
 {
     this->begun = true;
+    this->answerShare.release(); // what the caller does not take at once is charged as a backlog
     std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
     for (const Header &header : headers) {
         if (header.name == "connection")
@@ -84,11 +85,16 @@
 }
 
 void Exchange::respond(const Response &response)
+{
+    this->respond(Response(response));
+}
+
+void Exchange::respond(Response &&response)
 {
     if (this->begun || !this->connection)
         return;
     this->beginSized(response.status, response.headers, response.body.size());
-    this->write(response.body);
+    this->write(std::move(response.body));
     this->end();
 }
 
@@ -123,6 +129,21 @@
     this->connection->send(std::string(chunkSize.data()).append(data).append("\r\n"));
 }
 
+void Exchange::write(std::string &&data)
+{
+    const bool isWhole = !this->isChunked && data.size() <= this->remainingBytes;
+    if (!isWhole || !this->connection || !this->begun || this->ended
+        || this->receivedRequest.method == Method::Head)
+        return this->write(std::string_view(data));
+    this->remainingBytes -= data.size();
+    this->connection->send(std::move(data));
+}
+
+bool Exchange::holdAnswer(std::size_t bytes)
+{
+    return this->connection && this->connection->holdAnswer(*this, bytes);
+}
+
 // The caller detects an answer that is shorter than announced only if the connection is closed.
 void Exchange::end()
 {
--- a/src/http/memorybudget.h
+++ b/src/http/memorybudget.h
@@ -1,43 +1,114 @@
 #pragma once
 
+#include "base/clock.h"
+#include "base/logratelimiter.h"
+
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <utility>
 
-/// Bound on the bytes that a process holds of its callers' requests.
+/// Bound on the bytes that a process holds of its callers' requests and of their answers.
 namespace lavenderhall::http {
 
-/// Counts the bytes of all shares. Large shares take at most half of the budget, so that a few of
-/// them cannot keep out the many small ones.
+enum class MemoryKind {
+    Heads, ///< of requests, and bytes that are not parsed yet
+    Bodies, ///< of requests
+    Answers, ///< that are collected before they are passed on
+    Backlogs, ///< bytes that peers have not taken yet
+};
+
+inline constexpr std::size_t MemoryKindCount = 4;
+
+/// Returns the name of \a kind in logs and metrics.
+const char *toString(MemoryKind kind);
+
+/// Counts the bytes of all shares. Each kind has a limit, and all together have one. Large shares
+/// take a part of their kind's limit only, so that a few of them cannot keep out the many small
+/// ones.
 class MemoryBudget
 {
 public:
-    explicit MemoryBudget(std::size_t limitBytes = SIZE_MAX)
-        : limit(limitBytes)
-    { }
-
-    void setLimit(std::size_t bytes) { this->limit = bytes; }
-    std::size_t limitBytes() const { return this->limit; }
-    std::size_t usedBytes() const { return this->used; }
-
-    /// Returns whether a share of \a heldBytes may grow to \a bytes.
-    bool hasRoom(std::size_t heldBytes, std::size_t bytes) const
+    /// Limits bodies only.
+    explicit MemoryBudget(std::size_t bodyBytes = SIZE_MAX);
+    MemoryBudget(const MemoryBudget &) = delete;
+    MemoryBudget &operator=(const MemoryBudget &) = delete;
+
+    void setLimit(MemoryKind kind, std::size_t bytes) { this->account(kind).limit = bytes; }
+    void setTotalLimit(std::size_t bytes) { this->totalLimit = bytes; }
+    std::size_t limitBytes(MemoryKind kind = MemoryKind::Bodies) const
+    {
+        return this->account(kind).limit;
+    }
+    std::size_t usedBytes(MemoryKind kind = MemoryKind::Bodies) const
     {
-        const bool isLarge = bytes > this->limit / LargeDivisor;
-        const std::size_t available = isLarge ? this->limit / 2 : this->limit;
-        const std::size_t others = this->used - heldBytes;
-        return others <= available && bytes <= available - others;
+        return this->account(kind).used;
     }
+    std::size_t totalUsedBytes() const { return this->totalUsed; }
+    /// Returns the number of slow readers whose connections were closed to make room.
+    std::uint64_t cutReaders() const { return this->cutCount; }
+    /// Returns how often there was no room for a share of \a kind.
+    std::uint64_t refusals(MemoryKind kind) const { return this->account(kind).refusals; }
+
+    /// Adds the owner of a backlog, unless it is there already. \a unsent returns the bytes that
+    /// are left of it, and \a cut closes the connection.
+    void addReader(const void *reader, std::function<std::size_t()> unsent,
+                   std::function<void()> cut);
+    void removeReader(const void *reader) { this->readers.erase(reader); }
+    /// Returns whether shares of \a kind, or all shares, hold more than their limit.
+    bool isOver(MemoryKind kind) const
+    {
+        return this->usedBytes(kind) > this->limitBytes(kind) || this->totalUsed > this->totalLimit;
+    }
+    /// Closes the connection of the reader that has taken nothing for longest, but at least for \a
+    /// minAge. Returns false if there is none.
+    bool cutSlowestReader(Millis minAge);
 
 private:
     friend class MemoryShare;
 
-    /// A share is large if it is over this part of the budget.
+    /// What shares of one kind hold.
+    struct Account
+    {
+        /// Returns whether a share of \a heldBytes may grow to \a bytes.
+        bool hasRoom(std::size_t heldBytes, std::size_t bytes) const;
+        void change(std::size_t heldBytes, std::size_t bytes);
+
+        MemoryBudget *budget = nullptr;
+        std::size_t limit = SIZE_MAX;
+        std::size_t largeDivisor = 2; ///< large shares leave this part of the limit to others
+        std::size_t used = 0;
+        std::uint64_t refusals = 0;
+    };
+
+    struct Reader
+    {
+        MonoTime lastProgress;
+        std::size_t lastUnsent = 0;
+        std::function<std::size_t()> unsent;
+        std::function<void()> cut;
+    };
+
+    /// A share is large if it is over this part of its kind's limit.
     static constexpr std::size_t LargeDivisor = 16;
 
-    std::size_t limit = 0;
-    std::size_t used = 0;
+    Account &account(MemoryKind kind) { return this->accounts[static_cast<std::size_t>(kind)]; }
+    const Account &account(MemoryKind kind) const
+    {
+        return this->accounts[static_cast<std::size_t>(kind)];
+    }
+    /// Notes which readers have taken bytes since the last call.
+    void updateProgress(MonoTime now);
+
+    std::array<Account, MemoryKindCount> accounts;
+    std::size_t totalLimit = SIZE_MAX;
+    std::size_t totalUsed = 0;
+    std::map<const void *, Reader> readers;
+    std::uint64_t cutCount = 0;
+    LogRateLimiter cutLines;
 };
 
 using MemoryBudgetPtr = std::shared_ptr<MemoryBudget>;
@@ -48,17 +119,21 @@
 {
 public:
     MemoryShare() = default;
-    explicit MemoryShare(MemoryBudgetPtr budget)
-        : budget(std::move(budget))
-    { }
+    explicit MemoryShare(const MemoryBudgetPtr &budget, MemoryKind kind = MemoryKind::Bodies)
+    {
+        if (budget)
+            this->account = {budget, &budget->account(kind)};
+    }
     MemoryShare(MemoryShare &&other) noexcept
-        : budget(std::move(other.budget))
+        : account(std::move(other.account))
         , held(std::exchange(other.held, 0))
     { }
     MemoryShare &operator=(MemoryShare &&other) noexcept
     {
+        if (this == &other)
+            return *this;
         this->release();
-        this->budget = std::move(other.budget);
+        this->account = std::move(other.account);
         this->held = std::exchange(other.held, 0);
         return *this;
     }
@@ -67,31 +142,34 @@
     /// Returns whether the share may grow to \a bytes.
     bool hasRoom(std::size_t bytes) const
     {
-        return !this->budget || this->budget->hasRoom(this->held, bytes);
+        return !this->account || this->account->hasRoom(this->held, bytes);
     }
 
-    /// Grows the share to \a bytes. Returns false, and changes nothing, if there is no room.
+    /// Changes the share to \a bytes. Returns false, and changes nothing, if it would grow and
+    /// there is no room.
     bool grow(std::size_t bytes)
     {
-        if (!this->hasRoom(bytes))
+        if (bytes > this->held && !this->hasRoom(bytes)) {
+            ++this->account->refusals;
             return false;
-        if (this->budget)
-            this->budget->used += bytes - this->held;
-        this->held = bytes;
+        }
+        this->set(bytes);
         return true;
     }
 
-    std::size_t heldBytes() const { return this->held; }
-
-    void release()
+    /// Changes the share to \a bytes that are held already, whether there is room or not.
+    void set(std::size_t bytes)
     {
-        if (this->budget)
-            this->budget->used -= this->held;
-        this->held = 0;
+        if (this->account)
+            this->account->change(this->held, bytes);
+        this->held = bytes;
     }
 
+    std::size_t heldBytes() const { return this->held; }
+    void release() { this->set(0); }
+
 private:
-    MemoryBudgetPtr budget;
+    std::shared_ptr<MemoryBudget::Account> account; ///< keeps the budget
     std::size_t held = 0;
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -32,12 +32,17 @@
 
     /// Sends a whole answer. Does nothing if an answer has begun.
     void respond(const Response &response);
+    void respond(Response &&response);
     /// Begins an answer of unknown length, sent in chunks. Does nothing if an answer has begun.
     void begin(int status, const Headers &headers);
     /// Begins an answer whose body is \a length bytes long. Does nothing if an answer has begun.
     void beginSized(int status, const Headers &headers, std::uint64_t length);
     /// Appends \a data to the body of an answer that has begun.
     void write(std::string_view data);
+    void write(std::string &&data);
+    /// Returns whether \a bytes of an answer that is being collected may be held. They are charged
+    /// until the answer begins or the exchange is destroyed.
+    bool holdAnswer(std::size_t bytes);
     /// Ends an answer that has begun. Aborts it if its body is shorter than announced.
     void end();
     /// Closes the connection at once, so that the caller sees the answer as incomplete.
@@ -70,6 +75,8 @@
     bool ended = false;
     std::function<void()> drainedHandler;
     std::function<void()> closedHandler;
+    MemoryShare headShare; ///< of the request
+    MemoryShare answerShare; ///< of the answer before it begins
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
@@ -127,7 +134,7 @@
     Server &operator=(const Server &) = delete;
 
     void setLimits(ServerLimits limits) { this->limits = limits; }
-    /// Bodies of requests take their memory from \a budget, which other servers may share. A
+    /// Requests and answers take their memory from \a budget, which other servers may share. A
     /// request for which there is none left is refused with status 503, if possible before its body
     /// is read.
     void setMemoryBudget(MemoryBudgetPtr budget) { this->memoryBudget = std::move(budget); }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -16,6 +16,24 @@
 constexpr std::size_t MaxReservedBytes = 131072;
 /// A request of which nothing has arrived for this long may be given up to make room.
 constexpr Millis StalledTime{2000};
+/// A caller that has taken nothing of its answer for this long may be given up to make room.
+constexpr Millis SlowReaderTime{500};
+
+/// Returns the memory beyond a string's own size.
+std::size_t heapBytes(const std::string &text)
+{
+    static const std::size_t OwnCapacity = std::string().capacity();
+    return text.capacity() > OwnCapacity ? text.capacity() : 0;
+}
+
+/// Returns the memory that \a headers take.
+std::size_t heldBytes(const Headers &headers)
+{
+    std::size_t bytes = headers.capacity() * sizeof(Header);
+    for (const Header &header : headers)
+        bytes += heapBytes(header.name) + heapBytes(header.value);
+    return bytes;
+}
 
 Response defaultRefusal(int status, std::string_view reason)
 {
@@ -32,7 +50,7 @@
 ServerConnection::ServerConnection(Server &server)
     : server(server)
     , parser(MessageKind::Request,
-             {[this](const MessageHead &head) { return this->onHead(head); },
+             {[this](MessageHead &head) { return this->onHead(head); },
               [this](std::string_view data) { this->onBody(data); }})
 { }
 
@@ -45,9 +63,12 @@
     handlers.lease = this->server.socketLease;
     this->socket
         = Socket::accept(loop, reinterpret_cast<uv_stream_t *>(listener), std::move(handlers));
-    if (this->socket)
-        this->awaitRequest();
-    return this->socket != nullptr;
+    if (!this->socket)
+        return false;
+    this->socket->setMemoryBudget(this->server.memoryBudget);
+    this->headShare = MemoryShare(this->server.memoryBudget, MemoryKind::Heads);
+    this->awaitRequest();
+    return true;
 }
 
 bool ServerConnection::isLast(const Exchange &exchange) const
@@ -144,7 +165,7 @@
     this->lastActiveAt = monoNow();
     this->unparsed.append(data);
     if (this->exchange) {
-        if (this->unparsed.size() > MaxPipelinedBytes)
+        if (this->unparsed.size() > MaxPipelinedBytes || !this->chargeHead())
             this->drop();
         return;
     }
@@ -158,6 +179,7 @@
         this->unparsed.clear();
         const ParseStep step = this->parser.feed(input);
         this->unparsed = input.substr(step.consumed);
+        this->isOverBudget = this->isOverBudget || !this->chargeHead();
         if (this->isOverBudget)
             return this->refuse(ServiceUnavailable, "no memory is left for the request");
         if (step.state == ParseState::NeedsMore)
@@ -176,6 +198,8 @@
     this->isTooLarge = false;
     this->isOverBudget = false;
     this->reservedBytes = 0;
+    this->headBytes = 0;
+    this->headShare.release();
     this->bodyShare = MemoryShare(this->server.memoryBudget);
     this->parser.setMaxHeadBytes(this->server.limits.maxHeadBytes);
     this->timer = this->server.loop.after(this->server.limits.requestTimeout, [this] {
@@ -183,15 +207,17 @@
     });
 }
 
-bool ServerConnection::onHead(const MessageHead &head)
+bool ServerConnection::onHead(MessageHead &head)
 {
     this->received.method = head.method;
     const std::size_t queryMark = head.target.find('?');
     this->received.path = head.target.substr(0, queryMark);
     if (queryMark != std::string::npos)
         this->received.query = head.target.substr(queryMark + 1);
-    this->received.target = head.target;
-    this->received.headers = head.headers;
+    this->received.target = std::move(head.target);
+    this->received.headers = std::move(head.headers);
+    this->headBytes = heldBytes(this->received.headers) + this->received.target.capacity()
+        + this->received.path.capacity() + this->received.query.capacity();
     this->isKeepAlive = head.isKeepAlive;
     this->isTooLarge
         = head.hasContentLength && head.contentLength > this->server.limits.maxBodyBytes;
@@ -209,19 +235,33 @@
         return;
     }
     this->reservedBytes = length;
-    this->isOverBudget = !this->takeMemory(length);
+    this->isOverBudget = !this->takeMemory(this->bodyShare, length);
+}
+
+bool ServerConnection::chargeHead()
+{
+    const std::size_t bytes
+        = this->headBytes + this->parser.heldBytes() + heapBytes(this->unparsed);
+    return this->takeMemory(this->headShare, bytes);
 }
 
-// Requests that no longer arrive give up their memory first.
-bool ServerConnection::takeMemory(std::size_t bytes)
+// Callers that no longer send or read give up their memory first.
+bool ServerConnection::takeMemory(MemoryShare &share, std::size_t bytes)
 {
-    while (!this->bodyShare.grow(bytes)) {
-        if (!this->server.closeStalledHolder())
+    while (!share.grow(bytes)) {
+        const bool madeRoom = this->server.closeStalledHolder()
+            || this->server.memoryBudget->cutSlowestReader(SlowReaderTime);
+        if (!madeRoom)
             return false;
     }
     return true;
 }
 
+bool ServerConnection::holdAnswer(Exchange &held, std::size_t bytes)
+{
+    return this->takeMemory(held.answerShare, bytes);
+}
+
 // A body over the limit is read to its end and dropped. If the server answered and closed
 // before, the caller's further bytes would cause a reset, and the caller could lose the answer.
 void ServerConnection::onBody(std::string_view data)
@@ -231,8 +271,8 @@
         = this->isTooLarge || body.size() + data.size() > this->server.limits.maxBodyBytes;
     if (this->isTooLarge || this->isOverBudget)
         return;
-    this->isOverBudget
-        = !this->takeMemory(std::max(this->reservedBytes, body.size() + data.size()));
+    this->isOverBudget = !this->takeMemory(
+        this->bodyShare, std::max(this->reservedBytes, body.size() + data.size()));
     if (!this->isOverBudget)
         body.append(data);
 }
@@ -245,6 +285,10 @@
     this->exchange->isKeepAlive = this->isKeepAlive;
     this->exchange->receivedRequest = std::move(this->received);
     this->exchange->bodyShare = std::move(this->bodyShare);
+    this->exchange->headShare = std::move(this->headShare);
+    this->exchange->answerShare = MemoryShare(this->server.memoryBudget, MemoryKind::Answers);
+    this->headShare = MemoryShare(this->server.memoryBudget, MemoryKind::Heads);
+    this->headBytes = 0;
     ++this->server.exchangeCount;
 }
 
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -26,6 +26,8 @@
 
     void send(std::string data) { this->socket->write(std::move(data)); }
     std::size_t backlog() const { return this->socket->backlog(); }
+    /// Returns whether \a held may hold \a bytes of its answer.
+    bool holdAnswer(Exchange &held, std::size_t bytes);
     /// Returns whether the connection is closed after the answer of \a exchange.
     bool isLast(const Exchange &exchange) const;
 
@@ -39,7 +41,10 @@
     bool isIdle() const { return this->isBetweenRequests() && this->socket->backlog() == 0; }
     /// Returns whether bytes of a request are due and have not arrived for long.
     bool isStalled(MonoTime now) const;
-    bool holdsMemory() const { return this->bodyShare.heldBytes() > 0; }
+    bool holdsMemory() const
+    {
+        return this->bodyShare.heldBytes() > 0 || this->headShare.heldBytes() > 0;
+    }
     /// Returns when bytes arrived or an answer ended for the last time.
     MonoTime lastActive() const { return this->lastActiveAt; }
     /// Closes the connection and its descriptor at once, after an answer to a request that stalls.
@@ -54,11 +59,13 @@
     void awaitRequest();
     void onData(std::string_view data);
     void beginRequest();
-    bool onHead(const MessageHead &head);
+    bool onHead(MessageHead &head);
     /// Takes memory for a body that is announced with \a length bytes.
     void reserveBody(std::size_t length);
-    /// Returns whether the body may hold \a bytes.
-    bool takeMemory(std::size_t bytes);
+    /// Returns whether there is room for what the head and the unparsed bytes take.
+    bool chargeHead();
+    /// Returns whether \a share may hold \a bytes.
+    bool takeMemory(MemoryShare &share, std::size_t bytes);
     void onBody(std::string_view data);
     /// Makes what has been received the current exchange.
     void beginExchange();
@@ -77,6 +84,8 @@
     MonoTime lastActiveAt{};
     Timer timer; ///< idle timeout between requests, request timeout within one
     bool isKeepAlive = false; ///< the caller allows another request on the connection
+    MemoryShare headShare; ///< of the request that is being received, and of unparsed bytes
+    std::size_t headBytes = 0; ///< that the complete head of the request takes
     MemoryShare bodyShare; ///< of the request that is being received
     std::size_t reservedBytes = 0; ///< for the body of the request before it has arrived
     bool isTooLarge = false; ///< the body of the request exceeds the limit
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -102,7 +102,8 @@
 struct Socket::Write
 {
     uv_write_t request{};
-    std::string data;
+    std::string data; ///< with the bytes that the kernel has accepted already
+    std::size_t queuedBytes = 0; ///< the rest
     Ptr socket;
 };
 
@@ -210,18 +211,21 @@
     if (written == data.size())
         return;
     auto *write = new Write;
-    write->data = data.substr(written);
+    write->data = std::move(data);
     write->socket = this->shared_from_this();
     write->request.data = write;
-    this->queuedBytes += write->data.size();
+    write->queuedBytes = write->data.size() - written;
+    this->queuedBytes += write->queuedBytes;
+    this->chargeBacklog();
     const uv_buf_t rest
-        = uv_buf_init(write->data.data(), static_cast<unsigned>(write->data.size()));
+        = uv_buf_init(write->data.data() + written, static_cast<unsigned>(write->queuedBytes));
     const auto onWritten = [](uv_write_t *request, int status) {
         const std::unique_ptr<Write> completed(static_cast<Write *>(request->data));
         Socket &self = *completed->socket;
-        self.queuedBytes -= completed->data.size();
+        self.queuedBytes -= completed->queuedBytes;
         if (self.isClosing)
             return;
+        self.chargeBacklog();
         if (status < 0)
             return self.end(SocketEnd::Failed, uv_strerror(status));
         if (self.queuedBytes == 0 && self.handlers.onDrained)
@@ -229,13 +233,42 @@
     };
     if (uv_write(&write->request, this->tcp->stream(), &rest, 1, onWritten) == 0)
         return;
-    this->queuedBytes -= write->data.size();
+    this->queuedBytes -= write->queuedBytes;
     delete write;
     this->loop.post([self = this->shared_from_this()] {
         self->end(SocketEnd::Failed, "the connection takes no bytes");
     });
 }
 
+void Socket::setMemoryBudget(MemoryBudgetPtr budget)
+{
+    this->backlogShare = MemoryShare(budget, MemoryKind::Backlogs);
+    this->memoryBudget = std::move(budget);
+}
+
+// The account is brought back within its limit from the loop, as the sockets that are closed then
+// may be in use.
+void Socket::chargeBacklog()
+{
+    if (!this->memoryBudget)
+        return;
+    this->backlogShare.set(this->queuedBytes);
+    if (this->queuedBytes == 0)
+        return this->memoryBudget->removeReader(this);
+    const auto unsent = [this] { return uv_stream_get_write_queue_size(this->tcp->stream()); };
+    const auto cut = [weak = this->weak_from_this()] {
+        if (const Ptr self = weak.lock())
+            self->isClosingGracefully ? self->close()
+                                      : self->end(SocketEnd::Failed, "the peer reads too slowly");
+    };
+    this->memoryBudget->addReader(this, unsent, cut);
+    if (!this->memoryBudget->isOver(MemoryKind::Backlogs))
+        return;
+    this->loop.post([budget = this->memoryBudget] {
+        while (budget->isOver(MemoryKind::Backlogs) && budget->cutSlowestReader(Millis(0))) { }
+    });
+}
+
 void Socket::end(SocketEnd kind, const std::string &reason)
 {
     if (this->isClosing)
@@ -252,6 +285,9 @@
         return;
     this->isClosing = true;
     this->unsentMark = nullptr;
+    this->backlogShare.release();
+    if (this->memoryBudget)
+        this->memoryBudget->removeReader(this);
     this->closer.reset(); // also a weak pointer keeps its deleter, and that this socket
     this->lingerTimer.cancel();
     // The caller may be one of these handlers, so they are destroyed later from the loop.
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "http/loop.h"
+#include "http/memorybudget.h"
 #include "http/message.h"
 
 #include <functional>
@@ -45,6 +46,9 @@
 
     /// Sends \a data, or queues what the kernel does not accept at once.
     void write(std::string data);
+    /// From now on charges the queued bytes to \a budget, which may close this socket if its peer
+    /// takes none.
+    void setMemoryBudget(MemoryBudgetPtr budget);
     /// Returns the number of queued bytes, which the kernel has not accepted yet.
     std::size_t backlog() const { return this->queuedBytes; }
     /// Returns whether bytes, the end of the stream or a failure are waiting to be read.
@@ -69,6 +73,8 @@
     explicit Socket(Loop &loop);
     void startReading();
     void end(SocketEnd kind, const std::string &reason);
+    /// Charges the queued bytes.
+    void chargeBacklog();
 
     Loop &loop;
     SocketHandlers handlers;
@@ -79,6 +85,8 @@
     std::shared_ptr<void> unsentMark; ///< kept until the last byte has been sent
     Timer lingerTimer;
     std::weak_ptr<void> closer; ///< closes the socket when its last owner, a timer, is gone
+    MemoryBudgetPtr memoryBudget; ///< may be nullptr
+    MemoryShare backlogShare;
 };
 
 } // namespace lavenderhall::http
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -166,6 +166,23 @@
     this->callerConnections.Set(count);
 }
 
+void Metrics::setMemory(const http::MemoryBudget &budget)
+{
+    using http::MemoryKind;
+    auto &held = gaugeFamily(*this->registry, "lavenderhall_memory_held_bytes",
+                             "Bytes held of requests and answers, by kind");
+    auto &refusals = gaugeFamily(*this->registry, "lavenderhall_memory_refusals",
+                                 "Attempts to hold more that found no room so far, by kind, and "
+                                 "slow readers whose connections were closed");
+    for (const MemoryKind kind :
+         {MemoryKind::Heads, MemoryKind::Bodies, MemoryKind::Answers, MemoryKind::Backlogs}) {
+        const std::string name = http::toString(kind);
+        held.Add({{"kind", name}}).Set(static_cast<double>(budget.usedBytes(kind)));
+        refusals.Add({{"kind", name}}).Set(static_cast<double>(budget.refusals(kind)));
+    }
+    refusals.Add({{"kind", "slow_readers_cut"}}).Set(static_cast<double>(budget.cutReaders()));
+}
+
 void Metrics::setRefusedConnections(const std::string &listener,
                                     const http::RefusedConnections &counts)
 {
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -48,6 +48,7 @@
     /// \a seconds is how late the event loop was at most, lately.
     void setLoopLag(double seconds);
     void setCallerConnections(double count);
+    void setMemory(const http::MemoryBudget &budget);
     void setRefusedConnections(const std::string &listener, const http::RefusedConnections &counts);
     /// Counts the tokens that an engine has reported for one request.
     void countTokens(double prompt, double cached, double output);
--- a/src/router/requestmemory.cpp
+++ b/src/router/requestmemory.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// The rest is for the program itself, answers, and what an allocator takes beyond what is asked
+// The rest is for other kinds, the program itself, and what an allocator takes beyond what is asked
 // for: up to twice the size of a body that arrives in parts.
 constexpr std::uint64_t RequestDivisor = 4;
 constexpr int MegabyteBits = 20;
@@ -21,4 +21,17 @@
     return std::min(stated, allowed) / RequestDivisor;
 }
 
+// All kinds together take at most half of the process's memory, heads an eighth of it, and answers
+// and backlogs three eighths each.
+http::MemoryBudgetPtr makeMemoryBudget(std::uint64_t bodyBytes)
+{
+    using http::MemoryKind;
+    auto budget = std::make_shared<http::MemoryBudget>(bodyBytes);
+    budget->setTotalLimit(bodyBytes * 2);
+    budget->setLimit(MemoryKind::Heads, bodyBytes / 2);
+    budget->setLimit(MemoryKind::Answers, bodyBytes + bodyBytes / 2);
+    budget->setLimit(MemoryKind::Backlogs, bodyBytes + bodyBytes / 2);
+    return budget;
+}
+
 } // namespace lavenderhall
