HTTP: charge whole writes, and return large freed blocks to the system

A write keeps its bytes until the last of them has been taken, so all of them are charged. glibc no longer raises its threshold for blocks of their own.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -202,6 +202,7 @@
 // process that used the address before is dead.
 bool ForwardDaemon::openListeners()
 {
+    returnLargeBlocks();
     this->requestMemory = makeMemoryBudget(
         requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes));
     const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -216,6 +216,7 @@
     write->request.data = write;
     write->queuedBytes = write->data.size() - written;
     this->queuedBytes += write->queuedBytes;
+    this->heldBytes += write->data.size();
     this->chargeBacklog();
     const uv_buf_t rest
         = uv_buf_init(write->data.data() + written, static_cast<unsigned>(write->queuedBytes));
@@ -223,6 +224,7 @@
         const std::unique_ptr<Write> completed(static_cast<Write *>(request->data));
         Socket &self = *completed->socket;
         self.queuedBytes -= completed->queuedBytes;
+        self.heldBytes -= completed->data.size();
         if (self.isClosing)
             return;
         self.chargeBacklog();
@@ -234,6 +236,7 @@
     if (uv_write(&write->request, this->tcp->stream(), &rest, 1, onWritten) == 0)
         return;
     this->queuedBytes -= write->queuedBytes;
+    this->heldBytes -= write->data.size();
     delete write;
     this->loop.post([self = this->shared_from_this()] {
         self->end(SocketEnd::Failed, "the connection takes no bytes");
@@ -252,8 +255,8 @@
 {
     if (!this->memoryBudget)
         return;
-    this->backlogShare.set(this->queuedBytes);
-    if (this->queuedBytes == 0)
+    this->backlogShare.set(this->heldBytes);
+    if (this->heldBytes == 0)
         return this->memoryBudget->removeReader(this);
     const auto unsent = [this] { return uv_stream_get_write_queue_size(this->tcp->stream()); };
     const auto cut = [weak = this->weak_from_this()] {
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -46,8 +46,8 @@
 
     /// Sends \a data, or queues what the kernel does not accept at once.
     void write(std::string data);
-    /// From now on charges the queued bytes to \a budget, which may close this socket if its peer
-    /// takes none.
+    /// From now on charges the writes that are not completed to \a budget, which may close this
+    /// socket if its peer takes none.
     void setMemoryBudget(MemoryBudgetPtr budget);
     /// Returns the number of queued bytes, which the kernel has not accepted yet.
     std::size_t backlog() const { return this->queuedBytes; }
@@ -73,7 +73,7 @@
     explicit Socket(Loop &loop);
     void startReading();
     void end(SocketEnd kind, const std::string &reason);
-    /// Charges the queued bytes.
+    /// Charges the writes that libuv has not completed.
     void chargeBacklog();
 
     Loop &loop;
@@ -87,6 +87,7 @@
     std::weak_ptr<void> closer; ///< closes the socket when its last owner, a timer, is gone
     MemoryBudgetPtr memoryBudget; ///< may be nullptr
     MemoryShare backlogShare;
+    std::size_t heldBytes = 0; ///< of the writes that libuv has not completed
 };
 
 } // namespace lavenderhall::http
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -128,6 +128,7 @@
     this->callerServer = std::make_unique<http::Server>(
         this->loop, this->settings.listen, limits,
         [this](const http::ExchangePtr &exchange) { this->gateway.onRequest(exchange); });
+    returnLargeBlocks();
     this->callerServer->setMemoryBudget(makeMemoryBudget(
         requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes)));
 }
--- a/src/router/requestmemory.cpp
+++ b/src/router/requestmemory.cpp
@@ -1,6 +1,7 @@
 #include "router/requestmemory.h"
 
 #include <algorithm>
+#include <malloc.h>
 
 namespace lavenderhall {
 
@@ -10,6 +11,7 @@
 // for: up to twice the size of a body that arrives in parts.
 constexpr std::uint64_t RequestDivisor = 4;
 constexpr int MegabyteBits = 20;
+constexpr int LargeBlockBytes = 128 << 10; ///< the initial value of glibc
 
 } // namespace
 
@@ -34,4 +36,11 @@
     return budget;
 }
 
+// By default, glibc raises this threshold to the largest block that was freed, and then keeps
+// blocks of several megabytes in its heap, with gaps between them.
+void returnLargeBlocks()
+{
+    mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+}
+
 } // namespace lavenderhall
--- a/src/router/requestmemory.h
+++ b/src/router/requestmemory.h
@@ -16,4 +16,8 @@
 /// follow from it.
 http::MemoryBudgetPtr makeMemoryBudget(std::uint64_t bodyBytes);
 
+/// Lets the allocator return each large block to the system as soon as it is freed. Call it before
+/// requests are served.
+void returnLargeBlocks();
+
 } // namespace lavenderhall
