HTTP: a connection that is closed for its own backlog begins no request

Its caller may not read an earlier answer while the next request arrives or is answered. Log: the line on refused requests names the bytes of heads and of all kinds. Found by reading; no test.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -354,6 +354,8 @@
 void ForwardCall::giveUpAnswer()
 {
     constexpr const char *Reason = "no_memory_for_answer";
+    if (this->isFinished)
+        return;
     if (this->call)
         std::exchange(this->call, nullptr)->cancel();
     this->logFailedAttempt(AttemptOutcome::Broken, Reason);
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -282,7 +282,9 @@
     logEvent(LogLevel::Warning, "requests_refused_for_memory",
              {{"refused", std::exchange(this->memoryRefusals, 0)},
               {"used_bytes", this->requestMemory->usedBytes()},
-              {"limit_bytes", this->requestMemory->limitBytes()}});
+              {"limit_bytes", this->requestMemory->limitBytes()},
+              {"head_bytes", this->requestMemory->usedBytes(http::MemoryKind::Heads)},
+              {"all_bytes", this->requestMemory->totalUsedBytes()}});
 }
 
 std::vector<Address> ForwardDaemon::relayInstances() const
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -180,6 +180,8 @@
         const ParseStep step = this->parser.feed(input);
         this->unparsed = input.substr(step.consumed);
         this->isOverBudget = this->isOverBudget || !this->chargeHead();
+        if (this->socket->isClosed())
+            return; // it was itself the slowest reader
         if (this->isOverBudget)
             return this->refuse(ServiceUnavailable, "no memory is left for the request");
         if (step.state == ParseState::NeedsMore)
@@ -259,7 +261,8 @@
 
 bool ServerConnection::holdAnswer(Exchange &held, std::size_t bytes)
 {
-    return this->takeMemory(held.answerShare, bytes);
+    // The connection may be closed for an earlier answer that its caller does not read.
+    return this->takeMemory(held.answerShare, bytes) && held.connection != nullptr;
 }
 
 // A body over the limit is read to its end and dropped. If the server answered and closed
