--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -94,7 +94,7 @@
     if (this->begun || !this->connection)
         return;
     this->beginSized(response.status, response.headers, response.body.size());
-    this->write(std::move(response.body));
+    this->sendBody(std::move(response.body));
     this->end();
 }
 
@@ -129,14 +129,12 @@
     this->connection->send(std::string(chunkSize.data()).append(data).append("\r\n"));
 }
 
-void Exchange::write(std::string &&data)
+void Exchange::sendBody(std::string body)
 {
-    const bool isWhole = !this->isChunked && data.size() <= this->remainingBytes;
-    if (!isWhole || !this->connection || !this->begun || this->ended
-        || this->receivedRequest.method == Method::Head)
-        return this->write(std::string_view(data));
-    this->remainingBytes -= data.size();
-    this->connection->send(std::move(data));
+    if (!this->connection || this->receivedRequest.method == Method::Head)
+        return;
+    this->remainingBytes -= body.size();
+    this->connection->send(std::move(body));
 }
 
 bool Exchange::holdAnswer(std::size_t bytes)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -39,7 +39,6 @@
     void beginSized(int status, const Headers &headers, std::uint64_t length);
     /// Appends \a data to the body of an answer that has begun.
     void write(std::string_view data);
-    void write(std::string &&data);
     /// Returns whether \a bytes of an answer that is being collected may be held. They are charged
     /// until the answer begins or the exchange is destroyed.
     bool holdAnswer(std::size_t bytes);
@@ -62,6 +61,8 @@
 private:
     friend class ServerConnection;
 
+    /// Sends the whole body of an answer with a length, without a copy.
+    void sendBody(std::string body);
     /// Sends the status line and the headers.
     void sendHead(int status, const Headers &headers);
 
