Forward: count the attempt in progress when a request's time is up

request_done said attempts=0 reached=0 possible_runs=0 for a 504 whose request was at the endpoint that the line names: attempts were only counted when they ended by themselves. The endpoint was true, the counts were not. The same held for callers that leave. The tokens of such a request are no longer given back, as it may have run.

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -348,6 +348,13 @@
     this->releaseAttempt();
 }
 
+void ForwardCall::abandonAttempt()
+{
+    if (this->call)
+        this->retryState.onAttemptAbandoned();
+    this->cancelAttempt();
+}
+
 // The engine may not have noticed yet that the connection is closed, so the request may still run.
 void ForwardCall::giveUpAttempt(const char *reason)
 {
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -222,7 +222,7 @@
     if (this->isFinished)
         return;
     const bool isSent = this->call || this->activeRelay;
-    this->cancelAttempt();
+    this->abandonAttempt();
     if (this->exchange->hasBegun()) {
         this->exchange->abort();
         return this->finish(0, reason);
@@ -251,7 +251,7 @@
 {
     if (this->isFinished)
         return;
-    this->cancelAttempt();
+    this->abandonAttempt();
     this->finish(0, "caller_gone");
 }
 
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -200,6 +200,8 @@
     void giveUpAttempt(const char *reason);
     /// Cancels the attempt in progress, if any.
     void cancelAttempt();
+    /// The same, and counts it as one that may have run.
+    void abandonAttempt();
     void forwardAnswer();
     void beginStream();
     void onTimeUp() { this->giveUp("time_up"); }
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -327,3 +327,32 @@
     cr_assert(result.response.body == "done", "%d %s", result.response.status,
               result.response.body.c_str());
 }
+
+// The time of a request is up while an endpoint has it, so it may have run. Guards against a
+// request that is counted as not sent: its log line said so, and its tokens were given back.
+Test(forwarder, a_request_whose_time_is_up_at_an_endpoint_has_been_sent)
+{
+    Fixture fixture;
+    TableContent content = fixture.context.table->content();
+    OrganisationSpec organisation;
+    organisation.name = "weavers";
+    organisation.keys = {"key-1"};
+    organisation.tokensPerSecond = 1000;
+    content.organisations = {organisation};
+    for (ForwardRoute &changed : content.routes)
+        changed.timeout = Millis(150);
+    fixture.context.table = std::make_shared<const RoutingTable>(std::move(content));
+    std::vector<double> unused;
+    fixture.context.admission.request
+        = [](const OrganisationSpec &, double, Millis, const TokenAdmission::Handler &handler) {
+              handler({true, true, Millis(0)});
+              return std::uint64_t{1};
+          };
+    fixture.context.admission.release
+        = [&](std::uint64_t, bool, double tokens) { unused.push_back(tokens); };
+    fixture.join(fixture.first, "models");
+    const auto result = fixture.send("once", "a1:80,b2:20", {}, {{"authorization", "Bearer key-1"}});
+    cr_assert(result.response.status == 504, "%d", result.response.status);
+    cr_assert(fixture.first.exchanges.size() == 1U);
+    cr_assert(unused == std::vector<double>{0});
+}
--- a/src/routing/retry_test.cpp
+++ b/src/routing/retry_test.cpp
@@ -77,6 +77,18 @@
     cr_assert(broken.onTimeUp(false) == RetryDecision::Fail);
 }
 
+// The time of a request is up while an endpoint has it. Guards against a log line which says that
+// no endpoint was reached, beside the name of the one that was.
+Test(retrystate, an_attempt_in_progress_counts_when_the_time_is_up)
+{
+    RetryState state(true, 2);
+    state.onAttemptAbandoned();
+    cr_assert(state.attempts() == 1);
+    cr_assert(state.reachedAttempts() == 1);
+    cr_assert(state.possibleRuns() == 1);
+    cr_assert(state.onTimeUp(true) == RetryDecision::Fail);
+}
+
 Test(retrystate, without_budget_candidate_or_time_there_is_no_retry)
 {
     for (const RetryConditions conditions :
--- a/src/routing/retrystate.cpp
+++ b/src/routing/retrystate.cpp
@@ -66,6 +66,13 @@
     return this->mayHaveRun() ? RetryDecision::Fail : RetryDecision::Refuse;
 }
 
+void RetryState::onAttemptAbandoned()
+{
+    ++this->attemptCount;
+    ++this->arrivals;
+    ++this->runCount;
+}
+
 RetryDecision RetryState::onTimeUp(bool isSent) const
 {
     return isSent || this->mayHaveRun() ? RetryDecision::Fail : RetryDecision::Refuse;
@@ -73,9 +80,7 @@
 
 bool RetryState::mayResume(RetryConditions conditions)
 {
-    ++this->attemptCount;
-    ++this->arrivals;
-    ++this->runCount;
+    this->onAttemptAbandoned();
     return this->mayRepeat && this->mayRetry(conditions);
 }
 
