Admission: refuse at once what cannot begin in time, where the platform calls for it

Where the settings name the platform's feature, each request is now decided on before it is sent, from the expected time to the first event (corrected by what earlier predictions turned out to be, for each rank), the requests that wait here and the rate at which requests begin. A refusal names a time to return, behind those promised before. Without the feature, nothing changes.

--- /dev/null
+++ b/src/admission/calladmission.cpp
@@ -0,0 +1,60 @@
+#include "admission/calladmission.h"
+
+namespace lavenderhall {
+
+AdmissionDecision CallAdmission::decide(const AdmissionSubject &request,
+                                        const AdmissionOutlook &outlook, double draw, MonoTime now)
+{
+    if (!this->control)
+        return {};
+    this->subject = request;
+    this->decision = this->control->decide(request, outlook, draw, now);
+    return *this->decision;
+}
+
+void CallAdmission::onSent(double predicted, MonoTime now)
+{
+    if (!this->decision)
+        return;
+    this->predictedMillis = predicted;
+    this->sentAt = now;
+    this->isWaiting = true;
+    this->control->onSent(this->subject);
+}
+
+void CallAdmission::onFirstEvent(MonoTime now)
+{
+    if (!this->isWaiting)
+        return;
+    this->isWaiting = false;
+    const auto waited = std::chrono::duration_cast<Millis>(now - this->sentAt);
+    this->control->onFirstEvent(this->subject, this->predictedMillis, waited, now);
+    if (!this->firstEventAt)
+        this->control->onServed(this->subject, true, now);
+    this->firstEventAt = now;
+}
+
+void CallAdmission::endAttempt(bool hasWaited, MonoTime now)
+{
+    if (!this->isWaiting)
+        return;
+    this->isWaiting = false;
+    const auto waited = std::chrono::duration_cast<Millis>(now - this->sentAt);
+    this->control->onNoFirstEvent(this->subject, this->predictedMillis, waited, hasWaited, now);
+}
+
+// An answer counts as served when it begins, as the answers of different kinds take very different
+// times.
+void CallAdmission::onDone(bool isAnswered, MonoTime now)
+{
+    if (!this->decision)
+        return;
+    this->endAttempt(false, now);
+    if (!this->firstEventAt)
+        return this->control->onServed(this->subject, false, now);
+    if (isAnswered)
+        this->control->onAnswered(this->subject,
+                                  std::chrono::duration_cast<Millis>(now - *this->firstEventAt));
+}
+
+} // namespace lavenderhall
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -279,6 +279,32 @@
     });
 }
 
+// What other instances have sent since the reports is not known; their requests show in the next
+// ones.
+ServiceLoad EndpointSelector::load(const std::string &service, MonoTime now) const
+{
+    ServiceLoad load;
+    for (const auto &[id, endpoint] : this->endpoints) {
+        if (endpoint.entry.service != service || endpoint.entry.isLeaving
+            || this->closedUntil(endpoint) > now || endpoint.avoidedUntil > now)
+            continue;
+        ++load.endpoints;
+        load.slots += endpoint.entry.slots;
+        const ReportedLoad *report = this->freshReport(endpoint, now);
+        if (!report) {
+            ++load.silentEndpoints;
+            load.taken += static_cast<std::int64_t>(endpoint.inFlight);
+            continue;
+        }
+        load.taken += report->running + report->waiting
+            + static_cast<std::int64_t>(endpoint.sentSinceReport);
+        load.waiting += report->waiting;
+        const auto age = std::chrono::duration_cast<Millis>(now - endpoint.reportedAt);
+        load.newsAge = std::max(load.newsAge.value_or(Millis(0)), age);
+    }
+    return load;
+}
+
 std::optional<MonoTime> EndpointSelector::opensAt(const ChoiceQuery &query, MonoTime now) const
 {
     std::optional<MonoTime> earliest;
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/decision.h"
 #include "forward/prefixcacheestimate.h"
 #include "routing/brittleservices.h"
 #include "routing/endpointdirectory.h"
@@ -152,6 +153,8 @@
 
     /// Whether choose() would return an endpoint.
     bool hasCandidate(const ChoiceQuery &query, MonoTime now) const;
+    /// Returns the load of the endpoints of \a service that take requests.
+    ServiceLoad load(const std::string &service, MonoTime now) const;
     /// If all endpoints that could take the request have asked for a pause, or their limits are
     /// used up, returns when the first of them may get a request again; otherwise nothing.
     std::optional<MonoTime> opensAt(const ChoiceQuery &query, MonoTime now) const;
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -128,6 +128,8 @@
         this->isPrefillDone = true;
         this->startLimitTimer.cancel();
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
+        if (isSuccess(this->head.status))
+            this->callAdmission.onFirstEvent(monoNow());
     }
     const bool isStream = this->route->kind == RequestKind::Stream && isSuccess(this->head.status)
         && this->head.isSealed;
@@ -254,6 +256,7 @@
     if (!this->isPrefillDone)
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
     this->context.selector.onRequestEnded(this->choice.endpointId);
+    this->callAdmission.onAttemptEnded(monoNow());
     this->choice.endpointId.clear();
 }
 
@@ -350,8 +353,10 @@
 
 void ForwardCall::abandonAttempt()
 {
-    if (this->call)
+    if (this->call) {
         this->retryState.onAttemptAbandoned();
+        this->callAdmission.onGivenUp(monoNow());
+    }
     this->cancelAttempt();
 }
 
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 #include <utility>
 
 /// The part of ForwardCall that chooses endpoints and sends attempts to them.
@@ -73,9 +74,7 @@
         metadata.resumeAfter = this->lastEventId;
     if (this->request.model.empty())
         return metadata;
-    metadata.priority = this->organisation && this->organisation->priority
-        ? *this->organisation->priority
-        : this->route->priority;
+    metadata.priority = this->rank();
     // The cache salt contains the version of the weights, and only an engine that runs this version
     // may execute the attempt, so no request reuses cached parts of other weights. Where the
     // version is not known, a salt of its own keeps the request from sharing cached parts.
@@ -142,6 +141,8 @@
         return this->fail("no_endpoint");
     if (!chosen)
         return this->refuse(this->noEndpointRefusal("no_endpoint"));
+    if (this->refuseOverload(*chosen, now))
+        return;
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen->endpointId);
     const Incarnation incarnation{endpoint->id, endpoint->startMillis};
     const bool hasPermit = endpoint->id == this->permittedEndpoint;
@@ -151,6 +152,54 @@
     this->sendAttempt(query, *chosen);
 }
 
+int ForwardCall::rank() const
+{
+    return this->organisation && this->organisation->priority ? *this->organisation->priority
+                                                              : this->route->priority;
+}
+
+// The caller of a stream that broke off has half an answer, which is lost if the rest is refused.
+bool ForwardCall::refuseOverload(const Choice &chosen, MonoTime now)
+{
+    if (!this->callAdmission.isActive() || this->streamBuild)
+        return false;
+    const AdmissionSubject subject{this->service, this->route->name,
+                                   this->organisation ? this->organisation->name : std::string(),
+                                   this->rank(), this->chain.totalTokens()};
+    AdmissionOutlook outlook;
+    outlook.predictedMillis = chosen.expectedMillis;
+    outlook.timeLeft = std::chrono::duration_cast<Millis>(this->deadline - now);
+    outlook.mayHaveRun = this->retryState.mayHaveRun();
+    outlook.load = this->context.selector.load(this->service, now);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(this->context.random);
+    const AdmissionDecision decision = this->callAdmission.decide(subject, outlook, draw, now);
+    if (!decision.isRefused())
+        return false;
+    ForwardRefusal refusal{503, toString(decision.reason), decision.retryAfter};
+    refusal.isRetryAfterSpread = true;
+    this->refuse(std::move(refusal));
+    return true;
+}
+
+void ForwardCall::addAdmission(std::vector<LogField> &fields) const
+{
+    const auto &decision = this->callAdmission.last();
+    if (!decision)
+        return;
+    const AdmissionInputs &inputs = decision->inputs;
+    fields.emplace_back("admission", decision->isRefused() ? "refused" : "sent");
+    fields.emplace_back("admission_reason", toString(decision->reason));
+    fields.emplace_back("expected_ms", std::llround(inputs.expectedMillis));
+    fields.emplace_back("backlog_ms", std::llround(inputs.backlogMillis.value_or(0)));
+    fields.emplace_back("answer_ms", std::llround(inputs.answerMillis));
+    fields.emplace_back("time_left_ms", inputs.timeLeft.count());
+    fields.emplace_back("news_age_ms", inputs.load.newsAge.value_or(Millis(-1)).count());
+    fields.emplace_back("slots", inputs.load.slots);
+    fields.emplace_back("taken", inputs.load.taken);
+    fields.emplace_back("waiting", inputs.load.waiting);
+    fields.emplace_back("retry_after_ms", decision->retryAfter.count());
+}
+
 // A refused permit closes the endpoint for a while, so that the next choice is another one.
 void ForwardCall::requestPermit(const Incarnation &endpoint)
 {
@@ -195,6 +244,7 @@
         ? http::Reuse::Recent
         : http::Reuse::Allowed;
     this->context.selector.onSent(chosen.endpointId, this->chain, this->uncachedTokens, now);
+    this->callAdmission.onSent(chosen.expectedMillis, now);
     http::CallHandlers handlers;
     const auto self = this->shared_from_this();
     handlers.onHead
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -33,6 +33,7 @@
     , onDone(std::move(onDone))
     , table(context.table)
     , arrivedAt(monoNow())
+    , callAdmission(source == RequestSource::Caller ? context.admissionControl : nullptr)
 { }
 
 void ForwardCall::start()
@@ -277,7 +278,7 @@
     if (refusal.retryAfter && refusal.isRetryHopelessBefore) {
         const auto spread = static_cast<unsigned>(refusal.retryAfter->count() / 2 + 1);
         *refusal.retryAfter += Millis(this->context.random(spread));
-    } else if (refusal.retryAfter && this->request.callerTimeout) {
+    } else if (refusal.retryAfter && !refusal.isRetryAfterSpread && this->request.callerTimeout) {
         const auto waited = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
         const Millis maxRetryAfter = (*this->request.callerTimeout - waited) / RemainingTimeDivisor;
         const auto spread = static_cast<unsigned>(refusal.retryAfter->count() / 2 + 1);
@@ -299,20 +300,23 @@
     this->exchange->onClosed(nullptr);
     this->releaseTokens();
     this->forgetUnbegunStream();
+    this->callAdmission.onDone(outcome == "ran", monoNow());
     const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
-    logEvent(LogLevel::Info, "request_done",
-             {{"request", this->request.id},
-              {"route", this->route ? this->route->name : ""},
-              {"organisation", this->organisation ? this->organisation->name : ""},
-              {"status", status},
-              {"outcome", outcome},
-              {"attempts", this->retryState.attempts()},
-              {"reached", this->retryState.reachedAttempts()},
-              {"possible_runs", this->retryState.possibleRuns()},
-              {"relays", this->askedInstances.size()},
-              {"endpoint", this->triedEndpoints.empty() ? "" : this->triedEndpoints.back()},
-              {"ms", elapsed.count()},
-              {"table", this->table ? this->table->version() : 0}});
+    std::vector<LogField> fields{
+        {"request", this->request.id},
+        {"route", this->route ? this->route->name : ""},
+        {"organisation", this->organisation ? this->organisation->name : ""},
+        {"status", status},
+        {"outcome", outcome},
+        {"attempts", this->retryState.attempts()},
+        {"reached", this->retryState.reachedAttempts()},
+        {"possible_runs", this->retryState.possibleRuns()},
+        {"relays", this->askedInstances.size()},
+        {"endpoint", this->triedEndpoints.empty() ? "" : this->triedEndpoints.back()},
+        {"ms", elapsed.count()},
+        {"table", this->table ? this->table->version() : 0}};
+    this->addAdmission(fields);
+    logEvent(LogLevel::Info, "request_done", fields);
     const auto self = this->shared_from_this();
     this->onDone(*this);
 }
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/calladmission.h"
+#include "base/log.h"
 #include "forward/adapter.h"
 #include "forward/crashmonitor.h"
 #include "forward/endpointselector.h"
@@ -92,6 +94,7 @@
     std::function<void(const std::string &service)> onCutOff{};
     RelayTargets relayTargets{};
     EndpointReach reach{};
+    AdmissionControl *admissionControl = nullptr; ///< nullptr: requests are sent whatever the load
 };
 
 /// Where a request comes from.
@@ -151,6 +154,13 @@
     void recordBrittleness();
     ForwardRefusal noEndpointRefusal(const char *reason) const;
     void startAttempt();
+    /// Refuses the request if it cannot begin in time at \a chosen, the best endpoint, or
+    /// elsewhere.
+    bool refuseOverload(const Choice &chosen, MonoTime now);
+    /// Returns the request's urgency, 0 first.
+    int rank() const;
+    /// Adds what admission control has decided to a log line.
+    void addAdmission(std::vector<LogField> &fields) const;
     /// Asks for a permit to send the request to \a endpoint, which has named a limit, and goes on
     /// with startAttempt().
     void requestPermit(const Incarnation &endpoint);
@@ -257,6 +267,7 @@
     std::string lastEventId;
     std::optional<std::int64_t> streamWeights;
     std::optional<std::string> streamBuild; ///< that began the stream; empty before its first event
+    CallAdmission callAdmission;
     bool isFinished = false;
 };
 
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -151,6 +151,9 @@
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
     this->fleet.handleLimits(this->limitMessageHandlers());
     this->context.admission = this->rateLimiter.admission();
+    const std::vector<std::string> &features = this->settings.features;
+    if (std::find(features.begin(), features.end(), adapter.features.overload) != features.end())
+        this->context.admissionControl = &this->admissionControl;
     this->rollout.setBroadcast(this->engineBroadcast());
     this->applySettings();
 }
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -100,6 +100,7 @@
     CrashMonitor crashMonitor;
     LimitMonitor limitMonitor;
     OriginLookup originLookup;
+    AdmissionControl admissionControl; ///< used where the platform's features call for it
     ForwardContext context;
     Forwarder forwarder;
     RolloutController rollout;
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -110,6 +110,8 @@
     std::string reason; ///< short text for logs and the answer's body; usually a fixed name
     std::optional<Millis> retryAfter;
     bool isRetryHopelessBefore = false; ///< a retry before retryAfter would be refused again
+    /// retryAfter was chosen for this caller alone and needs no random part.
+    bool isRetryAfterSpread = false;
 
     bool operator==(const ForwardRefusal &) const = default;
 };
