Admission: requests wait for an endpoint that opens soon; metrics of decisions

Counters of decisions, a gauge and a histogram of what waits. Endpoints that are paused or avoided count with their slots, so that nothing is refused while under half of all slots are taken.

--- a/src/admission/calladmission.cpp
+++ b/src/admission/calladmission.cpp
@@ -1,5 +1,7 @@
 #include "admission/calladmission.h"
 
+#include <utility>
+
 namespace lavenderhall {
 
 AdmissionDecision CallAdmission::decide(const AdmissionSubject &request,
@@ -12,6 +14,33 @@
     return *this->decision;
 }
 
+bool CallAdmission::wait(const AdmissionSubject &request, std::size_t bytes, MonoTime deadline,
+                         AdmissionQueue::Handler handler, MonoTime now)
+{
+    this->subject = request;
+    const auto number
+        = this->control->queue(request.service)
+              .add({request.organisation, request.rank, request.tokens, bytes, deadline},
+                   std::move(handler));
+    if (!number)
+        return false;
+    this->queueNumber = *number;
+    this->queuedAt = now;
+    return true;
+}
+
+void CallAdmission::onQueueLeft(MonoTime now)
+{
+    this->queueNumber = 0;
+    this->waitedTime = this->waitedTime.value_or(Millis(0))
+        + std::chrono::duration_cast<Millis>(now - this->queuedAt);
+}
+
+void CallAdmission::releaseNext()
+{
+    this->control->queue(this->subject.service).releaseNext();
+}
+
 void CallAdmission::onSent(double predicted, MonoTime now)
 {
     if (!this->decision)
@@ -47,6 +76,10 @@
 // times.
 void CallAdmission::onDone(bool isAnswered, MonoTime now)
 {
+    if (this->queueNumber != 0) {
+        this->control->queue(this->subject.service).remove(this->queueNumber);
+        this->onQueueLeft(now);
+    }
     if (!this->decision)
         return;
     this->endAttempt(false, now);
--- a/src/admission/calladmission.h
+++ b/src/admission/calladmission.h
@@ -18,6 +18,13 @@
     /// Decides on the next attempt. \a draw is random, from 0 to 1.
     AdmissionDecision decide(const AdmissionSubject &request, const AdmissionOutlook &outlook,
                              double draw, MonoTime now);
+    /// Has the request wait for its turn. Returns false if it cannot.
+    bool wait(const AdmissionSubject &request, std::size_t bytes, MonoTime deadline,
+              AdmissionQueue::Handler handler, MonoTime now);
+    /// The request has left the queue.
+    void onQueueLeft(MonoTime now);
+    /// Gives the next of the requests that wait for the same service its turn.
+    void releaseNext();
     /// An attempt was sent, with the predicted time to the first event.
     void onSent(double predictedMillis, MonoTime now);
     /// The attempt has brought the first part of an answer.
@@ -29,6 +36,9 @@
     /// The request has ended; \a isAnswered tells whether by an endpoint's whole answer.
     void onDone(bool isAnswered, MonoTime now);
 
+    bool isQueued() const { return this->queueNumber != 0; }
+    /// Returns how long the request has waited for its turns; nothing if it never did.
+    const std::optional<Millis> &waited() const { return this->waitedTime; }
     /// Whether a control decides on the request.
     bool isActive() const { return this->control != nullptr; }
     /// Returns the last decision; nothing before the first one.
@@ -43,6 +53,9 @@
     double predictedMillis = 0;
     MonoTime sentAt{};
     std::optional<MonoTime> firstEventAt;
+    std::uint64_t queueNumber = 0; ///< 0 unless it waits for its turn
+    MonoTime queuedAt{};
+    std::optional<Millis> waitedTime;
     bool isWaiting = false; ///< an attempt was sent that has brought nothing yet
 };
 
--- a/src/admission/controller.cpp
+++ b/src/admission/controller.cpp
@@ -92,6 +92,14 @@
     return decision;
 }
 
+std::vector<std::string> AdmissionControl::serviceNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, service] : this->services)
+        names.push_back(name);
+    return names;
+}
+
 void AdmissionControl::onSent(const AdmissionSubject &subject)
 {
     this->services[subject.service].estimator.onSent(subject.rank);
--- a/src/admission/controller.h
+++ b/src/admission/controller.h
@@ -2,11 +2,13 @@
 
 #include "admission/decision.h"
 #include "admission/estimator.h"
+#include "admission/queue.h"
 #include "admission/retryafter.h"
 #include "admission/servedshares.h"
 
 #include <map>
 #include <string>
+#include <vector>
 
 /// Decides for each request whether it is sent or refused, from the load of its service.
 namespace lavenderhall {
@@ -71,9 +73,15 @@
     /// The request has got an answer of an endpoint, or has ended without.
     void onServed(const AdmissionSubject &subject, bool isServed, MonoTime now);
 
+    /// Returns the requests that wait for an endpoint of \a service.
+    AdmissionQueue &queue(const std::string &service) { return this->services[service].queue; }
+    /// Returns the services that requests have come for.
+    std::vector<std::string> serviceNames() const;
+
 private:
     struct Service
     {
+        AdmissionQueue queue;
         StartEstimator estimator;
         ReturnSchedule returns;
         ServedShares shares;
--- a/src/admission/decision.h
+++ b/src/admission/decision.h
@@ -11,7 +11,7 @@
 /// The load of a service's endpoints, as far as it is known here.
 struct ServiceLoad
 {
-    std::int64_t slots = 0; ///< requests that run at once at endpoints that take requests
+    std::int64_t slots = 0; ///< requests that run at once at all endpoints that do not leave
     std::int64_t taken = 0; ///< requests at these endpoints, from all instances
     std::int64_t waiting = 0; ///< of those, the ones that wait for a slot
     /// Age of the oldest report of an endpoint that has reported lately; nothing if none has.
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -280,13 +280,13 @@
 }
 
 // What other instances have sent since the reports is not known; their requests show in the next
-// ones.
+// ones. Endpoints that are paused or avoided count with their slots: nothing is refused while under
+// half of all slots are taken.
 ServiceLoad EndpointSelector::load(const std::string &service, MonoTime now) const
 {
     ServiceLoad load;
     for (const auto &[id, endpoint] : this->endpoints) {
-        if (endpoint.entry.service != service || endpoint.entry.isLeaving
-            || this->closedUntil(endpoint) > now || endpoint.avoidedUntil > now)
+        if (endpoint.entry.service != service || endpoint.entry.isLeaving)
             continue;
         ++load.endpoints;
         load.slots += endpoint.entry.slots;
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -153,7 +153,7 @@
 
     /// Whether choose() would return an endpoint.
     bool hasCandidate(const ChoiceQuery &query, MonoTime now) const;
-    /// Returns the load of the endpoints of \a service that take requests.
+    /// Returns the load of the endpoints of \a service that do not leave.
     ServiceLoad load(const std::string &service, MonoTime now) const;
     /// If all endpoints that could take the request have asked for a pause, or their limits are
     /// used up, returns when the first of them may get a request again; otherwise nothing.
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -19,6 +19,11 @@
 // An attempt on old weights is given up this long before their time is over: this instance may have
 // learnt late that newer ones were named, and the engine has to notice the closed connection.
 constexpr Millis StartLimitMargin{700};
+// A request waits for an endpoint to open for at most this part of its time.
+constexpr int MaxWaitDivisor = 3;
+// All instances learn at the same time when an endpoint opens; each adds a random delay up to this.
+constexpr unsigned MaxTurnJitterMillis = 60;
+constexpr Millis TurnInterval{10}; ///< between the turns that one waiting request gives
 
 } // namespace
 
@@ -139,6 +144,8 @@
     const auto chosen = this->context.selector.choose(query, now);
     if (!chosen && this->retryState.mayHaveRun())
         return this->fail("no_endpoint");
+    if (!chosen && this->waitForEndpoint(now))
+        return;
     if (!chosen)
         return this->refuse(this->noEndpointRefusal("no_endpoint"));
     if (this->refuseOverload(*chosen, now))
@@ -158,14 +165,62 @@
                                                               : this->route->priority;
 }
 
+AdmissionSubject ForwardCall::admissionSubject() const
+{
+    return {this->service, this->route->name,
+            this->organisation ? this->organisation->name : std::string(), this->rank(),
+            this->chain.totalTokens()};
+}
+
+// Only for a known time and if most of the caller's time is left then: the endpoints that open have
+// much to do.
+bool ForwardCall::waitForEndpoint(MonoTime now)
+{
+    if (!this->callAdmission.isActive() || this->callAdmission.isQueued())
+        return false;
+    const auto opensAt = this->context.selector.opensAt(this->query(), now);
+    if (!opensAt || *opensAt - now > (this->deadline - now) / MaxWaitDivisor)
+        return false;
+    const auto handler = [weak = this->weak_from_this()](QueueExit exit) {
+        const auto self = weak.lock();
+        if (self && !self->isFinished)
+            self->onQueueExit(exit);
+    };
+    const std::size_t bytes = this->request.body.size() + this->request.target.size();
+    if (!this->callAdmission.wait(this->admissionSubject(), bytes, this->deadline, handler, now))
+        return false;
+    this->armWaitTimer(std::chrono::ceil<Millis>(*opensAt - now)
+                       + Millis(this->context.random(MaxTurnJitterMillis)));
+    return true;
+}
+
+// The timer of each waiting request gives one of them its turn, the most urgent first, which need
+// not be itself.
+void ForwardCall::armWaitTimer(Millis delay)
+{
+    this->waitTimer = this->context.loop.after(delay, [self = this->shared_from_this()] {
+        if (self->isFinished || !self->callAdmission.isQueued())
+            return;
+        self->callAdmission.releaseNext();
+        if (!self->isFinished && self->callAdmission.isQueued())
+            self->armWaitTimer(TurnInterval);
+    });
+}
+
+void ForwardCall::onQueueExit(QueueExit exit)
+{
+    this->callAdmission.onQueueLeft(monoNow());
+    if (exit == QueueExit::Displaced)
+        return this->refuse(this->noEndpointRefusal("displaced"));
+    this->startAttempt();
+}
+
 // The caller of a stream that broke off has half an answer, which is lost if the rest is refused.
 bool ForwardCall::refuseOverload(const Choice &chosen, MonoTime now)
 {
     if (!this->callAdmission.isActive() || this->streamBuild)
         return false;
-    const AdmissionSubject subject{this->service, this->route->name,
-                                   this->organisation ? this->organisation->name : std::string(),
-                                   this->rank(), this->chain.totalTokens()};
+    const AdmissionSubject subject = this->admissionSubject();
     AdmissionOutlook outlook;
     outlook.predictedMillis = chosen.expectedMillis;
     outlook.timeLeft = std::chrono::duration_cast<Millis>(this->deadline - now);
@@ -173,6 +228,7 @@
     outlook.load = this->context.selector.load(this->service, now);
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->context.random);
     const AdmissionDecision decision = this->callAdmission.decide(subject, outlook, draw, now);
+    this->context.metrics.countAdmission(this->service, subject.rank, toString(decision.reason));
     if (!decision.isRefused())
         return false;
     ForwardRefusal refusal{503, toString(decision.reason), decision.retryAfter};
@@ -184,6 +240,13 @@
 void ForwardCall::addAdmission(std::vector<LogField> &fields) const
 {
     const auto &decision = this->callAdmission.last();
+    const auto &waited = this->callAdmission.waited();
+    if (waited)
+        this->context.metrics.observeAdmissionWait(std::chrono::duration<double>(*waited).count());
+    if (waited || decision)
+        fields.emplace_back("waited_ms", waited.value_or(Millis(0)).count());
+    if (waited && !decision)
+        fields.emplace_back("admission", "queued");
     if (!decision)
         return;
     const AdmissionInputs &inputs = decision->inputs;
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -300,6 +300,7 @@
     this->exchange->onClosed(nullptr);
     this->releaseTokens();
     this->forgetUnbegunStream();
+    this->waitTimer.cancel();
     this->callAdmission.onDone(outcome == "ran", monoNow());
     const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
     std::vector<LogField> fields{
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -157,6 +157,11 @@
     /// Refuses the request if it cannot begin in time at \a chosen, the best endpoint, or
     /// elsewhere.
     bool refuseOverload(const Choice &chosen, MonoTime now);
+    /// Has the request wait until an endpoint opens. Returns false if that takes too long.
+    bool waitForEndpoint(MonoTime now);
+    void armWaitTimer(Millis delay);
+    void onQueueExit(QueueExit exit);
+    AdmissionSubject admissionSubject() const;
     /// Returns the request's urgency, 0 first.
     int rank() const;
     /// Adds what admission control has decided to a log line.
@@ -268,6 +273,7 @@
     std::optional<std::int64_t> streamWeights;
     std::optional<std::string> streamBuild; ///< that began the stream; empty before its first event
     CallAdmission callAdmission;
+    http::Timer waitTimer; ///< runs while the request waits for an endpoint to open
     bool isFinished = false;
 };
 
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -172,6 +172,7 @@
     hooks.drain = [this] { this->drain(); };
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
+        this->updateWaitingGauges();
         this->fleet.updateMetrics();
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         if (this->callers)
@@ -183,6 +184,14 @@
     return hooks;
 }
 
+void ForwardDaemon::updateWaitingGauges()
+{
+    for (const std::string &service : this->admissionControl.serviceNames()) {
+        for (const auto &[rank, count] : this->admissionControl.queue(service).sizeByRank())
+            this->metrics.setWaiting(service, rank, static_cast<double>(count));
+    }
+}
+
 std::unique_ptr<http::Server> ForwardDaemon::openServer(const Address &listen, RequestSource source)
 {
     http::ServerLimits limits;
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -51,6 +51,7 @@
     LimitMessageHandlers limitMessageHandlers();
     StreamOriginHooks streamOriginHooks();
     AdminHooks adminHooks();
+    void updateWaitingGauges();
     /// Opens all listening sockets but that for metrics, and waits while their addresses are in
     /// use. Returns false if the instance was stopped meanwhile.
     bool openListeners();
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -39,6 +39,15 @@
                             "Answers to callers by kind of route, outcome and status"))
     , refusals(counterFamily(*this->registry, "lavenderhall_refusals_total",
                              "Requests refused before they ran, by reason"))
+    , admissions(counterFamily(*this->registry, "lavenderhall_admissions_total",
+                               "Decisions of admission control by service, rank and decision"))
+    , admissionWait(BuildHistogram()
+                        .Name("lavenderhall_admission_wait_seconds")
+                        .Help("Time that requests waited for an endpoint to open")
+                        .Register(*this->registry)
+                        .Add({}, FirstTokenBuckets))
+    , waiting(gaugeFamily(*this->registry, "lavenderhall_admission_waiting",
+                          "Requests that wait for an endpoint to open, by service and rank"))
     , attemptFailures(counterFamily(*this->registry, "lavenderhall_attempt_failures_total",
                                     "Attempts at an endpoint that failed"))
     , resumes(counterFamily(*this->registry, "lavenderhall_stream_resumes_total",
@@ -94,6 +103,23 @@
     this->refusals.Add({{"reason", reason}}).Increment();
 }
 
+void Metrics::countAdmission(const std::string &service, int rank, const std::string &decision)
+{
+    this->admissions
+        .Add({{"service", service}, {"rank", std::to_string(rank)}, {"decision", decision}})
+        .Increment();
+}
+
+void Metrics::observeAdmissionWait(double seconds)
+{
+    this->admissionWait.Observe(seconds);
+}
+
+void Metrics::setWaiting(const std::string &service, int rank, double count)
+{
+    this->waiting.Add({{"service", service}, {"rank", std::to_string(rank)}}).Set(count);
+}
+
 void Metrics::countAttemptFailure(const std::string &endpoint)
 {
     this->attemptFailures.Add({{"endpoint", endpoint}}).Increment();
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -27,6 +27,12 @@
     void countAnswer(const std::string &kind, const std::string &outcome, int status);
     /// Counts a refused request by \a reason, the code of the error.
     void countRefusal(const std::string &reason);
+    /// Counts a decision of admission control on a request of \a rank to \a service.
+    void countAdmission(const std::string &service, int rank, const std::string &decision);
+    /// \a seconds is how long a request has waited for an endpoint to open.
+    void observeAdmissionWait(double seconds);
+    /// \a count is the number of requests of \a rank that wait for an endpoint of \a service.
+    void setWaiting(const std::string &service, int rank, double count);
     /// Counts a failed attempt by endpoint.
     void countAttemptFailure(const std::string &endpoint);
     /// Counts a stream that another endpoint resumes.
@@ -59,6 +65,9 @@
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &refusals;
+    prometheus::Family<prometheus::Counter> &admissions;
+    prometheus::Histogram &admissionWait;
+    prometheus::Family<prometheus::Gauge> &waiting;
     prometheus::Family<prometheus::Counter> &attemptFailures;
     prometheus::Counter &resumes;
     prometheus::Histogram &firstToken;
