--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,6 +1,8 @@
+#include "admission/controller.h"
 #include "base/digest.h"
 #include "config/publish.h"
 #include "config/tracker.h"
+#include "forward/endpointselector.h"
 #include "identity/keyring.h"
 #include "limits/lender.h"
 #include "membership/membership.h"
@@ -225,6 +227,36 @@
     print("placement", engines, "us a choice", micros);
 }
 
+/// Measures a decision of admission control at \a engines engines, with \a waiting requests that
+/// have not begun.
+void measureAdmission(int engines, int waiting)
+{
+    EndpointSelector selector({"zone-0", {{"zone-0", "region-one"}}}, {});
+    MonoTime now{std::chrono::seconds(1000)};
+    for (int index = 0; index < engines; ++index) {
+        RegisteredEndpoint entry;
+        entry.id = "engine-" + std::to_string(1000 + index);
+        entry.service = "models";
+        entry.zone = "zone-0";
+        entry.slots = 16;
+        selector.onChange({EndpointChange::Kind::Joined, entry});
+        selector.onLoadReport(entry.id, {16, 8}, now);
+    }
+    AdmissionControl control;
+    AdmissionSubject subject{"models", "route", "organisation", 0, 12'000};
+    for (int index = 0; index < waiting; ++index) {
+        subject.rank = index % 4;
+        control.onSent(subject);
+    }
+    const double micros = microsecondsPer(Repeats, [&](int index) {
+        subject.rank = index % 4;
+        const double draw = static_cast<double>(index) / Repeats;
+        control.decide(subject, {4000, Millis(3000), false, selector.load("models", now)}, draw,
+                       now);
+    });
+    print("admission", engines, "us a decision", micros);
+}
+
 /// Measures the heap that a prefix history of \a blocks blocks needs.
 void measureHistory(int blocks)
 {
@@ -261,6 +293,7 @@
     measureLimitMessages();
     for (const int count : {0, 1000, 4000})
         measureLending(count);
+    measureAdmission(112, 1000);
     for (const int count : {18, 200, 810})
         measureChoice(count);
     for (const int count : {10'000, 50'000})
