--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -351,7 +351,8 @@
     fixture.context.admission.release
         = [&](std::uint64_t, bool, double tokens) { unused.push_back(tokens); };
     fixture.join(fixture.first, "models");
-    const auto result = fixture.send("once", "a1:80,b2:20", {}, {{"authorization", "Bearer key-1"}});
+    const auto result
+        = fixture.send("once", "a1:80,b2:20", {}, {{"authorization", "Bearer key-1"}});
     cr_assert(result.response.status == 504, "%d", result.response.status);
     cr_assert(fixture.first.exchanges.size() == 1U);
     cr_assert(unused == std::vector<double>{0});
--- a/src/routing/retrystate.h
+++ b/src/routing/retrystate.h
@@ -51,8 +51,8 @@
     /// Counts an attempt that ended before any part of its answer was passed on, and returns what
     /// to do next.
     RetryDecision onAttemptEnd(AttemptOutcome outcome, RetryConditions conditions);
-    /// Counts an attempt in progress that is given up without a decision on a retry: the time of the
-    /// request is up, or its caller has left. It may have run.
+    /// Counts an attempt in progress that is given up without a decision on a retry: the time of
+    /// the request is up, or its caller has left. It may have run.
     void onAttemptAbandoned();
     /// Returns what to answer when the request's deadline has passed. \a isSent tells whether an
     /// attempt is in progress.
