--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -128,6 +128,8 @@
         this->isPrefillDone = true;
         this->startLimitTimer.cancel();
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
+        if (isSuccess(this->head.status))
+            this->callAdmission.onFirstEvent(monoNow());
     }
     const bool isStream = this->route->kind == RequestKind::Stream && isSuccess(this->head.status)
         && this->head.isSealed;
@@ -256,6 +258,7 @@
     if (!this->isPrefillDone)
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
     this->context.selector.onRequestEnded(this->choice.endpointId);
+    this->callAdmission.onAttemptEnded(monoNow());
     this->choice.endpointId.clear();
 }
 
@@ -356,13 +359,20 @@
     constexpr const char *Reason = "no_memory_for_answer";
     if (this->isFinished)
         return;
-    if (this->call)
-        std::exchange(this->call, nullptr)->cancel();
     this->logFailedAttempt(AttemptOutcome::Broken, Reason);
-    this->releaseAttempt();
+    this->abandonAttempt();
     this->fail(Reason);
 }
 
+void ForwardCall::abandonAttempt()
+{
+    if (this->call) {
+        this->retryState.onAttemptAbandoned();
+        this->callAdmission.onGivenUp(monoNow());
+    }
+    this->cancelAttempt();
+}
+
 // The engine may not have noticed yet that the connection is closed, so the request may still run.
 void ForwardCall::giveUpAttempt(const char *reason)
 {
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -151,6 +151,9 @@
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
     this->fleet.handleLimits(this->limitMessageHandlers());
     this->context.admission = this->rateLimiter.admission();
+    const std::vector<std::string> &features = this->settings.features;
+    if (std::find(features.begin(), features.end(), adapter.features.overload) != features.end())
+        this->context.admissionControl = &this->admissionControl;
     this->rollout.setBroadcast(this->engineBroadcast());
     this->applySettings();
 }
@@ -169,6 +172,7 @@
     hooks.drain = [this] { this->drain(); };
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
+        this->updateWaitingGauges();
         this->fleet.updateMetrics();
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         if (this->callers)
@@ -182,6 +186,14 @@
     return hooks;
 }
 
+void ForwardDaemon::updateWaitingGauges()
+{
+    for (const std::string &service : this->admissionControl.serviceNames()) {
+        for (const auto &[rank, count] : this->admissionControl.queue(service).sizeByRank())
+            this->metrics.setWaiting(service, rank, static_cast<double>(count));
+    }
+}
+
 std::unique_ptr<http::Server> ForwardDaemon::openServer(const Address &listen, RequestSource source)
 {
     http::ServerLimits limits;
