Balance: choose engines by the estimate of their load

With the settings key balance, instances tell the assigned instance what they send to engines, and choose by the announced backlog, own requests since and the learned speed.

No functional change without the setting, but for the new keys

--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -92,11 +92,34 @@
     return now + wait > *startLimit;
 }
 
+// Requests that wait at the engine are part of the tokens that wait to be read, unless all slots
+// are taken: then each waits for the end of another one. The report may be older than the tokens.
+double EndpointSelector::balancedQueueCost(const TrackedEndpoint &endpoint, MonoTime now) const
+{
+    const RegisteredEndpoint &entry = endpoint.entry;
+    const EngineEstimate estimate = this->balance->estimate(entry.id, entry.service, now);
+    double queued = 0;
+    double running = 0;
+    if (const ReportedLoad *report = this->freshReport(endpoint, now)) {
+        const double slowness = this->settings.prefillTokensPerMilli / estimate.speed;
+        running
+            = static_cast<double>(report->running * this->settings.runningCost.count()) * slowness;
+        queued = static_cast<double>(report->waiting)
+            * (report->running >= entry.slots
+                   ? static_cast<double>(this->settings.waitingCost.count())
+                   : this->settings.queuedRequestCost)
+            * slowness;
+    }
+    return running + std::max(queued, estimate.waitMillis());
+}
+
 // What other instances have sent since the last report is not known. The estimate assumes that on
 // average one in SentEstimateDivisor instances has sent as many requests as this one.
 double EndpointSelector::queueCost(const TrackedEndpoint &endpoint, MonoTime now) const
 {
     constexpr double QueuedRequestMillis = 100; // for each request beyond the slots
+    if (this->balance && this->serviceOf(endpoint.entry.service).hasEngines)
+        return this->balancedQueueCost(endpoint, now);
     const auto requestCost = static_cast<double>(this->settings.requestCost.count());
     const auto inFlight = static_cast<double>(endpoint.inFlight);
     if (const ReportedLoad *report = this->freshReport(endpoint, now)) {
@@ -174,6 +197,16 @@
     return best;
 }
 
+std::uint64_t EndpointSelector::homeScoreOf(std::uint64_t key,
+                                            const TrackedEndpoint &endpoint) const
+{
+    const RegisteredEndpoint &entry = endpoint.entry;
+    const std::uint64_t hash = homeScore(key, entry.id);
+    return this->balance
+        ? weightedHomeScore(hash, this->balance->homeWeight(entry.id, entry.service))
+        : hash;
+}
+
 // An engine that is avoided, because it changes its weights or has failed, is not in \a available:
 // it is neither a home nor a source of cached parts.
 EndpointSelector::WeightsGroups EndpointSelector::groupByWeights(const Candidates &available,
@@ -188,19 +221,25 @@
     {
         std::uint64_t home = 0;
         std::uint64_t formerHome = 0;
+        std::uint64_t thirdHome = 0;
     };
     std::map<std::int64_t, HomeScores> bestScores;
     for (const TrackedEndpoint *endpoint : available) {
         const std::int64_t version = endpoint->entry.weightsVersion(query.model);
         WeightsGroup &group = groups[version];
         HomeScores &scores = bestScores[version];
-        const std::uint64_t score = homeScore(shared->hash, endpoint->entry.id);
+        const std::uint64_t score = this->homeScoreOf(shared->hash, *endpoint);
         if (!group.home || score > scores.home) {
-            group.formerHome = std::exchange(group.home, endpoint);
-            scores.formerHome = std::exchange(scores.home, score);
+            group.thirdHome = std::exchange(group.formerHome, group.home);
+            scores.thirdHome = std::exchange(scores.formerHome, scores.home);
+            group.home = endpoint;
+            scores.home = score;
         } else if (!group.formerHome || score > scores.formerHome) {
-            group.formerHome = endpoint;
-            scores.formerHome = score;
+            group.thirdHome = std::exchange(group.formerHome, endpoint);
+            scores.thirdHome = std::exchange(scores.formerHome, score);
+        } else if (!group.thirdHome || score > scores.thirdHome) {
+            group.thirdHome = endpoint;
+            scores.thirdHome = score;
         }
         const std::int64_t cached = endpoint->cache.cachedTokens(query.chain, now);
         if (cached <= group.bestHolderTokens)
@@ -251,6 +290,10 @@
     const std::int64_t duplicateTokens = group.home && !isHome ? missing : 0;
     choice.cachedTokens = cached;
     choice.home = group.home ? group.home->entry.id : std::string();
+    if (this->balance && this->serviceOf(endpoint.entry.service).hasEngines)
+        return this->addBalancedCost(endpoint, group, std::max<std::int64_t>(0, shared - cached),
+                                     total, canTransfer ? store : nullptr, choice);
+    choice.uncachedTokens = std::max<std::int64_t>(0, total - cached);
     choice.costMillis += static_cast<double>(endpoint.pendingPrefillTokens + total - cached)
         / this->settings.prefillTokensPerMilli;
     choice.expectedMillis = choice.costMillis;
@@ -258,6 +301,40 @@
         += static_cast<double>(duplicateTokens) * this->settings.duplicateMillisPerToken;
 }
 
+// Whether another instance has sent a shared part to the engine is not known. The price of a copy
+// keeps prompts at their homes while these are only a little busier than others, but must not make
+// a request wait for many times the time of a fetch.
+void EndpointSelector::addBalancedCost(const TrackedEndpoint &endpoint, const WeightsGroup &group,
+                                       std::int64_t missingShared, std::int64_t totalTokens,
+                                       const CacheStoreSpec *store, Choice &choice) const
+{
+    const RegisteredEndpoint &entry = endpoint.entry;
+    const double tokenBytes = this->serviceOf(entry.service).transferCost.tokenBytes;
+    const auto missing = static_cast<double>(missingShared);
+    const bool isHome = group.home == &endpoint;
+    double readShare = choice.source ? this->settings.fetchReadShare : 1;
+    if (isHome)
+        readShare = this->settings.homeReadShare;
+    if (store)
+        readShare = this->settings.storeReadShare;
+    if (store && !isHome)
+        choice.costMillis += missing * transferMillisPerToken(tokenBytes, store->linkMbps)
+            * this->fetchFactor(store->zone, entry.zone);
+    choice.uncachedTokens = std::max<std::int64_t>(0, totalTokens - choice.cachedTokens)
+        - std::llround(missing * (1 - readShare));
+    choice.load.speed = this->balance->speed(entry.id, entry.service);
+    choice.costMillis += static_cast<double>(choice.uncachedTokens) / choice.load.speed;
+    choice.expectedMillis = choice.costMillis;
+    if (isHome || !group.home)
+        return;
+    double price = store ? this->settings.storeCopyPrice : this->settings.copyPrice;
+    if (group.formerHome == &endpoint)
+        price *= this->settings.secondHomePriceFactor;
+    else if (group.thirdHome == &endpoint)
+        price *= this->settings.thirdHomePriceFactor;
+    choice.costMillis += missing * price / this->settings.prefillTokensPerMilli;
+}
+
 EndpointSelector::Candidates EndpointSelector::candidatesFor(const ChoiceQuery &query,
                                                              MonoTime now) const
 {
@@ -302,7 +379,7 @@
     std::erase_if(available,
                   [now](const TrackedEndpoint *endpoint) { return endpoint->avoidedUntil > now; });
     const WeightsGroups groups = this->groupByWeights(available, query, now);
-    std::optional<Choice> best;
+    std::vector<Choice> best; // those of the lowest rank that may be picked
     // The rank comes before the cost: 1 for an endpoint that is avoided, 2 for one whose weights
     // may be too old, 3 for both, 0 for all others; 4 more for a build that is not registered.
     int bestRank = 0;
@@ -319,6 +396,7 @@
         choice.startLimit = query.oldWeightsLimits.limitOf(choice.requiredWeights);
         choice.costMillis = this->baseCost(*endpoint, now);
         choice.expectedMillis = choice.costMillis;
+        choice.uncachedTokens = query.chain.totalTokens();
         const auto group = groups.find(choice.weightsVersion);
         if (!query.chain.links.empty())
             this->addPromptCost(*endpoint, query,
@@ -332,16 +410,48 @@
             choice.costMillis += otherWeightsCost;
         const int rank = (endpoint->avoidedUntil > now ? 1 : 0) + (mayBeTooOld ? 2 : 0)
             + (this->isUnregistered(endpoint->entry) ? 4 : 0);
-        const bool isBetter = !best || rank < bestRank
-            || (rank == bestRank && choice.costMillis < best->costMillis);
-        if (!isBetter)
-            continue;
-        best = choice;
-        bestRank = rank;
+        if (best.empty() || rank < bestRank) {
+            best = {std::move(choice)};
+            bestRank = rank;
+        } else if (rank == bestRank && this->balance) {
+            best.push_back(std::move(choice));
+        } else if (rank == bestRank && choice.costMillis < best.front().costMillis) {
+            best.front() = std::move(choice);
+        }
     }
-    if (best)
-        best->candidates = candidates.size();
-    return best;
+    if (best.empty())
+        return std::nullopt;
+    Choice &picked = best.at(this->balance ? this->pick(best, query) : 0);
+    picked.candidates = candidates.size();
+    if (this->balance)
+        picked.load = this->balance->estimate(picked.endpointId, query.service, now);
+    return std::move(picked);
+}
+
+// A shared part goes to its home whenever that is among the best, so that few engines read it. The
+// draw is one of its own: the request's also decides which weights it prefers.
+std::size_t EndpointSelector::pick(const std::vector<Choice> &choices,
+                                   const ChoiceQuery &query) const
+{
+    constexpr double DrawSteps = 1 << 30;
+    std::vector<PickOption> options;
+    options.reserve(choices.size());
+    for (const Choice &choice : choices)
+        options.push_back(
+            {choice.costMillis, this->balance->speed(choice.endpointId, query.service)});
+    const auto draw = static_cast<std::uint64_t>(query.randomDraw * DrawSteps);
+    constexpr int UnusedBits = 64 - 30;
+    const double ownDraw
+        = static_cast<double>(hashCombine(draw, choices.size()) >> UnusedBits) / DrawSteps;
+    const std::size_t picked = pickNearBest(options, ownDraw);
+    const PickSettings margins;
+    for (std::size_t index = 0; index < choices.size(); ++index) {
+        const Choice &choice = choices[index];
+        if (choice.endpointId == choice.home
+            && choice.costMillis <= choices[picked].costMillis + margins.marginMillis)
+            return index;
+    }
+    return picked;
 }
 
 bool EndpointSelector::isUnregistered(const RegisteredEndpoint &entry) const
--- a/src/forward/endpointselector.cpp
+++ b/src/forward/endpointselector.cpp
@@ -11,6 +11,9 @@
 
 // Share of an engine's cache memory that is left for cached prompts; running requests use the rest.
 constexpr double CacheShare = 0.6;
+// The speed of an engine is learned from requests with at most this share of their own tokens
+// before them.
+constexpr double MaxWaitingShareOfSample = 1;
 
 } // namespace
 
@@ -29,6 +32,10 @@
 void EndpointSelector::onChange(const EndpointChange &change)
 {
     this->brittleHomes.clear();
+    const bool isIncarnationOver = change.kind == EndpointChange::Kind::Gone
+        || change.kind == EndpointChange::Kind::Restarted;
+    if (this->balance && isIncarnationOver)
+        this->balance->forget(change.entry.id);
     if (change.kind == EndpointChange::Kind::Gone) {
         this->endpoints.erase(change.entry.id);
         return;
@@ -88,6 +95,13 @@
     return region != end && otherRegion != end && region->second == otherRegion->second;
 }
 
+std::string EndpointSelector::regionOf(const std::string &endpointId) const
+{
+    const RegisteredEndpoint *entry = this->findEntry(endpointId);
+    const auto region = this->location.regionOfZone.find(entry ? entry->zone : std::string());
+    return entry && region != this->location.regionOfZone.end() ? region->second : std::string();
+}
+
 bool EndpointSelector::isEngineInOwnRegion(const RegisteredEndpoint &entry) const
 {
     return this->serviceOf(entry.service).hasEngines
@@ -123,7 +137,8 @@
 }
 
 void EndpointSelector::onSent(const std::string &endpointId, const PromptChain &chain,
-                              std::int64_t uncachedTokens, MonoTime now)
+                              std::int64_t uncachedTokens, MonoTime now,
+                              std::optional<MonoTime> readBy)
 {
     const auto found = this->endpoints.find(endpointId);
     if (found == this->endpoints.end())
@@ -132,12 +147,30 @@
     ++found->second.sentSinceReport;
     found->second.pendingPrefillTokens += uncachedTokens;
     found->second.cache.onSent(chain, now);
+    if (this->balance && this->serviceOf(found->second.entry.service).hasEngines)
+        this->balance->sent().onSent({endpointId, found->second.entry.startMillis}, uncachedTokens,
+                                     readBy, now);
+}
+
+// Only the request's own part is certain to have been read, together with what was read before it.
+// A request behind many others would show errors of the estimate rather than the engine's speed.
+void EndpointSelector::onFirstEvent(const Choice &chosen, const PromptChain &chain, Micros elapsed)
+{
+    if (!this->balance || chain.links.empty())
+        return;
+    const std::int64_t ownTokens = chain.links.back().tokens;
+    const double tokensBefore = chosen.load.waitingTokens;
+    if (tokensBefore > MaxWaitingShareOfSample * static_cast<double>(ownTokens))
+        return;
+    this->balance->sent().onSample(chosen.endpointId, {ownTokens, elapsed});
 }
 
 // Never goes below 0: an endpoint that has restarted since the request was sent has started from 0
 // again.
 void EndpointSelector::onPrefillDone(const std::string &endpointId, std::int64_t uncachedTokens)
 {
+    if (this->balance)
+        this->balance->sent().onRead(endpointId, uncachedTokens);
     const auto found = this->endpoints.find(endpointId);
     if (found == this->endpoints.end())
         return;
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balance/loadestimate.h"
+#include "balance/pick.h"
 #include "forward/prefixcacheestimate.h"
 #include "routing/brittleservices.h"
 #include "routing/endpointdirectory.h"
@@ -41,6 +43,18 @@
     double newestSlotShare = 0.5;
     double minNewestFactor = 1.5; ///< at least this many times the even share
     double maxNewestFactor = 4; ///< at most this many times the even share
+    // The following apply only where the load is balanced, see docs/design/even-load.md.
+    double queuedRequestCost = 15; ///< in milliseconds, for each that the engine reports as waiting
+    // Share of a shared part that this instance has not sent to the engine, and that the engine
+    // nevertheless has to read, on average: other instances may have sent it, or a fetch succeeds.
+    double homeReadShare = 0.4; ///< at its home
+    double storeReadShare = 0.25; ///< elsewhere, with a store of parts
+    double fetchReadShare = 0.5; ///< elsewhere, with a fetch from another engine
+    // Price of a copy away from home, as a share of the time of reading it.
+    double storeCopyPrice = 0.5; ///< with a store of parts
+    double copyPrice = 1; ///< without
+    double secondHomePriceFactor = 0.7; ///< so that copies are made at few engines
+    double thirdHomePriceFactor = 0.85;
 
     bool operator==(const ChoiceSettings &) const = default;
 };
@@ -99,6 +113,8 @@
     std::optional<MonoTime> startLimit; ///< the request may not begin there later, if set
     std::size_t candidates = 0; ///< number of endpoints compared
     std::string home; ///< engine that the prompt prefers among those with the same weights
+    std::int64_t uncachedTokens = 0; ///< of the prompt, that the endpoint probably has to read
+    EngineEstimate load{}; ///< what waits at the endpoint; only where the load is balanced
 };
 
 /// Cost of transferring cached prompt parts between engines of a service.
@@ -140,6 +156,12 @@
     std::size_t endpointCount(const std::string &service) const;
     /// Sets how many instances send requests to the same endpoints.
     void setInstanceCount(std::size_t count) { this->instanceCount = count; }
+    /// Estimates the load of engines from what all instances send, and chooses by it.
+    void balanceLoad() { this->balance.emplace(this->settings.prefillTokensPerMilli); }
+    /// Returns the estimate of the load; nullptr if the load is not balanced.
+    LoadEstimate *loadEstimate() { return this->balance ? &*this->balance : nullptr; }
+    /// Returns the region of the endpoint; "" if it is not known.
+    std::string regionOf(const std::string &endpointId) const;
     /// Whether \a entry is an engine in the region of this instance.
     bool isEngineInOwnRegion(const RegisteredEndpoint &entry) const;
     /// Records a load report of an engine.
@@ -157,8 +179,13 @@
     std::optional<MonoTime> opensAt(const ChoiceQuery &query, MonoTime now) const;
 
     /// Records that a request is sent to the endpoint; \a uncachedTokens need a prefill there.
+    /// \a readBy is set if the answer does not show when the prefill is done: it counts as done
+    /// then.
     void onSent(const std::string &endpointId, const PromptChain &chain,
-                std::int64_t uncachedTokens, MonoTime now);
+                std::int64_t uncachedTokens, MonoTime now,
+                std::optional<MonoTime> readBy = std::nullopt);
+    /// Records the time until the first event of a request that was sent as \a chosen.
+    void onFirstEvent(const Choice &chosen, const PromptChain &chain, Micros elapsed);
     /// Records that the prefill is done: the first bytes of the answer have arrived, or the attempt
     /// has ended.
     void onPrefillDone(const std::string &endpointId, std::int64_t uncachedTokens);
@@ -214,6 +241,8 @@
         CacheTransferCost transferCost;
     };
 
+    /// Returns the cost of the queue from the estimate of the load.
+    double balancedQueueCost(const TrackedEndpoint &endpoint, MonoTime now) const;
     double baseCost(const TrackedEndpoint &endpoint, MonoTime now) const;
     /// Returns the last load report; nullptr if there is none or it has expired.
     const ReportedLoad *freshReport(const TrackedEndpoint &endpoint, MonoTime now) const;
@@ -229,6 +258,7 @@
         const TrackedEndpoint *home = nullptr;
         /// The engine with the second highest score, which was the home before the home joined.
         const TrackedEndpoint *formerHome = nullptr;
+        const TrackedEndpoint *thirdHome = nullptr; ///< the one with the next score
         /// The engine believed to have the longest prefix cached.
         const TrackedEndpoint *bestHolder = nullptr;
         std::int64_t bestHolderTokens = 0; ///< length of that prefix
@@ -243,6 +273,13 @@
     bool prefersNewest(const Candidates &available, const ChoiceQuery &query, MonoTime now) const;
     void addPromptCost(const TrackedEndpoint &endpoint, const ChoiceQuery &query,
                        const WeightsGroup &group, MonoTime now, Choice &choice) const;
+    std::uint64_t homeScoreOf(std::uint64_t key, const TrackedEndpoint &endpoint) const;
+    /// Adds the reading time and the price of a copy, by the estimate of the load.
+    void addBalancedCost(const TrackedEndpoint &endpoint, const WeightsGroup &group,
+                         std::int64_t missingShared, std::int64_t totalTokens,
+                         const CacheStoreSpec *store, Choice &choice) const;
+    /// Returns the one of \a choices to use, which must not be empty.
+    std::size_t pick(const std::vector<Choice> &choices, const ChoiceQuery &query) const;
     double fetchFactor(const std::string &fromZone, const std::string &toZone) const;
     /// Returns the nearest store from which the endpoint fetches cached parts in less time than it
     /// would read them; nullptr if there is none.
@@ -271,6 +308,7 @@
     mutable std::map<std::string, std::string> brittleHomes; ///< by service, until endpoints change
     std::map<std::string, std::set<std::string>> unregisteredBuilds; ///< by service
     std::vector<CacheStoreSpec> cacheStores;
+    std::optional<LoadEstimate> balance; ///< set where the load is balanced
     std::map<std::string, Service> services;
 };
 
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -124,13 +124,15 @@
 {
     if (this->isFinished)
         return;
-    if (!this->isPrefillDone) {
-        this->isPrefillDone = true;
+    const bool isFirstData = !std::exchange(this->isPrefillDone, true);
+    if (isFirstData) {
         this->startLimitTimer.cancel();
         this->context.selector.onPrefillDone(this->choice.endpointId, this->uncachedTokens);
     }
     const bool isStream = this->route->kind == RequestKind::Stream && isSuccess(this->head.status)
         && this->head.isSealed;
+    if (isFirstData && isStream)
+        this->context.selector.onFirstEvent(this->choice, this->chain, monoNow() - this->sentAt);
     if (isStream)
         return this->onStreamData(data);
     if (isSuccess(this->head.status) && this->head.isSealed)
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -102,6 +102,7 @@
         ? std::to_string(std::chrono::duration_cast<Millis>(*this->choice.startLimit - now).count())
         : std::string();
     const PromptChain::Link *shared = this->chain.lastSharedLink();
+    const auto newsAge = this->choice.load.newsAge;
     logEvent(LogLevel::Info, "endpoint_chosen",
              {{"request", this->request.id},
               {"endpoint", this->choice.endpointId},
@@ -125,7 +126,19 @@
               {"start_limit_ms", startLimitMillis},
               {"resumes_after", this->isStreaming ? this->lastEventId : this->request.lastEventId},
               {"resumes_request", this->request.resumedRequest},
-              {"table", this->table->version()}});
+              {"table", this->table->version()},
+              {"expected_ms", std::llround(this->choice.expectedMillis)},
+              {"waiting_tokens", std::llround(this->choice.load.waitingTokens)},
+              {"news_age_ms", newsAge ? std::to_string(newsAge->count()) : std::string()},
+              {"speed", std::llround(this->choice.load.speed)}});
+}
+
+// Only a stream shows when its prompt has been read; other answers come when all is done.
+std::optional<MonoTime> ForwardCall::readBy(const Choice &chosen, MonoTime now) const
+{
+    if (this->route->kind == RequestKind::Stream)
+        return std::nullopt;
+    return now + Millis(std::llround(chosen.expectedMillis));
 }
 
 void ForwardCall::startAttempt()
@@ -182,8 +195,7 @@
     this->splitter.reset();
     this->hasBegun = false;
     this->isPrefillDone = false;
-    this->uncachedTokens
-        = std::max<std::int64_t>(0, this->chain.totalTokens() - chosen.cachedTokens);
+    this->uncachedTokens = chosen.uncachedTokens;
     const AttemptMetadata metadata = this->metadataFor(chosen);
     this->expectedWeights = metadata.weightsVersion;
     http::CallRequest outgoing = this->context.adapter.writeAttempt(this->request, metadata);
@@ -194,7 +206,8 @@
     outgoing.reuse = this->retryState.attempts() > 0 || !this->route->mayRepeat()
         ? http::Reuse::Recent
         : http::Reuse::Allowed;
-    this->context.selector.onSent(chosen.endpointId, this->chain, this->uncachedTokens, now);
+    this->context.selector.onSent(chosen.endpointId, this->chain, this->uncachedTokens, now,
+                                  this->readBy(chosen, now));
     http::CallHandlers handlers;
     const auto self = this->shared_from_this();
     handlers.onHead
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -178,6 +178,8 @@
     /// Returns how long attempts may begin on weights after newer ones were named.
     Millis oldWeightsTime() const;
     void armStartLimit();
+    /// Returns when the endpoint will have read the prompt, if its answer does not show that.
+    std::optional<MonoTime> readBy(const Choice &chosen, MonoTime now) const;
     void logChoice(const ChoiceQuery &query, MonoTime now) const;
     AttemptMetadata metadataFor(const Choice &choice) const;
     ChoiceQuery query() const;
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -148,10 +148,16 @@
     engineUpdates.onLoadNews = [this](const proto::LoadNews &news) { this->applyLoadNews(news); };
     engineUpdates.onCrashNews
         = [this](const proto::CrashNews &news) { this->crashMonitor.onNews(news, monoNow()); };
+    engineUpdates.onWorkNews = [this](const proto::ProcessId &from, const proto::WorkNews &news) {
+        if (this->backlogExchange)
+            this->backlogExchange->onWorkNews(from, news, monoNow());
+    };
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
     this->fleet.handleLimits(this->limitMessageHandlers());
     this->context.admission = this->rateLimiter.admission();
     this->rollout.setBroadcast(this->engineBroadcast());
+    if (this->settings.balancesLoad)
+        this->balanceLoad();
     this->applySettings();
 }
 
@@ -304,6 +310,8 @@
     this->budget.setSettings(budgetSettings);
     this->context.oldWeightsTimeout = bounds.oldWeightsTimeout;
     this->selector.setInstanceCount(this->fleetSize);
+    if (this->backlogExchange)
+        this->backlogExchange->setInstanceCount(this->fleetSize);
     AllowanceSettings tolerance;
     tolerance.overage = bounds.rateOverage;
     tolerance.slack = static_cast<double>(bounds.rateSlack);
@@ -412,6 +420,31 @@
     return hooks;
 }
 
+ExchangeHooks ForwardDaemon::exchangeHooks()
+{
+    ExchangeHooks hooks;
+    hooks.taskOf = [this](const std::string &endpointId) {
+        return ExchangeHooks::Task{this->selector.regionOf(endpointId), loadTask(endpointId)};
+    };
+    hooks.tell = [this](const ExchangeHooks::Task &task, const proto::WorkNews &news) {
+        this->fleet.sendToAssigned(task.name, task.region, news);
+    };
+    hooks.serviceOf = [this](const Incarnation &engine) {
+        const RegisteredEndpoint *entry = this->selector.findEntry(engine.endpointId);
+        return entry && entry->startMillis == engine.startMillis ? &entry->service : nullptr;
+    };
+    return hooks;
+}
+
+void ForwardDaemon::balanceLoad()
+{
+    this->selector.balanceLoad();
+    this->backlogExchange.emplace(*this->selector.loadEstimate(), this->exchangeHooks());
+    this->loadMonitor.setNewsSource([this](proto::LoadNews &news, MonoTime now) {
+        this->backlogExchange->addBacklogs(news, now);
+    });
+}
+
 StoreReplicaHandlers ForwardDaemon::storeReplicaHandlers()
 {
     StoreReplicaHandlers handlers;
@@ -448,6 +481,8 @@
     this->applyUnregisteredBuilds();
     this->rollout.setTakeoverDelay(this->takeoverJitter + this->rolloutTakeoverDelay());
     this->rollout.onTick(this->directory, now);
+    if (this->backlogExchange)
+        this->backlogExchange->onTick(now);
     if (!this->isDraining)
         this->loadMonitor.onTick(this->directory, now);
     if (this->fleet.maxInstanceCount() != this->fleetSize)
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/backlogexchange.h"
 #include "base/descriptorplan.h"
 #include "base/logratelimiter.h"
 #include "forward/crashmonitor.h"
@@ -50,6 +51,9 @@
     LimitMonitorHooks limitMonitorHooks();
     LimitMessageHandlers limitMessageHandlers();
     StreamOriginHooks streamOriginHooks();
+    ExchangeHooks exchangeHooks();
+    /// Begins to balance the load of engines, see docs/design/even-load.md.
+    void balanceLoad();
     AdminHooks adminHooks();
     /// Opens all listening sockets but that for metrics, and waits while their addresses are in
     /// use. Returns false if the instance was stopped meanwhile.
@@ -107,6 +111,7 @@
     Fleet fleet;
     RateLimiter rateLimiter;
     LoadMonitor loadMonitor;
+    std::optional<BacklogExchange> backlogExchange; ///< set where the load is balanced
     ProcessWatch processWatch;
     http::MemoryBudgetPtr requestMemory; ///< of the servers
     std::uint64_t memoryRefusals = 0; ///< since the last log line about them
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -150,6 +150,8 @@
 {
     const MonoTime now = monoNow();
     this->loadMonitor.onLoadNews(news, now);
+    if (this->backlogExchange)
+        this->backlogExchange->onLoadNews(news, now);
     for (const proto::EngineLoad &load : news.loads()) {
         if (load.avoid_ms() == 0)
             this->crashMonitor.onEndpointAlive({load.endpoint(), load.born_ms()}, now);
--- a/src/forward/loadmonitor.cpp
+++ b/src/forward/loadmonitor.cpp
@@ -23,6 +23,11 @@
 // This bounds the number of instances that broadcast to all others.
 constexpr std::uint64_t PartitionCount = 4;
 
+std::string partitionTask(std::uint64_t partition)
+{
+    return "ask for loads " + std::to_string(partition);
+}
+
 /// Returns the end of a time that another instance names; times that cannot be are limited.
 MonoTime toldEnd(std::int64_t millis, MonoTime now)
 {
@@ -31,6 +36,11 @@
 
 } // namespace
 
+std::string loadTask(const std::string &endpointId)
+{
+    return partitionTask(hash64(endpointId, 0) % PartitionCount);
+}
+
 LoadMonitor::LoadMonitor(http::Loop &loop, const PlatformAdapter &adapter,
                          EndpointSelector &selector, EndpointReach &reach,
                          AssignmentCheck isAssigned, EngineBroadcast broadcast,
@@ -48,7 +58,7 @@
 {
     std::array<bool, PartitionCount> isAssigned{};
     for (std::uint64_t partition = 0; partition < PartitionCount; ++partition)
-        isAssigned.at(partition) = this->isAssigned("ask for loads " + std::to_string(partition));
+        isAssigned.at(partition) = this->isAssigned(partitionTask(partition));
     for (const auto &[id, engine] : directory.entries()) {
         const bool mustRequest = isAssigned.at(hash64(id, 0) % PartitionCount)
             && this->selector.isEngineInOwnRegion(engine) && this->schedule.isDue(id, now)
@@ -181,7 +191,11 @@
 
 void LoadMonitor::flush(MonoTime now)
 {
-    if (this->pendingNews.loads().empty() || now - this->flushedAt < BroadcastInterval)
+    if (now - this->flushedAt < BroadcastInterval)
+        return;
+    if (this->newsSource)
+        this->newsSource(this->pendingNews, now);
+    if (this->pendingNews.loads().empty() && this->pendingNews.backlogs().empty())
         return;
     this->flushedAt = now;
     this->broadcast.load(this->pendingNews);
--- a/src/forward/loadmonitor.h
+++ b/src/forward/loadmonitor.h
@@ -12,6 +12,10 @@
 /// to all other instances.
 namespace lavenderhall {
 
+/// Returns the name of the task of requesting the reports of the engine. In each region it is
+/// assigned to one instance.
+std::string loadTask(const std::string &endpointId);
+
 class LoadMonitor
 {
 public:
@@ -19,12 +23,16 @@
     using AssignmentCheck = std::function<bool(const std::string &task)>;
     /// Called when an engine has reported.
     using AliveHandler = std::function<void(const Incarnation &engine)>;
+    /// Adds what else is to be announced to a broadcast.
+    using NewsSource = std::function<void(proto::LoadNews &news, MonoTime now)>;
 
     LoadMonitor(http::Loop &loop, const PlatformAdapter &adapter, EndpointSelector &selector,
                 EndpointReach &reach, AssignmentCheck isAssigned, EngineBroadcast broadcast,
                 AliveHandler onAlive);
     ~LoadMonitor() { *this->alive = false; }
 
+    /// Sets the source of further news, which is asked before each broadcast that may be sent.
+    void setNewsSource(NewsSource source) { this->newsSource = std::move(source); }
     /// Sends the load requests and broadcasts that are due; to be called periodically.
     void onTick(const EndpointDirectory &directory, MonoTime now);
     /// Handles an answer to a request which states that the address of the endpoint belongs to
@@ -54,6 +62,7 @@
     AssignmentCheck isAssigned;
     EngineBroadcast broadcast;
     AliveHandler onAlive;
+    NewsSource newsSource;
     http::Client client;
     ReportSchedule schedule;
     proto::LoadNews pendingNews; ///< collected for the next broadcast
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -42,6 +42,7 @@
     std::function<void(const proto::WeightsNotice &notice)> onWeightsNotice;
     std::function<void(const proto::LoadNews &news)> onLoadNews;
     std::function<void(const proto::CrashNews &news)> onCrashNews;
+    std::function<void(const proto::ProcessId &from, const proto::WorkNews &news)> onWorkNews{};
 };
 
 /// Handlers of the messages about limits that endpoints name.
@@ -111,6 +112,9 @@
     /// Sends the request to the one instance of the fleet that does \a task, possibly this one.
     void sendToAssigned(std::string_view task, const proto::PermitRequest &request);
     void send(const proto::ProcessId &to, const proto::PermitAnswer &answer);
+    /// Sends the news to the one instance of \a region that does \a task, possibly this one.
+    void sendToAssigned(std::string_view task, const std::string &region,
+                        const proto::WorkNews &news);
     /// Adds addresses at which members may be found.
     void addSeeds(const std::vector<Address> &seeds) { this->members->addSeeds(seeds); }
 
@@ -150,6 +154,10 @@
     void callStore(const SeatAction &action);
     void send(const proto::ProcessId &to, proto::Envelope message);
     void sendTo(const Address &to, proto::Envelope message);
+    /// Returns the instance that does \a task among those of \a region, or of the fleet if it is
+    /// nullptr; nothing if there are none.
+    std::optional<proto::ProcessId> assigneeOf(std::string_view task,
+                                               const std::string *region) const;
     void reportMemberChanges();
     void applySeatChanges();
     void requestSeatRecords();
--- a/src/router/fleetmessages.cpp
+++ b/src/router/fleetmessages.cpp
@@ -80,6 +80,10 @@
         if (this->engineUpdateHandlers.onCrashNews)
             this->engineUpdateHandlers.onCrashNews(message.crash_news());
         return;
+    case proto::Envelope::kWorkNews:
+        if (this->engineUpdateHandlers.onWorkNews)
+            this->engineUpdateHandlers.onWorkNews(message.from(), message.work_news());
+        return;
     case proto::Envelope::kLimitNews:
     case proto::Envelope::kPermitRequest:
     case proto::Envelope::kPermitAnswer:
@@ -197,23 +201,42 @@
     this->broadcast(message);
 }
 
-void Fleet::sendToAssigned(std::string_view task, const proto::PermitRequest &request)
+std::optional<proto::ProcessId> Fleet::assigneeOf(std::string_view task,
+                                                  const std::string *region) const
 {
     std::vector<std::string> names;
     std::map<std::string, proto::ProcessId> ids;
     for (const proto::Member &member : this->members->alive()) {
-        if (member.leaving())
+        if (member.leaving() || (region && member.region() != *region))
             continue;
         names.push_back(member.id().name());
         ids[member.id().name()] = member.id();
     }
-    if (!this->isLeaving || names.empty()) {
+    const bool isInRegion = !region || *region == this->settings.region;
+    if (isInRegion && (!this->isLeaving || names.empty())) {
         names.push_back(this->settings.instance);
         ids[this->settings.instance] = this->self;
     }
+    if (names.empty())
+        return std::nullopt;
+    return ids.at(assignee(names, task));
+}
+
+void Fleet::sendToAssigned(std::string_view task, const proto::PermitRequest &request)
+{
     proto::Envelope message;
     *message.mutable_permit_request() = request;
-    this->send(ids.at(assignee(names, task)), std::move(message));
+    if (const auto to = this->assigneeOf(task, nullptr))
+        this->send(*to, std::move(message));
+}
+
+void Fleet::sendToAssigned(std::string_view task, const std::string &region,
+                           const proto::WorkNews &news)
+{
+    proto::Envelope message;
+    *message.mutable_work_news() = news;
+    if (const auto to = this->assigneeOf(task, &region))
+        this->send(*to, std::move(message));
 }
 
 void Fleet::send(const proto::ProcessId &to, const proto::PermitAnswer &answer)
