--- a/src/balance/enginespeed.h
+++ b/src/balance/enginespeed.h
@@ -25,7 +25,7 @@
     std::int64_t minTokens = 500; ///< the times of shorter prompts tell little
     std::size_t window = 32; ///< samples that are kept
     std::size_t minSamples = 4; ///< before there is an estimate
-    double quantile = 0.75; ///< of the samples' speeds, see EngineSpeed
+    double quantile = 0.9; ///< of the samples' speeds, see EngineSpeed
     double stepFactor = 1.12; ///< between neighbouring announced speeds
     double hysteresis = 0.85; ///< in steps; a rounded value alone would change at 0.5
 };
--- a/src/balance/pick.h
+++ b/src/balance/pick.h
@@ -22,7 +22,9 @@
 
 struct PickSettings
 {
-    double marginMillis = 5; ///< options up to this much above the lowest cost are equally good
+    /// Options up to this much above the lowest cost are equally good. With 5 ms, many instances
+    /// chose the same engine before any of them heard of it.
+    double marginMillis = 40;
     double marginShare = 0.1; ///< and this share of the lowest cost
 };
 
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -444,11 +444,10 @@
     const double ownDraw
         = static_cast<double>(hashCombine(draw, choices.size()) >> UnusedBits) / DrawSteps;
     const std::size_t picked = pickNearBest(options, ownDraw);
-    const PickSettings margins;
     for (std::size_t index = 0; index < choices.size(); ++index) {
         const Choice &choice = choices[index];
         if (choice.endpointId == choice.home
-            && choice.costMillis <= choices[picked].costMillis + margins.marginMillis)
+            && choice.costMillis <= choices[picked].costMillis + this->settings.homeMarginMillis)
             return index;
     }
     return picked;
--- a/src/forward/endpointselector.cpp
+++ b/src/forward/endpointselector.cpp
@@ -13,7 +13,7 @@
 constexpr double CacheShare = 0.6;
 // The speed of an engine is learned from requests with at most this share of their own tokens
 // before them.
-constexpr double MaxWaitingShareOfSample = 1;
+constexpr double MaxWaitingShareOfSample = 0.5;
 
 } // namespace
 
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -51,8 +51,9 @@
     double storeReadShare = 0.25; ///< elsewhere, with a store of parts
     double fetchReadShare = 0.5; ///< elsewhere, with a fetch from another engine
     // Price of a copy away from home, as a share of the time of reading it.
-    double storeCopyPrice = 0.5; ///< with a store of parts
-    double copyPrice = 1; ///< without
+    double storeCopyPrice = 1; ///< with a store of parts
+    double copyPrice = 2; ///< without
+    double homeMarginMillis = 80; ///< a home is used if its cost exceeds that of others by no more
     double secondHomePriceFactor = 0.7; ///< so that copies are made at few engines
     double thirdHomePriceFactor = 0.85;
 
