Balance: only the assigned instance announces backlogs

An instance that had been replaced went on to announce what it had last heard from the senders for up to 10 s, beside the sums of its successor.

--- a/src/balance/backlogexchange.cpp
+++ b/src/balance/backlogexchange.cpp
@@ -73,9 +73,13 @@
     }
 }
 
+// An instance that another one has replaced hears no more from the senders: its sums would
+// contradict those of its successor.
 void BacklogExchange::addBacklogs(proto::LoadNews &news, MonoTime now)
 {
     for (const auto &[engine, backlog] : this->ledger.takeNews(now)) {
+        if (!this->hooks.isOwnTask(engine.endpointId))
+            continue;
         proto::EngineBacklog &told = *news.add_backlogs();
         told.set_endpoint(engine.endpointId);
         told.set_born_ms(engine.startMillis);
--- a/src/balance/backlogexchange.h
+++ b/src/balance/backlogexchange.h
@@ -29,6 +29,8 @@
     std::function<Task(const std::string &endpointId)> taskOf;
     /// Sends to the instance that does the task, possibly this one.
     std::function<void(const Task &task, const proto::WorkNews &news)> tell;
+    /// Whether this instance does the task for the engine now.
+    std::function<bool(const std::string &endpointId)> isOwnTask;
     /// Returns the service of the engine; nullptr if this incarnation is not known.
     std::function<const std::string *(const Incarnation &engine)> serviceOf;
 };
--- a/src/balance/balance_test.cpp
+++ b/src/balance/balance_test.cpp
@@ -34,6 +34,7 @@
     LoadEstimate estimate{60};
     std::vector<proto::WorkNews> told;
     const std::string service = "models";
+    bool isAssigned = true;
     BacklogExchange exchange{this->estimate, this->hooks()};
 
     ExchangeHooks hooks()
@@ -43,6 +44,7 @@
         result.tell = [this](const ExchangeHooks::Task &, const proto::WorkNews &news) {
             this->told.push_back(news);
         };
+        result.isOwnTask = [this](const std::string &) { return this->isAssigned; };
         result.serviceOf = [this](const Incarnation &engine) {
             return engine.startMillis == Engine.startMillis ? &this->service : nullptr;
         };
@@ -186,6 +188,20 @@
     cr_assert(other.estimate.estimate("e", "models", Start + Millis(1010)).waitingTokens >= 50'000);
 }
 
+// Guards against two instances that announce different sums of the same engine.
+Test(balance, an_instance_that_is_no_longer_assigned_announces_nothing)
+{
+    Member sender;
+    Member former;
+    sender.estimate.sent().onSent(Engine, 50'000, std::nullopt, Start);
+    sender.exchange.onTick(Start);
+    former.exchange.onWorkNews(process("i"), sender.told.back(), Start);
+    former.isAssigned = false;
+    proto::LoadNews news;
+    former.exchange.addBacklogs(news, Start + Millis(3000));
+    cr_assert(news.backlogs().empty());
+}
+
 // Without news, an instance knows what it has sent itself, and falls back to that.
 Test(balance, old_news_is_ignored)
 {
--- a/src/balance/evenload_test.cpp
+++ b/src/balance/evenload_test.cpp
@@ -161,6 +161,7 @@
                 this->exchanges[this->assigned]->onWorkNews(from, news, this->now);
             });
         };
+        result.isOwnTask = [this, sender](const std::string &) { return this->assigned == sender; };
         result.serviceOf = [this](const Incarnation &) { return &this->service; };
         return result;
     }
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -426,6 +426,10 @@
     hooks.taskOf = [this](const std::string &endpointId) {
         return ExchangeHooks::Task{this->selector.regionOf(endpointId), loadTask(endpointId)};
     };
+    hooks.isOwnTask = [this](const std::string &endpointId) {
+        return this->selector.regionOf(endpointId) == this->settings.region
+            && this->fleet.isAssigned(loadTask(endpointId), 1);
+    };
     hooks.tell = [this](const ExchangeHooks::Task &task, const proto::WorkNews &news) {
         this->fleet.sendToAssigned(task.name, task.region, news);
     };
