--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,6 +1,7 @@
 #include "base/digest.h"
 #include "config/publish.h"
 #include "config/tracker.h"
+#include "forward/endpointselector.h"
 #include "identity/keyring.h"
 #include "limits/lender.h"
 #include "membership/membership.h"
@@ -225,6 +226,47 @@
     print("placement", engines, "us a choice", micros);
 }
 
+/// Measures the choice among \a engines engines in the forward dialect, with or without the
+/// estimate of their load.
+void measureForwardChoice(int engines, bool balances)
+{
+    EndpointSelector selector({"zone-0", {{"zone-0", "region-one"}, {"zone-1", "region-one"}}}, {});
+    if (balances)
+        selector.balanceLoad();
+    EngineSpec spec;
+    spec.cacheTokens = 1'000'000;
+    spec.tokenBytes = 35'000;
+    spec.linkMbps = 740'000;
+    selector.setEngines("models", spec);
+    MonoTime now{std::chrono::seconds(1)};
+    for (int index = 0; index < engines; ++index) {
+        RegisteredEndpoint entry;
+        entry.id = "engine-" + std::to_string(1000 + index);
+        entry.startMillis = 1;
+        entry.service = "models";
+        entry.zone = "zone-" + std::to_string(index % 2);
+        entry.slots = 16;
+        entry.weights = {{"loom", 1}};
+        selector.onChange({EndpointChange::Kind::Joined, entry});
+        selector.onLoadReport(entry.id, {index % 5, 0}, now);
+        if (balances)
+            selector.loadEstimate()->onBacklog({entry.id, 1}, "models",
+                                               {1000 * (index % 7), 5, 60.0 + index % 60}, now);
+    }
+    const double micros = microsecondsPer(Repeats, [&](int index) {
+        ChoiceQuery query;
+        query.service = "models";
+        query.model = "loom";
+        query.newestWeights = 1;
+        query.randomDraw = static_cast<double>(index % 100) / 100;
+        query.chain = buildPromptChain(
+            "salt",
+            {{"part-" + std::to_string(index % 50), 6000}, {"own-" + std::to_string(index), 6000}});
+        selector.choose(query, now);
+    });
+    print(balances ? "forward choice, balanced" : "forward choice", engines, "us a choice", micros);
+}
+
 /// Measures the heap that a prefix history of \a blocks blocks needs.
 void measureHistory(int blocks)
 {
@@ -263,6 +305,8 @@
         measureLending(count);
     for (const int count : {18, 200, 810})
         measureChoice(count);
+    for (const bool balances : {false, true})
+        measureForwardChoice(112, balances);
     for (const int count : {10'000, 50'000})
         measureHistory(count);
     measureRelay();
