--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -148,6 +148,10 @@
     engineUpdates.onLoadNews = [this](const proto::LoadNews &news) { this->applyLoadNews(news); };
     engineUpdates.onCrashNews
         = [this](const proto::CrashNews &news) { this->crashMonitor.onNews(news, monoNow()); };
+    engineUpdates.onWorkNews = [this](const proto::ProcessId &from, const proto::WorkNews &news) {
+        if (this->backlogExchange)
+            this->backlogExchange->onWorkNews(from, news, monoNow());
+    };
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
     this->fleet.handleLimits(this->limitMessageHandlers());
     this->context.admission = this->rateLimiter.admission();
@@ -155,6 +159,8 @@
     if (std::find(features.begin(), features.end(), adapter.features.overload) != features.end())
         this->context.admissionControl = &this->admissionControl;
     this->rollout.setBroadcast(this->engineBroadcast());
+    if (this->settings.balancesLoad)
+        this->balanceLoad();
     this->applySettings();
 }
 
@@ -321,6 +327,8 @@
     this->budget.setSettings(budgetSettings);
     this->context.oldWeightsTimeout = bounds.oldWeightsTimeout;
     this->selector.setInstanceCount(this->fleetSize);
+    if (this->backlogExchange)
+        this->backlogExchange->setInstanceCount(this->fleetSize);
     AllowanceSettings tolerance;
     tolerance.overage = bounds.rateOverage;
     tolerance.slack = static_cast<double>(bounds.rateSlack);
@@ -429,6 +437,35 @@
     return hooks;
 }
 
+ExchangeHooks ForwardDaemon::exchangeHooks()
+{
+    ExchangeHooks hooks;
+    hooks.taskOf = [this](const std::string &endpointId) {
+        return ExchangeHooks::Task{this->selector.regionOf(endpointId), loadTask(endpointId)};
+    };
+    hooks.isOwnTask = [this](const std::string &endpointId) {
+        return this->selector.regionOf(endpointId) == this->settings.region
+            && this->fleet.isAssigned(loadTask(endpointId), 1);
+    };
+    hooks.tell = [this](const ExchangeHooks::Task &task, const proto::WorkNews &news) {
+        this->fleet.sendToAssigned(task.name, task.region, news);
+    };
+    hooks.serviceOf = [this](const Incarnation &engine) {
+        const RegisteredEndpoint *entry = this->selector.findEntry(engine.endpointId);
+        return entry && entry->startMillis == engine.startMillis ? &entry->service : nullptr;
+    };
+    return hooks;
+}
+
+void ForwardDaemon::balanceLoad()
+{
+    this->selector.balanceLoad();
+    this->backlogExchange.emplace(*this->selector.loadEstimate(), this->exchangeHooks());
+    this->loadMonitor.setNewsSource([this](proto::LoadNews &news, MonoTime now) {
+        this->backlogExchange->addBacklogs(news, now);
+    });
+}
+
 StoreReplicaHandlers ForwardDaemon::storeReplicaHandlers()
 {
     StoreReplicaHandlers handlers;
@@ -465,6 +502,8 @@
     this->applyUnregisteredBuilds();
     this->rollout.setTakeoverDelay(this->takeoverJitter + this->rolloutTakeoverDelay());
     this->rollout.onTick(this->directory, now);
+    if (this->backlogExchange)
+        this->backlogExchange->onTick(now);
     if (!this->isDraining)
         this->loadMonitor.onTick(this->directory, now);
     if (this->fleet.maxInstanceCount() != this->fleetSize)
