Canary: exposure, observations, verdict and state machine of service rollouts

Operators are to move a service's traffic to endpoints of another version. No functional change: nothing uses the classes yet.

--- /dev/null
+++ b/src/canary/exposure.cpp
@@ -0,0 +1,28 @@
+#include "canary/exposure.h"
+
+#include <algorithm>
+
+namespace lavenderhall {
+
+namespace {
+
+// The requests of the rest of the time count in advance, but only in part: callers may become
+// fewer, or go to other instances.
+constexpr double ForecastPart = 0.75;
+constexpr double Margin = 0.9; ///< of the share
+constexpr Millis MinForecastBase{1000}; ///< before, the rate of requests is not known
+
+} // namespace
+
+bool Exposure::hasRoom(const ExposureBound &bound, Millis known, Millis left) const
+{
+    const auto seen = static_cast<double>(this->requests);
+    double expected = seen;
+    if (known >= MinForecastBase && left > Millis(0))
+        expected += ForecastPart * seen * static_cast<double>(left.count())
+            / static_cast<double>(known.count());
+    const double limit = Margin * (bound.share * expected + bound.slack);
+    return static_cast<double>(this->exposed + 1) <= limit;
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/canary/verdict.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "canary/observations.h"
+
+#include <string>
+#include <vector>
+
+/// Decides by the answers whether the version under test is worse than the others.
+///
+/// Both versions are compared by route and period (Cochran-Mantel-Haenszel test), so that trouble
+/// that hits both condemns neither. The test may be repeated with each new answer: its thresholds
+/// allow for a few hundred looks.
+namespace lavenderhall {
+
+enum class Judgement {
+    Unclear, ///< neither of the others
+    Unobtrusive, ///< no sign of a difference
+    Bad, ///< the version under test is worse
+};
+
+/// Returns the name used in log lines.
+const char *toString(Judgement judgement);
+
+/// Excess of bad answers of the version under test over what its share of all answers predicts.
+struct Excess
+{
+    double count = 0;
+    double score = 0; ///< in standard deviations
+    std::int64_t answers = 0; ///< of the version under test
+    std::int64_t bad = 0; ///< of these
+
+    double ratio() const
+    {
+        return this->answers > 0 ? this->count / static_cast<double>(this->answers) : 0;
+    }
+};
+
+/// A judgement with the figures that it is based on.
+struct Verdict
+{
+    Judgement judgement = Judgement::Unclear;
+    std::string cause; ///< "failures", "slowness" or ""
+    std::string route; ///< the only one that is bad; "" if all together are
+    Excess failures; ///< of the route, or of all
+    Excess slowness;
+    std::int64_t candidateAnswers = 0;
+    std::int64_t baselineAnswers = 0;
+};
+
+/// Judges the version under test by all that is known so far.
+Verdict judge(const FleetObservations &observations);
+
+} // namespace lavenderhall
