--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/errors.h"
+#include "canary/order.h"
 #include "forward/request.h"
 #include "rollout/order.h"
 #include "routing/endpointdirectory.h"
@@ -28,6 +29,7 @@
     std::string leases; ///< the router's own: which instance may send weights orders
     std::string streams; ///< the router's own: which builds have begun streams
     std::string limits; ///< the router's own: which instance decides on organisations' rates
+    std::string rollouts; ///< orders to move a service's traffic to another version
 };
 
 /// Names of the parts of the platform's contract that switch on parts of the router.
@@ -53,6 +55,9 @@
     Result<TableReading> (*readTable)(const Json &content);
     Result<RegisteredEndpoint> (*readEndpoint)(const StoredObject &object);
     Result<NamedWeights> (*readWeights)(const Json &content);
+    Result<ServiceOrder> (*readServiceOrder)(const StoredObject &object);
+    /// Returns the status to write into the store.
+    Json (*writeServiceStatus)(const ServiceOrder &order, RolloutState state);
 
     Result<ForwardRequest> (*readRequest)(const http::Request &request);
     /// Returns the id of a request that need not be complete; "" if it has none.
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -62,6 +62,8 @@
     if (std::find(query.triedEndpoints.begin(), query.triedEndpoints.end(), endpoint.entry.id)
         != query.triedEndpoints.end())
         return false;
+    if (query.versions.excluded.contains(endpoint.entry.build))
+        return false;
     // What two builds write does not fit together.
     if (query.requiredBuild && endpoint.entry.build != *query.requiredBuild)
         return false;
@@ -303,8 +305,9 @@
                   [now](const TrackedEndpoint *endpoint) { return endpoint->avoidedUntil > now; });
     const WeightsGroups groups = this->groupByWeights(available, query, now);
     std::optional<Choice> best;
-    // The rank comes before the cost: 1 for an endpoint that is avoided, 2 for one whose weights
-    // may be too old, 3 for both, 0 for all others; 4 more for a build that is not registered.
+    // The rank comes before the cost. It is the sum of 1 for a build that is not preferred, 2 for
+    // an endpoint that is avoided, 4 for one whose weights may be too old, and 8 for a build that
+    // is not registered.
     int bestRank = 0;
     const bool wantsNewest = this->prefersNewest(available, query, now);
     const auto otherWeightsCost = static_cast<double>(this->settings.otherWeightsCost.count());
@@ -330,8 +333,10 @@
         const bool isUnknown = query.newestWeights > 0 && choice.weightsVersion == 0;
         if (isUnknown || wantsNewest != (choice.weightsVersion >= query.newestWeights))
             choice.costMillis += otherWeightsCost;
-        const int rank = (endpoint->avoidedUntil > now ? 1 : 0) + (mayBeTooOld ? 2 : 0)
-            + (this->isUnregistered(endpoint->entry) ? 4 : 0);
+        const bool isOtherBuild
+            = !query.versions.preferred.empty() && choice.build != query.versions.preferred;
+        const int rank = (isOtherBuild ? 1 : 0) + (endpoint->avoidedUntil > now ? 2 : 0)
+            + (mayBeTooOld ? 4 : 0) + (this->isUnregistered(endpoint->entry) ? 8 : 0);
         const bool isBetter = !best || rank < bestRank
             || (rank == bestRank && choice.costMillis < best->costMillis);
         if (!isBetter)
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "canary/versionrule.h"
 #include "forward/prefixcacheestimate.h"
 #include "routing/brittleservices.h"
 #include "routing/endpointdirectory.h"
@@ -78,6 +79,7 @@
     /// Set if a stream is resumed: the build that began it.
     std::optional<std::string> requiredBuild;
     std::vector<std::string> triedEndpoints; ///< ids of endpoints that have failed the request
+    VersionRule versions; ///< of the service's software that the request may go to
     std::string permittedEndpoint; ///< if it is a candidate, it is chosen; "" for none
 };
 
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -20,6 +20,7 @@
 // HTTP status: the address belongs to another endpoint now, or the engine runs weights other than
 // those that the request requires.
 constexpr int MisdirectedRequest = 421;
+constexpr int FirstServerError = 500; ///< HTTP status
 
 bool isSuccess(int status)
 {
@@ -124,6 +125,7 @@
 {
     if (this->isFinished)
         return;
+    this->reportAnswer();
     if (!this->isPrefillDone) {
         this->isPrefillDone = true;
         this->startLimitTimer.cancel();
@@ -140,6 +142,21 @@
     this->body.append(data);
 }
 
+// A refusal that states that the request has not run is no failure. An answer without a seal may
+// come from something else.
+void ForwardCall::reportAnswer()
+{
+    const bool isCounted = this->statement != RunStatement::NotRun
+        && (this->head.isSealed || !isSuccess(this->head.status))
+        && this->head.status != MisdirectedRequest;
+    if (!this->context.rollouts.onAnswered || !isCounted
+        || std::exchange(this->isAnswerReported, true))
+        return;
+    this->context.rollouts.onAnswered({this->service, this->choice.build, this->route->name,
+                                       this->head.status >= FirstServerError,
+                                       monoNow() - this->sentAt});
+}
+
 void ForwardCall::onAnswerBegun()
 {
     if (std::exchange(this->hasBegun, true))
@@ -193,6 +210,7 @@
     this->call = nullptr;
     if (this->isFinished)
         return;
+    this->reportAnswer();
     if (this->statement == RunStatement::NotRun)
         return this->endAttempt(AttemptOutcome::Refused,
                                 "status_" + std::to_string(this->head.status));
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -44,6 +44,8 @@
     if (this->isStreaming)
         query.requiredWeights = this->streamWeights;
     query.requiredBuild = this->streamBuild;
+    if (this->context.rollouts.rule)
+        query.versions = this->context.rollouts.rule(this->service, this->randomDraw);
     return query;
 }
 
@@ -172,6 +174,9 @@
     const RegisteredEndpoint *endpoint = this->context.selector.findEntry(chosen.endpointId);
     this->incarnation = {endpoint->id, endpoint->startMillis};
     this->sentAt = now;
+    this->isAnswerReported = false;
+    if (this->context.rollouts.onSent)
+        this->context.rollouts.onSent(this->service, chosen.build, this->triedEndpoints.empty());
     this->context.crashMonitor.onSent(this->signature, now);
     this->triedEndpoints.push_back(chosen.endpointId);
     if (this->route->kind == RequestKind::Stream && !this->isStreaming)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -90,6 +90,7 @@
     std::function<std::vector<Address>()> relayInstances;
     /// Called when an attempt has failed and no endpoint of the service is in reach.
     std::function<void(const std::string &service)> onCutOff{};
+    RolloutHooks rollouts{}; ///< empty where services are not rolled out by version
     RelayTargets relayTargets{};
     EndpointReach reach{};
 };
@@ -200,6 +201,8 @@
     void giveUpAttempt(const char *reason);
     /// Cancels the attempt in progress, if any.
     void cancelAttempt();
+    /// Tells the rollout of the service, if any, how the endpoint answers; once for each attempt.
+    void reportAnswer();
     void forwardAnswer();
     void beginStream();
     void onTimeUp() { this->giveUp("time_up"); }
@@ -237,6 +240,7 @@
     Choice choice;
     Incarnation incarnation; ///< of the endpoint that the attempt was sent to
     MonoTime sentAt{}; ///< when the attempt was sent
+    bool isAnswerReported = false; ///< to the rollout of the service
     std::string permittedEndpoint; ///< that a permit was granted for; "" for none
     std::int64_t uncachedTokens = 0;
     http::Timer startLimitTimer; ///< runs until the attempt has begun
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -121,7 +121,8 @@
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
                     leaseTimingsOf(this->settings)),
               rolloutTimingsOf(this->settings))
-    , storeReplica(loop, this->store, adapter.kinds, this->storeReplicaHandlers(), randomSeed())
+    , storeReplica(loop, this->store, adapter.kinds, this->settings.rollouts.has_value(),
+                   this->storeReplicaHandlers(), randomSeed())
     , fleet(loop, this->settings,
             objectSeatStore(this->store, adapter.kinds.limits,
                             [this] { return this->storeReplica.storeOutageDuration(); }),
@@ -152,6 +153,8 @@
     this->fleet.handleLimits(this->limitMessageHandlers());
     this->context.admission = this->rateLimiter.admission();
     this->rollout.setBroadcast(this->engineBroadcast());
+    if (this->settings.rollouts)
+        this->startServiceRollouts();
     this->applySettings();
 }
 
@@ -428,6 +431,11 @@
     return handlers;
 }
 
+LeaseTimings ForwardDaemon::leaseTimings() const
+{
+    return leaseTimingsOf(this->settings);
+}
+
 Millis ForwardDaemon::rolloutTakeoverDelay() const
 {
     if (this->fleet.isAssigned(RolloutTask, RolloutCandidates, TaskScope::Fleet))
@@ -436,6 +444,13 @@
                                                                   : StandbyTakeoverDelay;
 }
 
+// A service's rollout is short, so the first candidates do not wait.
+Millis ForwardDaemon::serviceTakeoverDelay() const
+{
+    const Millis delay = this->rolloutTakeoverDelay();
+    return delay == Millis(0) ? delay : delay + this->takeoverJitter;
+}
+
 void ForwardDaemon::tick()
 {
     const MonoTime now = monoNow();
@@ -448,6 +463,11 @@
     this->applyUnregisteredBuilds();
     this->rollout.setTakeoverDelay(this->takeoverJitter + this->rolloutTakeoverDelay());
     this->rollout.onTick(this->directory, now);
+    if (this->serviceRollouts)
+        this->serviceRollouts->onTick(this->directory,
+                                      {this->serviceTakeoverDelay(), this->fleet.maxInstanceCount(),
+                                       this->storeReplica.hasList(ObjectKind::Rollouts)},
+                                      now);
     if (!this->isDraining)
         this->loadMonitor.onTick(this->directory, now);
     if (this->fleet.maxInstanceCount() != this->fleetSize)
@@ -488,6 +508,8 @@
         return this->loop.stop();
     this->drainStartedAt = monoNow();
     this->rollout.stop();
+    if (this->serviceRollouts)
+        this->serviceRollouts->stop();
     this->fleet.leave();
     this->callers->closeAfterAnswers();
     if (this->relayServer)
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -2,6 +2,7 @@
 
 #include "base/descriptorplan.h"
 #include "base/logratelimiter.h"
+#include "canary/controller.h"
 #include "forward/crashmonitor.h"
 #include "forward/forwarder.h"
 #include "forward/loadmonitor.h"
@@ -67,8 +68,14 @@
     void applyEndpoint(const StoredObject &object);
     void applyDirectoryChanges();
     void applyWeights(const StoredObject &object);
+    void applyServiceOrder(const ObjectEvent &event);
+    /// Connects requests and instances with the rollouts of services, if there are any.
+    void startServiceRollouts();
+    LeaseTimings leaseTimings() const;
     /// Returns how long a rollout makes no progress until this instance tries to take it over.
     Millis rolloutTakeoverDelay() const;
+    /// The same for rollouts of services.
+    Millis serviceTakeoverDelay() const;
     /// Applies what another instance tells about when weights were named.
     void applyNamedTimes(const proto::LoadNews &news);
     /// Tells the other instances when weights were named lately, if it is this instance's task.
@@ -106,6 +113,7 @@
     StoreReplica storeReplica;
     Fleet fleet;
     RateLimiter rateLimiter;
+    std::unique_ptr<ServiceRolloutController> serviceRollouts; ///< nullptr without rollouts
     LoadMonitor loadMonitor;
     ProcessWatch processWatch;
     http::MemoryBudgetPtr requestMemory; ///< of the servers
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -24,6 +24,8 @@
     const StoredObject &object = event.object;
     if (kind == ObjectKind::Endpoints && event.isDeleted)
         return this->directory.remove(object.name, object.revision);
+    if (kind == ObjectKind::Rollouts)
+        return this->applyServiceOrder(event);
     if (event.isDeleted)
         return;
     if (kind == ObjectKind::Endpoints)
@@ -99,6 +101,8 @@
         return;
     this->originLookup.onDirectory(this->directory, monoNow());
     this->applyUnregisteredBuilds();
+    if (this->serviceRollouts)
+        this->serviceRollouts->onDirectory(this->directory, monoNow());
     for (const EndpointChange &change : changes) {
         this->selector.onChange(change);
         const bool isIncarnationOver = change.kind == EndpointChange::Kind::Gone
@@ -122,6 +126,34 @@
         this->selector.setUnregisteredBuilds(service, this->originLookup.unregistered(service));
 }
 
+void ForwardDaemon::applyServiceOrder(const ObjectEvent &event)
+{
+    if (!this->serviceRollouts || event.isDeleted)
+        return;
+    const auto read = toOutcome([&] { return this->adapter.readServiceOrder(event.object); });
+    if (const auto *order = std::get_if<ServiceOrder>(&read))
+        return this->serviceRollouts->onOrder(event.object, *order, monoNow());
+    logEvent(LogLevel::Warning, "service_order_malformed",
+             {{"name", event.object.name}, {"detail", std::get<Error>(read).detail}});
+}
+
+void ForwardDaemon::startServiceRollouts()
+{
+    const proto::ProcessId &self = this->fleet.ownProcess();
+    ServiceRolloutSettings rolloutSettings{{self.name(), self.incarnation()},
+                                           this->settings.rollouts->exposureShare,
+                                           this->settings.rollouts->exposureSlack};
+    this->serviceRollouts = std::make_unique<ServiceRolloutController>(
+        this->adapter, this->store, this->selector,
+        Lease(self.name(), self.incarnation(), this->leaseTimings()), std::move(rolloutSettings),
+        [this](const proto::RolloutNews &news) { this->fleet.broadcast(news); });
+    this->fleet.handleRollouts(
+        [this](const proto::ProcessId &from, const proto::RolloutNews &news) {
+            this->serviceRollouts->onNews(from, news, monoNow());
+        });
+    this->context.rollouts = this->serviceRollouts->hooks();
+}
+
 void ForwardDaemon::applyWeights(const StoredObject &object)
 {
     const auto read = toOutcome([&] { return this->adapter.readWeights(object.content); });
--- a/src/forward/objectreplica.cpp
+++ b/src/forward/objectreplica.cpp
@@ -17,6 +17,8 @@
         object.set_revision(event.object.revision);
         object.set_is_deleted(event.isDeleted);
         object.set_content(writeJson(event.object.content));
+        if (!event.object.status.is_null())
+            object.set_status(writeJson(event.object.status));
     }
 }
 
@@ -85,8 +87,12 @@
         // The revision counts as known all the same, so that the object is not requested again.
         if (content.is_discarded())
             content = nullptr;
-        events.push_back(
-            {{object.name(), object.revision(), std::move(content)}, object.is_deleted()});
+        Json status
+            = object.status().empty() ? Json() : readJson(object.status(), DeepJson::LeftOut);
+        if (status.is_discarded())
+            status = nullptr;
+        events.push_back({{object.name(), object.revision(), std::move(content), std::move(status)},
+                          object.is_deleted()});
         if (!object.is_deleted())
             listedObjects.push_back(events.back().object);
     }
--- a/src/forward/objectreplica.h
+++ b/src/forward/objectreplica.h
@@ -17,8 +17,8 @@
 /// hold what was pushed before.
 namespace lavenderhall {
 
-enum class ObjectKind : std::size_t { Configuration, Endpoints, Weights };
-inline constexpr std::size_t ObjectKindCount = 3;
+enum class ObjectKind : std::size_t { Configuration, Endpoints, Weights, Rollouts };
+inline constexpr std::size_t ObjectKindCount = 4;
 
 /// Callbacks for changes. An object that is not newer than the known one is not reported.
 struct ObjectReplicaHandlers
--- a/src/forward/storereplica.cpp
+++ b/src/forward/storereplica.cpp
@@ -7,11 +7,13 @@
 namespace lavenderhall {
 
 StoreReplica::StoreReplica(http::Loop &loop, ObjectClient &store, const ObjectKinds &kinds,
-                           StoreReplicaHandlers handlers, std::uint64_t seed)
+                           bool hasRollouts, StoreReplicaHandlers handlers, std::uint64_t seed)
     : onStoreChange(handlers.onStoreChange)
-    , replica({kinds.configuration, kinds.endpoints, kinds.weights}, std::move(handlers))
+    , kindCount(hasRollouts ? ObjectKindCount : ObjectKindCount - 1)
+    , replica({kinds.configuration, kinds.endpoints, kinds.weights, kinds.rollouts},
+              std::move(handlers))
 {
-    for (std::size_t kind = 0; kind < ObjectKindCount; ++kind) {
+    for (std::size_t kind = 0; kind < this->kindCount; ++kind) {
         this->watchers.push_back(
             std::make_unique<ObjectWatcher>(loop, store, this->replica.kindNames().at(kind),
                                             this->watchHandlers(ObjectKind{kind}), seed + kind));
@@ -49,7 +51,8 @@
 {
     ReplicatedObjects functions;
     const ObjectReplica::KindNames &names = this->replica.kindNames();
-    functions.kinds.assign(names.begin(), names.end());
+    functions.kinds.assign(names.begin(),
+                           names.begin() + static_cast<std::ptrdiff_t>(this->kindCount));
     functions.knownRevision
         = [this](std::size_t kind) { return this->replica.mirror(ObjectKind{kind}).revision(); };
     functions.changeRevision = [this](std::size_t kind) {
--- a/src/forward/storereplica.h
+++ b/src/forward/storereplica.h
@@ -27,7 +27,8 @@
 class StoreReplica
 {
 public:
-    StoreReplica(http::Loop &loop, ObjectClient &store, const ObjectKinds &kinds,
+    /// \a hasRollouts tells whether orders for services are among the objects.
+    StoreReplica(http::Loop &loop, ObjectClient &store, const ObjectKinds &kinds, bool hasRollouts,
                  StoreReplicaHandlers handlers, std::uint64_t seed);
 
     /// Starts to watch the store.
@@ -50,6 +51,7 @@
     StoreContact storeContact() const;
 
     std::function<void(ObjectKind kind)> onStoreChange;
+    const std::size_t kindCount; ///< of the kinds that are replicated, the first ones
     ObjectReplica replica;
     std::vector<std::unique_ptr<ObjectWatcher>> watchers; ///< one for each kind
     WatchPolicy watchPolicy{monoNow()};
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -106,6 +106,15 @@
     void broadcast(const proto::LoadNews &news);
     void broadcast(const proto::CrashNews &news);
     void broadcast(const proto::LimitNews &news);
+    void broadcast(const proto::RolloutNews &news);
+    /// Sets the handler of what other instances tell about rollouts of services.
+    void handleRollouts(
+        std::function<void(const proto::ProcessId &from, const proto::RolloutNews &news)> handler)
+    {
+        this->onRolloutNews = std::move(handler);
+    }
+    /// Returns the identity of this process among the instances.
+    const proto::ProcessId &ownProcess() const { return this->self; }
     /// Sets the handlers of messages about limits.
     void handleLimits(LimitMessageHandlers handlers) { this->limitHandlers = std::move(handlers); }
     /// Sends the request to the one instance of the fleet that does \a task, possibly this one.
@@ -166,6 +175,7 @@
     std::optional<ObjectReplicator> replicator; ///< only in the forward dialect
     EngineUpdateHandlers engineUpdateHandlers;
     LimitMessageHandlers limitHandlers;
+    std::function<void(const proto::ProcessId &from, const proto::RolloutNews &news)> onRolloutNews;
     TimelineRing &timeline;
     Metrics &metrics;
     SeatTimings timings;
--- a/src/router/fleetmessages.cpp
+++ b/src/router/fleetmessages.cpp
@@ -84,6 +84,10 @@
     case proto::Envelope::kPermitRequest:
     case proto::Envelope::kPermitAnswer:
         return this->receiveLimits(message);
+    case proto::Envelope::kRolloutNews:
+        if (this->onRolloutNews)
+            this->onRolloutNews(message.from(), message.rollout_news());
+        return;
     case proto::Envelope::kSeatHints:
         if (message.seat_hints().wants_all()) {
             proto::Envelope answer;
@@ -197,6 +201,13 @@
     this->broadcast(message);
 }
 
+void Fleet::broadcast(const proto::RolloutNews &news)
+{
+    proto::Envelope message;
+    *message.mutable_rollout_news() = news;
+    this->broadcast(message);
+}
+
 void Fleet::sendToAssigned(std::string_view task, const proto::PermitRequest &request)
 {
     std::vector<std::string> names;
--- a/src/store/objects.cpp
+++ b/src/store/objects.cpp
@@ -81,4 +81,12 @@
     this->startTyped<ObjectReply>(call, CallTimeout, this->codec.readReply, handler);
 }
 
+void ObjectClient::replaceStatus(const std::string &kind, const StoredObject &object,
+                                 const ReplyHandler &handler)
+{
+    http::CallRequest call = this->codec.replaceStatus(kind, object);
+    call.reuse = http::Reuse::Recent;
+    this->startTyped<ObjectReply>(call, CallTimeout, this->codec.readReply, handler);
+}
+
 } // namespace lavenderhall
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -20,6 +20,7 @@
     std::string name;
     std::int64_t revision = 0; ///< store revision of its last change
     Json content;
+    Json status{}; ///< null for objects without one
 
     bool operator==(const StoredObject &) const = default;
 };
@@ -71,6 +72,8 @@
     http::CallRequest (*create)(const std::string &kind, const StoredObject &object);
     /// Replaces the object on condition that it is still at object.revision.
     http::CallRequest (*replace)(const std::string &kind, const StoredObject &object);
+    /// Replaces the object's status alone, on the same condition.
+    http::CallRequest (*replaceStatus)(const std::string &kind, const StoredObject &object);
     ObjectPage (*readPage)(const http::Response &response);
     ObjectChanges (*readChanges)(const http::Response &response);
     ObjectReply (*readReply)(const http::Response &response);
@@ -92,6 +95,8 @@
     void read(const std::string &kind, const std::string &name, const ReplyHandler &handler);
     void create(const std::string &kind, const StoredObject &object, const ReplyHandler &handler);
     void replace(const std::string &kind, const StoredObject &object, const ReplyHandler &handler);
+    void replaceStatus(const std::string &kind, const StoredObject &object,
+                       const ReplyHandler &handler);
 
     /// Number of calls started so far.
     std::uint64_t callCount() const { return this->calls; }
