--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -121,7 +121,8 @@
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
                     leaseTimingsOf(this->settings)),
               rolloutTimingsOf(this->settings))
-    , storeReplica(loop, this->store, adapter.kinds, this->storeReplicaHandlers(), randomSeed())
+    , storeReplica(loop, this->store, adapter.kinds, this->settings.rollouts.has_value(),
+                   this->storeReplicaHandlers(), randomSeed())
     , fleet(loop, this->settings,
             objectSeatStore(loop, this->store, adapter.kinds.limits,
                             [this] { return this->storeReplica.storeOutageDuration(); }),
@@ -161,6 +162,8 @@
     this->rollout.setBroadcast(this->engineBroadcast());
     if (this->settings.balancesLoad)
         this->balanceLoad();
+    if (this->settings.rollouts)
+        this->startServiceRollouts();
     this->applySettings();
 }
 
@@ -482,6 +485,11 @@
     return handlers;
 }
 
+LeaseTimings ForwardDaemon::leaseTimings() const
+{
+    return leaseTimingsOf(this->settings);
+}
+
 Millis ForwardDaemon::rolloutTakeoverDelay() const
 {
     if (this->fleet.isAssigned(RolloutTask, RolloutCandidates, TaskScope::Fleet))
@@ -490,6 +498,13 @@
                                                                   : StandbyTakeoverDelay;
 }
 
+// A service's rollout is short, so the first candidates do not wait.
+Millis ForwardDaemon::serviceTakeoverDelay() const
+{
+    const Millis delay = this->rolloutTakeoverDelay();
+    return delay == Millis(0) ? delay : delay + this->takeoverJitter;
+}
+
 void ForwardDaemon::tick()
 {
     const MonoTime now = monoNow();
@@ -504,6 +519,11 @@
     this->rollout.onTick(this->directory, now);
     if (this->backlogExchange)
         this->backlogExchange->onTick(now);
+    if (this->serviceRollouts)
+        this->serviceRollouts->onTick(this->directory,
+                                      {this->serviceTakeoverDelay(), this->fleet.maxInstanceCount(),
+                                       this->storeReplica.hasList(ObjectKind::Rollouts)},
+                                      now);
     if (!this->isDraining)
         this->loadMonitor.onTick(this->directory, now);
     if (this->fleet.maxInstanceCount() != this->fleetSize)
@@ -544,6 +564,8 @@
         return this->loop.stop();
     this->drainStartedAt = monoNow();
     this->rollout.stop();
+    if (this->serviceRollouts)
+        this->serviceRollouts->stop();
     this->fleet.leave();
     this->callers->closeAfterAnswers();
     if (this->relayServer)
