--- a/src/store/store_test.cpp
+++ b/src/store/store_test.cpp
@@ -37,6 +37,7 @@
     [](const std::string &, const std::string &) { return requestFor("/read"); },
     [](const std::string &, const StoredObject &) { return requestFor("/create"); },
     [](const std::string &, const StoredObject &) { return requestFor("/replace"); },
+    [](const std::string &, const StoredObject &) { return requestFor("/replace-status"); },
     [](const http::Response &response) {
         ObjectPage page;
         page.status = response.status == 200 ? StoreStatus::Ok : StoreStatus::Down;
