Forward: the log fields of admission as one list

GCC 12 without debugging information takes the single insertions for writes out of bounds, and the deployment's build fails. No functional change.

--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -265,17 +265,19 @@
     if (!decision)
         return;
     const AdmissionInputs &inputs = decision->inputs;
-    fields.emplace_back("admission", decision->isRefused() ? "refused" : "sent");
-    fields.emplace_back("admission_reason", toString(decision->reason));
-    fields.emplace_back("expected_ms", std::llround(inputs.expectedMillis));
-    fields.emplace_back("backlog_ms", std::llround(inputs.backlogMillis.value_or(0)));
-    fields.emplace_back("answer_ms", std::llround(inputs.answerMillis));
-    fields.emplace_back("time_left_ms", inputs.timeLeft.count());
-    fields.emplace_back("news_age_ms", inputs.load.newsAge.value_or(Millis(-1)).count());
-    fields.emplace_back("slots", inputs.load.slots);
-    fields.emplace_back("taken", inputs.load.taken);
-    fields.emplace_back("waiting", inputs.load.waiting);
-    fields.emplace_back("retry_after_ms", decision->retryAfter.count());
+    const std::vector<LogField> inputFields{
+        {"admission", decision->isRefused() ? "refused" : "sent"},
+        {"admission_reason", toString(decision->reason)},
+        {"expected_ms", std::llround(inputs.expectedMillis)},
+        {"backlog_ms", std::llround(inputs.backlogMillis.value_or(0))},
+        {"answer_ms", std::llround(inputs.answerMillis)},
+        {"time_left_ms", inputs.timeLeft.count()},
+        {"news_age_ms", inputs.load.newsAge.value_or(Millis(-1)).count()},
+        {"slots", inputs.load.slots},
+        {"taken", inputs.load.taken},
+        {"waiting", inputs.load.waiting},
+        {"retry_after_ms", decision->retryAfter.count()}};
+    fields.insert(fields.end(), inputFields.begin(), inputFields.end());
 }
 
 // A refused permit closes the endpoint for a while, so that the next choice is another one.
