--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,8 @@
 startstop: build
 	python3 platform/soak/startstop.py --build $(BUILD)
 
-# Lets crowds of careless clients loose on real processes with little memory, one after the other. CROWDS holds the
-# options of crowds.py.
+# Runs a real router with little memory against groups of misbehaving clients, one group after the other. CROWDS holds
+# the options of crowds.py.
 CROWDS ?= --seed 1
 crowds: build
 	python3 platform/soak/crowds.py --build $(BUILD) $(CROWDS)
--- a/src/admission/decayedcount.h
+++ b/src/admission/decayedcount.h
@@ -29,8 +29,8 @@
         return this->value * std::exp2(-this->halfLives(now - this->updatedAt));
     }
 
-    /// Returns the events per second; 0 if there were none. A count that began lately has forgotten
-    /// little, so its time is shorter than that of an old one.
+    /// Returns the events per second; 0 if there were none. A count that began less than a few
+    /// half-lives ago is divided by the shorter time that it covers.
     double perSecond(MonoTime now) const
     {
         const double remembered = 1 - std::exp2(-this->halfLives(now - this->startedAt));
--- a/src/admission/estimator.cpp
+++ b/src/admission/estimator.cpp
@@ -7,19 +7,19 @@
 
 namespace {
 
-// Times that short say nothing about those for which requests are refused: they consist of the
-// distance and the request's own work.
+// Shorter times consist of the network delay and the request's own work, and say nothing about
+// queues.
 constexpr double MinLearnedMillis = 100;
 constexpr double Smoothing = 20; ///< ms, keeps the ratio of short times finite
-// One answer moves the correction by at most a seventh, so that a single outlier does not matter
-// and a dozen answers halve an error.
+// One answer moves the correction by at most a seventh (LearningShare * MaxLogStep), so that a
+// single outlier does not matter. Three answers halve an error below MaxLogStep.
 constexpr double LearningShare = 0.2;
-constexpr double MaxLogStep = 0.7;
+constexpr double MaxLogStep = 0.7; ///< natural logarithm of a factor, as below
 constexpr double MaxLogFactor = 3; ///< predictions are off by at most about twenty times
 // Without answers, a correction is no longer trusted after a while.
 constexpr Millis TrustTime{1000};
 constexpr double ForgetHalfLifeSeconds = 2;
-// Fewer beginnings give no rate.
+// With fewer beginnings, the rate is not known.
 constexpr double MinStarts = 4;
 
 } // namespace
--- a/src/admission/estimator.h
+++ b/src/admission/estimator.h
@@ -31,7 +31,8 @@
     std::optional<double> backlogMillis(int rank, MonoTime now) const;
     /// Returns the requests that begin per second.
     double startsPerSecond(MonoTime now) const { return this->starts.perSecond(now); }
-    /// Returns when a request of \a rank last began or ended; a time long ago if none did.
+    /// Returns when a request of \a rank last began, or ended after it had waited longer than
+    /// expected; MonoTime{} if none did.
     MonoTime lastNews(int rank) const;
 
 private:
--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -12,7 +12,8 @@
 constexpr std::uint64_t ReservedTurns = 8;
 constexpr std::uint64_t LongestWaitTurn = 3;
 constexpr std::uint64_t LargestTurn = 7;
-constexpr std::size_t MaxOrganisations = 1000; ///< bounds the memory of the counters
+// Beyond this number, counters that are not above the lowest of the waiting ones are discarded.
+constexpr std::size_t MaxOrganisations = 1000;
 
 } // namespace
 
--- a/src/admission/retryafter.h
+++ b/src/admission/retryafter.h
@@ -21,7 +21,7 @@
 
 private:
     static constexpr Millis Interval{50};
-    static constexpr std::size_t Intervals = 200; ///< more than any caller waits
+    static constexpr std::size_t Intervals = 200; ///< 10 s in all, the longest Retry-After
 
     void advance(MonoTime now);
     std::int64_t &at(std::int64_t interval);
--- a/src/admission/servedshares.cpp
+++ b/src/admission/servedshares.cpp
@@ -11,13 +11,14 @@
 // does not end in time.
 constexpr double MinShareOfAll = 0.35;
 constexpr double MinShareOfLarge = 0.65;
-// A kind must not be served less often than a less urgent one by over 5 in 100.
+// The bound on the difference between a kind's share and that of a less urgent one is 0.05;
+// requests are protected before it is reached.
 constexpr double MaxLagBehindLessUrgent = 0.03;
 constexpr double LargeShare = 0.1;
 // With fewer requests, a share says nothing.
 constexpr double MinEnded = 8;
-constexpr double Forgotten = 0.01; ///< requests, after which a name is forgotten
-constexpr std::size_t MaxNames = 1000; ///< of kinds or organisations; bounds the memory
+constexpr double Forgotten = 0.01; ///< decayed count of requests below which a name is forgotten
+constexpr std::size_t MaxNames = 1000; ///< beyond it, forgotten kinds or organisations are removed
 
 } // namespace
 
--- a/src/balance/backlogexchange.cpp
+++ b/src/balance/backlogexchange.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr double PerSecond = 1000; // for figures that are kept per millisecond
+constexpr double PerSecond = 1000; ///< milliseconds in a second
 constexpr Millis MinTellInterval{80}; ///< a little under the interval of the ticks
-// An instance that adds up gets a message in this time on average at most.
+// Minimum time between two messages at the instance that adds up, on average over all senders.
 constexpr double MillisPerMessage = 2.5;
-// Figures beyond cannot be.
+// Messages with larger figures are ignored as implausible.
 constexpr std::int64_t MaxTokens = 1'000'000'000'000;
 constexpr std::int64_t MaxSampleMicros = 60'000'000;
 
--- a/src/balance/enginespeed.cpp
+++ b/src/balance/enginespeed.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-// Speeds beyond are measuring errors, such as prompts whose parts were all cached.
+// Faster samples are dropped: all parts of their prompts were cached. Slower ones count as the
+// minimum.
 constexpr double MinTokensPerMilli = 2;
 constexpr double MaxTokensPerMilli = 1000;
 
--- a/src/canary/controller.cpp
+++ b/src/canary/controller.cpp
@@ -14,7 +14,8 @@
 constexpr Millis NewsInterval{300};
 constexpr Millis LastNewsTime{3000}; ///< after the end, until all instances know it
 constexpr Millis WriteRetryInterval{300};
-/// Endpoints that this instance learns of so long after the end may have been there before.
+/// Other versions that this instance sees within this time after a completed rollout are ruled out
+/// too: their endpoints may have been there before.
 constexpr Millis LateDirectoryTime{5000};
 
 } // namespace
@@ -163,7 +164,7 @@
     found->second.rollout->onReport(readNews(from, news, now), now);
 }
 
-// While a holder's decisions arrive, nobody else asks for the lease.
+// While a holder's decisions arrive, no other instance requests the lease.
 bool ServiceRolloutController::isLeaseWanted(MonoTime now) const
 {
     for (const auto &[name, service] : this->services) {
--- a/src/canary/exposure.cpp
+++ b/src/canary/exposure.cpp
@@ -9,8 +9,8 @@
 // The requests of the rest of the time count in advance, but only in part: callers may become
 // fewer, or go to other instances.
 constexpr double ForecastPart = 0.75;
-constexpr double Margin = 0.9; ///< of the share
-constexpr Millis MinForecastBase{1000}; ///< before, the rate of requests is not known
+constexpr double Margin = 0.9; ///< part of the bound that is used
+constexpr Millis MinForecastBase{1000}; ///< for a shorter time, no forecast is made
 
 } // namespace
 
--- a/src/canary/news.h
+++ b/src/canary/news.h
@@ -7,7 +7,8 @@
 namespace lavenderhall {
 
 proto::RolloutNews writeNews(const ServiceOrder &order, const RolloutReport &report, MonoTime now);
-/// Reads news; values that make no sense are replaced by harmless ones.
+/// Reads news. Times, the share and the fence are clamped to their ranges; an unknown phase is read
+/// as Stopped.
 RolloutReport readNews(const proto::ProcessId &from, const proto::RolloutNews &news, MonoTime now);
 
 } // namespace lavenderhall
--- a/src/canary/observations.cpp
+++ b/src/canary/observations.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Millis PeriodLength{1000};
-constexpr std::size_t MaxPeriods = 120;
+constexpr std::size_t MaxPeriods = 120; ///< the last one has all later counts
 constexpr double BucketsPerOctave = 2;
 // The first message that arrives from a sender covers an unknown time if others were sent before.
 constexpr std::uint64_t MaxFirstNumber = 5;
@@ -58,9 +58,9 @@
     return this->byPeriod.back();
 }
 
-// A process that is new to the rollout cannot tell when the counts that it hears first arose. The
-// shares of the versions have changed meanwhile, so trouble that hit both would look like a
-// difference between them: these counts only tell how much has been seen.
+// If the first message received from a sender is not one of its first, the time of its counts is
+// not known. The versions' shares of the traffic have changed meanwhile, so faults that affected
+// both would look like a difference between them. Such counts only enter the total.
 bool FleetObservations::merge(const CountSender &sender, std::uint64_t number,
                               const CountsByRoute &cumulative, MonoTime now)
 {
--- a/src/canary/observations.h
+++ b/src/canary/observations.h
@@ -63,8 +63,8 @@
     /// message that is repeated or has been overtaken.
     bool merge(const CountSender &sender, std::uint64_t number, const CountsByRoute &cumulative,
                MonoTime now);
-    /// Returns the counts by period. Those that arrived before this process could tell their time
-    /// are left out.
+    /// Returns the counts by period of a second; the last of 120 has all later ones too. Counts
+    /// whose time is not known are left out, see merge().
     const std::vector<CountsByRoute> &periods() const { return this->byPeriod; }
     /// Returns all counts.
     const CountsByRoute &total() const { return this->sum; }
--- a/src/canary/rollout.cpp
+++ b/src/canary/rollout.cpp
@@ -15,19 +15,20 @@
     double factor = 0; ///< share, as a multiple of the exposure that is allowed on the whole
 };
 
-// Together they use 0.85 of the exposure allowed in the whole time. The last one is a short load
-// test, for versions that are bad only under load; its effect is watched until the decision.
+// The first four use 0.85 of the exposure allowed in the whole time. The fourth is a short load
+// test, for versions that are bad only under load. The fifth lasts until the decision, while the
+// answers to the load test arrive.
 constexpr std::array<ExposureStep, 5> Steps{
     {{0.30, 0.4}, {0.45, 1}, {0.53, 2}, {0.60, 6}, {1, 0.2}}};
 constexpr double MaxShare = 0.6;
 constexpr double DecisionPart = 0.66; ///< of the time, until all traffic may move
-constexpr double LastDecisionPart = 0.72; ///< then the evidence there is has to do
+constexpr double LastDecisionPart = 0.72; ///< from then on, MinAnswers are enough
 constexpr double LastEndPart = 0.94; ///< then requests at old endpoints are no longer waited for
 constexpr std::int64_t EnoughAnswers = 60;
 constexpr std::int64_t MinAnswers = 10; ///< with fewer, the version has not been tested
 constexpr Millis DecisionLifetime{3000}; ///< without news, the share falls to 0
-constexpr Millis PeerLifetime{
-    1500}; ///< instances that have been silent for longer are out of reach
+// Instances that have been silent for longer are out of reach.
+constexpr Millis PeerLifetime{1500};
 constexpr Millis MinShiftTime{700}; ///< until all instances have heard of the shift
 
 } // namespace
@@ -258,7 +259,7 @@
     const bool isSuspicious = verdict.judgement != Judgement::Unobtrusive;
     const bool isGood = !isSuspicious && verdict.candidateAnswers >= EnoughAnswers;
     const double share = input.hasCandidates ? this->stepShare(elapsed) : 0;
-    // With something to be cleared up, the share does not grow.
+    // While the verdict is unclear, the share does not grow.
     this->current.share
         = isSuspicious && this->current.share > 0 ? std::min(share, this->current.share) : share;
     if (elapsed < DecisionPart || (!isGood && elapsed < LastDecisionPart))
--- a/src/canary/verdict.cpp
+++ b/src/canary/verdict.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// What condemns a version, or makes it suspicious.
+/// Thresholds from which a version is bad, or suspicious. All three must be reached.
 struct Thresholds
 {
     double score = 0; ///< in standard deviations
@@ -50,7 +50,8 @@
     return countFrom(counts.latency, 0);
 }
 
-/// Returns the first bucket that counts as slow; nothing if the other versions have no answers.
+/// Returns the first bucket that counts as slow; the last one if the other versions have no
+/// answers.
 std::size_t slowBucket(const VersionCounts &baseline)
 {
     const std::int64_t half = timedAnswers(baseline) / 2;
--- a/src/canary/verdict.h
+++ b/src/canary/verdict.h
@@ -7,13 +7,13 @@
 
 /// Decides by the answers whether the version under test is worse than the others.
 ///
-/// Both versions are compared by route and period (Cochran-Mantel-Haenszel test), so that trouble
-/// that hits both condemns neither. The test may be repeated with each new answer: its thresholds
-/// allow for a few hundred looks.
+/// Both versions are compared by route and period (Cochran-Mantel-Haenszel test), so that faults
+/// that affect both do not count against the new one. The test may be repeated with new answers:
+/// its thresholds allow for a few hundred evaluations.
 namespace lavenderhall {
 
 enum class Judgement {
-    Unclear, ///< neither of the others
+    Unclear, ///< signs of a difference, but not enough for Bad
     Unobtrusive, ///< no sign of a difference
     Bad, ///< the version under test is worse
 };
--- a/src/canary/versions.cpp
+++ b/src/canary/versions.cpp
@@ -76,7 +76,8 @@
     const auto isAllowed = [&](const auto &entry) { return !rule.excluded.contains(entry.first); };
     if (std::any_of(this->present.begin(), this->present.end(), isAllowed))
         return rule;
-    // Other versions than bad ones serve at once.
+    // If not all of the versions are bad, the exclusions are lifted at once, otherwise when no
+    // other version has been present for FallbackDelay.
     const bool areAllBad
         = std::all_of(this->present.begin(), this->present.end(), [&](const auto &entry) {
               return this->barred.contains(entry.first) || (isBad && entry.first == candidate);
--- a/src/canary/versions.h
+++ b/src/canary/versions.h
@@ -14,8 +14,8 @@
 /// The versions of one service that endpoints have, with the earliest start of an endpoint of each.
 using PresentVersions = std::map<std::string, std::int64_t>;
 
-/// Keeps new versions back until an order for them would be known, and those that rollouts have
-/// ruled out.
+/// Excludes versions that rollouts have ruled out, and new versions until an order for them would
+/// be known.
 class ServiceVersions
 {
 public:
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -460,7 +460,8 @@
 }
 
 // A shared part goes to its home whenever that is among the best, so that few engines read it. The
-// draw is one of its own: the request's also decides which weights it prefers.
+// draw is derived from the request's by a hash, as the request's also decides which weights it
+// prefers.
 std::size_t EndpointSelector::pick(const std::vector<Choice> &choices,
                                    const ChoiceQuery &query) const
 {
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -47,12 +47,13 @@
     double maxNewestFactor = 4; ///< at most this many times the even share
     // The following apply only where the load is balanced, see docs/design/even-load.md.
     double queuedRequestCost = 15; ///< in milliseconds, for each that the engine reports as waiting
-    // Share of a shared part that this instance has not sent to the engine, and that the engine
-    // nevertheless has to read, on average: other instances may have sent it, or a fetch succeeds.
+    // Average share of a shared part that the engine has to read although this instance has not
+    // sent it there. It need not read the rest: another instance has sent it, or a fetch succeeds.
     double homeReadShare = 0.4; ///< at its home
     double storeReadShare = 0.25; ///< elsewhere, with a store of parts
     double fetchReadShare = 0.5; ///< elsewhere, with a fetch from another engine
-    // Price of a copy away from home, as a share of the time of reading it.
+    // Price of a copy away from home, as a multiple of the time of reading it at
+    // prefillTokensPerMilli.
     double storeCopyPrice = 1; ///< with a store of parts
     double copyPrice = 2; ///< without
     double homeMarginMillis = 80; ///< a home is used if its cost exceeds that of others by no more
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -19,7 +19,7 @@
 /// A caller that has taken nothing of its answer for this long may be given up to make room.
 constexpr Millis SlowReaderTime{500};
 
-/// Returns the memory beyond a string's own size.
+/// Returns the heap memory of a string; 0 if it is stored in place.
 std::size_t heapBytes(const std::string &text)
 {
     static const std::size_t OwnCapacity = std::string().capacity();
--- a/src/router/requestmemory.cpp
+++ b/src/router/requestmemory.cpp
@@ -11,7 +11,7 @@
 // for: up to twice the size of a body that arrives in parts.
 constexpr std::uint64_t RequestDivisor = 4;
 constexpr int MegabyteBits = 20;
-constexpr int LargeBlockBytes = 128 << 10; ///< the initial value of glibc
+constexpr int LargeBlockBytes = 128 << 10; ///< glibc's initial threshold
 
 } // namespace
 
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -49,7 +49,7 @@
 {
     double exposureShare = 0.1; ///< of the service's requests from the order until its time is over
     std::int64_t exposureSlack = 0; ///< additional requests
-    Millis rollback{5000}; ///< from the bad answer that is one too many until the last request
+    Millis rollback{5000}; ///< promised time until a bad version gets no requests; only stated
 
     bool operator==(const RolloutBounds &) const = default;
 };
--- a/src/store/groupedreads.h
+++ b/src/store/groupedreads.h
@@ -30,7 +30,7 @@
     GroupedReads(const GroupedReads &) = delete;
     GroupedReads &operator=(const GroupedReads &) = delete;
 
-    /// Reads the object \a name; \a handler is called once.
+    /// Reads the object \a name; \a handler is called once, unless this object is destroyed before.
     void read(const std::string &name, ObjectClient::ReplyHandler handler)
     {
         this->requested.push_back({name, std::move(handler)});
@@ -43,7 +43,7 @@
     }
 
 private:
-    // A list has the records of all regions, so a few reads take less.
+    // A list contains the records of all regions, so fewer objects are read one by one.
     static constexpr std::size_t MinReadsPerList = 3;
 
     struct Read
