--- a/src/balance/loadestimate.cpp
+++ b/src/balance/loadestimate.cpp
@@ -79,17 +79,4 @@
     return estimate;
 }
 
-EngineEstimate LoadEstimate::total(MonoTime now) const
-{
-    EngineEstimate total;
-    for (const auto &[id, engine] : this->engines) {
-        const EngineEstimate one = this->estimate(id, engine.service, now);
-        total.waitingTokens += one.waitingTokens;
-        total.speed += one.speed;
-        if (one.newsAge)
-            total.newsAge = std::max(total.newsAge.value_or(Millis(0)), *one.newsAge);
-    }
-    return total;
-}
-
 } // namespace lavenderhall
--- a/src/balance/loadestimate.h
+++ b/src/balance/loadestimate.h
@@ -52,8 +52,6 @@
     /// Returns the weight of the engine as a home of prompts. Fast engines get more than their
     /// proportional share: for the same use, a queue is shorter at a fast one.
     double homeWeight(const std::string &endpointId, const std::string &service) const;
-    /// Returns the sum of the estimates of all engines, and the age of the oldest news in use.
-    EngineEstimate total(MonoTime now) const;
 
 private:
     struct Engine
--- a/src/canary/controller.cpp
+++ b/src/canary/controller.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "canary/news.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
--- a/src/canary/rollout.h
+++ b/src/canary/rollout.h
@@ -101,7 +101,6 @@
     struct Peer
     {
         RolloutPhase phase = RolloutPhase::Canary;
-        bool hasDecision = false;
         std::int64_t oldInFlight = 0;
         std::int64_t requests = 0;
         std::int64_t exposed = 0;
--- a/src/canary/versionrule.h
+++ b/src/canary/versionrule.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "base/clock.h"
+
 #include <functional>
 #include <set>
 #include <string>
 
-#include "base/clock.h"
-
 /// What a request, and the choice of its endpoint, have to do with the versions of its service.
 namespace lavenderhall {
 
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -210,14 +210,17 @@
 }
 
 // The timer of each waiting request gives one of them its turn, the most urgent first, which need
-// not be itself.
+// not be itself. A request that finds the endpoint still closed in its turn waits again, with a
+// timer of its own.
 void ForwardCall::armWaitTimer(Millis delay)
 {
+    this->isWaitTimerArmed = true;
     this->waitTimer = this->context.loop.after(delay, [self = this->shared_from_this()] {
+        self->isWaitTimerArmed = false;
         if (self->isFinished || !self->callAdmission.isQueued())
             return;
         self->callAdmission.releaseNext();
-        if (!self->isFinished && self->callAdmission.isQueued())
+        if (!self->isFinished && self->callAdmission.isQueued() && !self->isWaitTimerArmed)
             self->armWaitTimer(TurnInterval);
     });
 }
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -282,6 +282,7 @@
     std::optional<std::string> streamBuild; ///< that began the stream; empty before its first event
     CallAdmission callAdmission;
     http::Timer waitTimer; ///< runs while the request waits for an endpoint to open
+    bool isWaitTimerArmed = false;
     bool isFinished = false;
 };
 
