--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -281,8 +281,9 @@
         selector.onChange({EndpointChange::Kind::Joined, entry});
         selector.onLoadReport(entry.id, {index % 5, 0}, now);
         if (balances)
-            selector.loadEstimate()->onBacklog({entry.id, 1}, "models",
-                                               {1000 * (index % 7), 5, 60.0 + index % 60}, now);
+            selector.loadEstimate()->onBacklog(
+                {entry.id, 1}, "models", {std::int64_t{1000} * (index % 7), 5, 60.0 + index % 60},
+                now);
     }
     const double micros = microsecondsPer(Repeats, [&](int index) {
         ChoiceQuery query;
--- a/src/balance/sentwork.cpp
+++ b/src/balance/sentwork.cpp
@@ -46,8 +46,9 @@
 
 void SentWork::onTick(MonoTime now)
 {
-    for (auto &[id, engine] : this->engines) {
-        std::erase_if(engine.pending, [&](const Pending &request) {
+    for (auto &entry : this->engines) {
+        Engine &engine = entry.second;
+        std::erase_if(engine.pending, [&engine, now](const Pending &request) {
             if (!request.readBy || *request.readBy > now)
                 return false;
             engine.counts.readTokens += request.tokens;
--- a/src/canary/rollout.cpp
+++ b/src/canary/rollout.cpp
@@ -94,9 +94,8 @@
     const bool isOlderStart = report.age > this->age(now) && report.age < Millis(1'000'000);
     if (isOlderStart)
         this->startedAt = now - report.age;
-    this->peers[report.sender] = {report.decision.phase, report.decision.fence > 0,
-                                  report.oldInFlight,    report.requests,
-                                  report.exposed,        now};
+    this->peers[report.sender]
+        = {report.decision.phase, report.oldInFlight, report.requests, report.exposed, now};
     const PhaseDecision &heard = report.decision;
     const bool isNewer = heard.fence > this->current.fence
         || (heard.fence == this->current.fence && heard.fence != this->ownFence
