Read as a newcomer: names, a rule with four flags, the daemon's hooks

Names that were figurative or private become the usual ones: startsTooLate, Overloaded, NoDifference, exclude, schedule, disconnect. ServiceVersions::rule() takes one value instead of a text and three flags, and whether it must refuse is a function of its own. The log line slow_reader_cut and its metric are renamed too, and the verdict "unobtrusive". One fault mended: a rate of beginnings of 0 gave an infinite backlog, and a refusal, when all of them had begun at the same moment.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -174,15 +174,15 @@
 
 Test(admission, refuses_only_what_is_known_to_begin_too_late)
 {
-    cr_assert(isHopeless(saturated()));
+    cr_assert(startsTooLate(saturated()));
     AdmissionInputs inputs = saturated();
     inputs.expectedMillis = 2000;
-    cr_assert(not(isHopeless(inputs)));
+    cr_assert(not(startsTooLate(inputs)));
     inputs.backlogMillis = 3500;
-    cr_assert(isHopeless(inputs));
+    cr_assert(startsTooLate(inputs));
     inputs.backlogMillis = 1500;
     inputs.answerMillis = 1200;
-    cr_assert(isHopeless(inputs));
+    cr_assert(startsTooLate(inputs));
 }
 
 // Guards against refusals while the service has room, on estimates that are too old, and after the
@@ -192,20 +192,20 @@
     AdmissionInputs roomy = saturated();
     roomy.load.taken = 4;
     roomy.load.waiting = 0;
-    cr_assert(not(isHopeless(roomy)));
+    cr_assert(not(startsTooLate(roomy)));
     AdmissionInputs old = saturated();
     old.load.newsAge = Millis(2600);
-    cr_assert(not(isHopeless(old)));
+    cr_assert(not(startsTooLate(old)));
     AdmissionInputs unknown = saturated();
     unknown.load.newsAge.reset();
-    cr_assert(not(isHopeless(unknown)));
+    cr_assert(not(startsTooLate(unknown)));
     AdmissionInputs silent = saturated();
     silent.load.endpoints = 10;
     silent.load.silentEndpoints = 6;
-    cr_assert(not(isHopeless(silent)));
+    cr_assert(not(startsTooLate(silent)));
     AdmissionInputs ran = saturated();
     ran.mayHaveRun = true;
-    cr_assert(not(isHopeless(ran)));
+    cr_assert(not(startsTooLate(ran)));
 }
 
 // The predictions are a tenth of the actual times.
@@ -309,7 +309,7 @@
     std::map<std::int64_t, int> byInterval;
     for (int count = 0; count < 50; ++count) {
         const double draw = std::uniform_real_distribution<double>(0, 1)(random);
-        const Millis wait = returns.promise(10, 100, Millis(2000), draw, Start);
+        const Millis wait = returns.schedule(10, 100, Millis(2000), draw, Start);
         cr_assert(wait >= Millis(100));
         cr_assert(wait <= Millis(2000));
         ++byInterval[wait / Millis(100)];
@@ -323,11 +323,11 @@
 Test(retryafter, without_room_the_time_is_long_and_spread)
 {
     ReturnSchedule returns;
-    const Millis early = returns.promise(1000, 10, Millis(900), 0, Start);
-    const Millis late = returns.promise(1000, 10, Millis(900), 1, Start);
+    const Millis early = returns.schedule(1000, 10, Millis(900), 0, Start);
+    const Millis late = returns.schedule(1000, 10, Millis(900), 1, Start);
     cr_assert(early == Millis(450));
     cr_assert(late == Millis(900));
-    cr_assert(returns.promise(5, 0, Millis(0), 0.5, Start) == Millis(0));
+    cr_assert(returns.schedule(5, 0, Millis(0), 0.5, Start) == Millis(0));
 }
 
 // Guards against a kind, an organisation or the large requests of a kind that are always refused.
--- a/src/admission/controller.cpp
+++ b/src/admission/controller.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-// Without answers for this long, one request of the rank is sent although it seems hopeless, so
-// that refusals end soon after capacity has returned.
+// Without answers for this long, one request of the rank is sent although it is expected to begin
+// too late, so that refusals end soon after capacity has returned.
 constexpr Millis ProbeInterval{1000};
-constexpr double ProbeShare = 0.02; ///< of the requests that seem hopeless
+constexpr double ProbeShare = 0.02; ///< of the requests that are expected to begin too late
 // Most of what is sent late is not served, so only a part of it is sent for the sake of fairness.
 constexpr double ProtectedShare = 0.3;
 // Callers honour a Retry-After up to a third of the time that they have left.
@@ -31,7 +31,7 @@
         return "probe";
     case AdmissionReason::Protected:
         return "protected";
-    case AdmissionReason::Hopeless:
+    case AdmissionReason::Overloaded:
         return "overloaded";
     }
     return "unknown";
@@ -56,7 +56,7 @@
                                             const AdmissionInputs &inputs, double draw,
                                             MonoTime now)
 {
-    if (!isHopeless(inputs))
+    if (!startsTooLate(inputs))
         return AdmissionReason::InTime;
     MonoTime &probedAt = service.probedAt[subject.rank];
     const MonoTime heardAt = std::max(probedAt, service.estimator.lastNews(subject.rank));
@@ -67,7 +67,7 @@
     const bool isProtected = draw < ProtectedShare
         && service.shares.isProtected(subject.kind, subject.organisation, subject.rank,
                                       subject.tokens, now);
-    return isProtected ? AdmissionReason::Protected : AdmissionReason::Hopeless;
+    return isProtected ? AdmissionReason::Protected : AdmissionReason::Overloaded;
 }
 
 AdmissionDecision AdmissionControl::decide(const AdmissionSubject &subject,
@@ -87,8 +87,8 @@
     // The upper part of the draw, which is that of the refused, spread over its whole range.
     const double spread = std::clamp((draw - ProbeShare) / (1 - ProbeShare), 0.0, 1.0);
     decision.retryAfter
-        = service.returns.promise(std::max(0.0, lateMillis) * perSecond / 1000, perSecond,
-                                  inputs.timeLeft / RetryTimeDivisor, spread, now);
+        = service.returns.schedule(std::max(0.0, lateMillis) * perSecond / 1000, perSecond,
+                                   inputs.timeLeft / RetryTimeDivisor, spread, now);
     return decision;
 }
 
--- a/src/admission/controller.h
+++ b/src/admission/controller.h
@@ -38,7 +38,7 @@
     InTime, ///< it can begin in time, as far as is known
     Probe, ///< it is sent to find out whether the estimate is still true
     Protected, ///< its kind or organisation has been served too seldom
-    Hopeless, ///< refused: it cannot begin in time
+    Overloaded, ///< refused: it cannot begin in time
 };
 
 /// Returns the name of \a reason in logs and metrics.
@@ -51,7 +51,7 @@
     AdmissionInputs inputs;
     Millis retryAfter{0}; ///< if it is refused
 
-    bool isRefused() const { return this->reason == AdmissionReason::Hopeless; }
+    bool isRefused() const { return this->reason == AdmissionReason::Overloaded; }
 };
 
 /// The admission of all services at this instance.
--- a/src/admission/decision.cpp
+++ b/src/admission/decision.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-bool isHopeless(const AdmissionInputs &inputs)
+bool startsTooLate(const AdmissionInputs &inputs)
 {
     if (inputs.mayHaveRun || !isKnown(inputs.load) || hasRoom(inputs.load))
         return false;
--- a/src/admission/decision.h
+++ b/src/admission/decision.h
@@ -34,7 +34,7 @@
     ServiceLoad load;
 };
 
-/// Whether the request cannot begin in time, as far as that is known.
-bool isHopeless(const AdmissionInputs &inputs);
+/// Whether the request is expected to begin too late. False if too little is known.
+bool startsTooLate(const AdmissionInputs &inputs);
 
 } // namespace lavenderhall
--- a/src/admission/estimator.cpp
+++ b/src/admission/estimator.cpp
@@ -90,18 +90,20 @@
     if (this->starts.at(now) < MinStarts)
         return std::nullopt;
     std::int64_t waiting = 0;
-    double others = 0;
+    double startsBehind = 0; ///< of the own rank and less urgent ones
     double perSecond = 0;
     for (const auto &[other, correction] : this->ranks) {
         if (other <= rank)
             waiting += correction.waiting;
         if (other < rank)
             continue;
-        others += correction.starts.at(now);
+        startsBehind += correction.starts.at(now);
         perSecond += correction.starts.perSecond(now);
     }
-    if (others < MinStarts)
+    if (startsBehind < MinStarts)
         perSecond = this->starts.perSecond(now);
+    if (perSecond <= 0)
+        return std::nullopt; // all of them began at this very moment
     return static_cast<double>(waiting) * 1000 / perSecond;
 }
 
--- a/src/admission/retryafter.cpp
+++ b/src/admission/retryafter.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// New requests come as well, so only this share of the room is promised to callers that return.
+// New requests come as well, so only this share of the room is reserved for callers that return.
 constexpr double ReturnShare = 0.5;
 // A caller that returns at once finds the same queue.
 constexpr double MinMillis = 50;
@@ -18,7 +18,7 @@
 {
     const std::int64_t interval = now.time_since_epoch() / Interval;
     if (interval - this->current >= static_cast<std::int64_t>(Intervals)) {
-        this->promised.fill(0);
+        this->scheduled.fill(0);
         this->current = interval;
     }
     for (; this->current < interval; ++this->current)
@@ -27,21 +27,21 @@
 
 std::int64_t &ReturnSchedule::at(std::int64_t interval)
 {
-    return this->promised.at(static_cast<std::size_t>(interval) % Intervals);
+    return this->scheduled.at(static_cast<std::size_t>(interval) % Intervals);
 }
 
 std::int64_t ReturnSchedule::outstanding(MonoTime now)
 {
     this->advance(now);
     std::int64_t sum = 0;
-    for (const std::int64_t count : this->promised)
+    for (const std::int64_t count : this->scheduled)
         sum += count;
     return sum;
 }
 
 // Where there is no room within the longest time, callers are spread over its last half.
-Millis ReturnSchedule::promise(double excess, double perSecond, Millis longest, double draw,
-                               MonoTime now)
+Millis ReturnSchedule::schedule(double excess, double perSecond, Millis longest, double draw,
+                                MonoTime now)
 {
     this->advance(now);
     const auto interval = static_cast<double>(Interval.count());
--- a/src/balance/backlogexchange.cpp
+++ b/src/balance/backlogexchange.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double PerSecond = 1000; ///< milliseconds in a second
-constexpr Millis MinTellInterval{80}; ///< a little under the interval of the ticks
+constexpr Millis MinSendInterval{80}; ///< a little under the interval of the ticks
 // Minimum time between two messages at the instance that adds up, on average over all senders.
 constexpr double MillisPerMessage = 2.5;
 // Messages with larger figures are ignored as implausible.
@@ -31,13 +31,13 @@
 void BacklogExchange::onTick(MonoTime now)
 {
     const Millis interval = std::max(
-        MinTellInterval,
+        MinSendInterval,
         Millis(std::llround(MillisPerMessage * static_cast<double>(this->instanceCount))));
     this->estimate.sent().onTick(now);
     std::map<ExchangeHooks::Task, proto::WorkNews> messages;
     const auto isDue = [&](const std::string &id) {
         const ExchangeHooks::Task task = this->hooks.taskOf(id);
-        return !task.region.empty() && now - this->toldAt[task] >= interval;
+        return !task.region.empty() && now - this->lastSentAt[task] >= interval;
     };
     for (const SentWork::Entry &entry : this->estimate.sent().takeNews(isDue, now)) {
         proto::SentWork &work = *messages[this->hooks.taskOf(entry.engine.endpointId)].add_works();
@@ -46,14 +46,14 @@
         work.set_sent_tokens(entry.counts.sentTokens);
         work.set_read_tokens(entry.counts.readTokens);
         for (const ReadSample &sample : entry.samples) {
-            proto::ReadSample &told = *work.add_samples();
-            told.set_tokens(sample.tokens);
-            told.set_time_us(sample.time.count());
+            proto::ReadSample &message = *work.add_samples();
+            message.set_tokens(sample.tokens);
+            message.set_time_us(sample.time.count());
         }
     }
     for (const auto &[task, news] : messages) {
-        this->toldAt[task] = now;
-        this->hooks.tell(task, news);
+        this->lastSentAt[task] = now;
+        this->hooks.send(task, news);
     }
 }
 
@@ -80,36 +80,36 @@
     for (const auto &[engine, backlog] : this->ledger.takeNews(now)) {
         if (!this->hooks.isOwnTask(engine.endpointId))
             continue;
-        proto::EngineBacklog &told = *news.add_backlogs();
-        told.set_endpoint(engine.endpointId);
-        told.set_born_ms(engine.startMillis);
-        told.set_waiting_tokens(backlog.waitingTokens);
-        told.set_arriving_tokens_per_s(std::llround(backlog.arrivingPerMilli * PerSecond));
-        told.set_speed_tokens_per_s(std::llround(backlog.speed * PerSecond));
-        this->apply(told, now);
+        proto::EngineBacklog &message = *news.add_backlogs();
+        message.set_endpoint(engine.endpointId);
+        message.set_born_ms(engine.startMillis);
+        message.set_waiting_tokens(backlog.waitingTokens);
+        message.set_arriving_tokens_per_s(std::llround(backlog.arrivingPerMilli * PerSecond));
+        message.set_speed_tokens_per_s(std::llround(backlog.speed * PerSecond));
+        this->apply(message, now);
     }
 }
 
 void BacklogExchange::onLoadNews(const proto::LoadNews &news, MonoTime now)
 {
-    for (const proto::EngineBacklog &told : news.backlogs()) {
-        if (isPlausible(told.waiting_tokens()) && isPlausible(told.arriving_tokens_per_s())
-            && isPlausible(told.speed_tokens_per_s()))
-            this->apply(told, now);
+    for (const proto::EngineBacklog &message : news.backlogs()) {
+        if (isPlausible(message.waiting_tokens()) && isPlausible(message.arriving_tokens_per_s())
+            && isPlausible(message.speed_tokens_per_s()))
+            this->apply(message, now);
     }
 }
 
 // The instance that announces applies its own message too, so that all use the same figures.
-void BacklogExchange::apply(const proto::EngineBacklog &told, MonoTime now)
+void BacklogExchange::apply(const proto::EngineBacklog &message, MonoTime now)
 {
-    const Incarnation engine{told.endpoint(), told.born_ms()};
+    const Incarnation engine{message.endpoint(), message.born_ms()};
     const std::string *service = this->hooks.serviceOf(engine);
     if (!service)
         return;
     Backlog backlog;
-    backlog.waitingTokens = told.waiting_tokens();
-    backlog.arrivingPerMilli = static_cast<double>(told.arriving_tokens_per_s()) / PerSecond;
-    backlog.speed = static_cast<double>(told.speed_tokens_per_s()) / PerSecond;
+    backlog.waitingTokens = message.waiting_tokens();
+    backlog.arrivingPerMilli = static_cast<double>(message.arriving_tokens_per_s()) / PerSecond;
+    backlog.speed = static_cast<double>(message.speed_tokens_per_s()) / PerSecond;
     this->ledger.onSpeedKnown(engine, backlog.speed);
     this->estimate.onBacklog(engine, *service, backlog, now);
 }
--- a/src/balance/backlogexchange.h
+++ b/src/balance/backlogexchange.h
@@ -28,7 +28,7 @@
     /// not known.
     std::function<Task(const std::string &endpointId)> taskOf;
     /// Sends to the instance that does the task, possibly this one.
-    std::function<void(const Task &task, const proto::WorkNews &news)> tell;
+    std::function<void(const Task &task, const proto::WorkNews &news)> send;
     /// Whether this instance does the task for the engine now.
     std::function<bool(const std::string &endpointId)> isOwnTask;
     /// Returns the service of the engine; nullptr if this incarnation is not known.
@@ -55,13 +55,13 @@
     void onLoadNews(const proto::LoadNews &news, MonoTime now);
 
 private:
-    void apply(const proto::EngineBacklog &told, MonoTime now);
+    void apply(const proto::EngineBacklog &message, MonoTime now);
 
     LoadEstimate &estimate;
     ExchangeHooks hooks;
     std::size_t instanceCount = 1;
     BacklogLedger ledger;
-    std::map<ExchangeHooks::Task, MonoTime> toldAt;
+    std::map<ExchangeHooks::Task, MonoTime> lastSentAt;
 };
 
 } // namespace lavenderhall
--- a/src/balance/balance_test.cpp
+++ b/src/balance/balance_test.cpp
@@ -32,7 +32,7 @@
 struct Member
 {
     LoadEstimate estimate{60};
-    std::vector<proto::WorkNews> told;
+    std::vector<proto::WorkNews> message;
     const std::string service = "models";
     bool isAssigned = true;
     BacklogExchange exchange{this->estimate, this->hooks()};
@@ -41,8 +41,8 @@
     {
         ExchangeHooks result;
         result.taskOf = [](const std::string &) { return ExchangeHooks::Task{"r", "t"}; };
-        result.tell = [this](const ExchangeHooks::Task &, const proto::WorkNews &news) {
-            this->told.push_back(news);
+        result.send = [this](const ExchangeHooks::Task &, const proto::WorkNews &news) {
+            this->message.push_back(news);
         };
         result.isOwnTask = [this](const std::string &) { return this->isAssigned; };
         result.serviceOf = [this](const Incarnation &engine) {
@@ -176,10 +176,10 @@
     Member successor;
     sender.estimate.sent().onSent(Engine, 50'000, std::nullopt, Start);
     sender.exchange.onTick(Start);
-    cr_assert(sender.told.size() == 1U); // lost with the one that died
+    cr_assert(sender.message.size() == 1U); // lost with the one that died
     sender.exchange.onTick(Start + Millis(1000));
-    cr_assert(sender.told.size() == 2U);
-    successor.exchange.onWorkNews(process("i"), sender.told.back(), Start + Millis(1000));
+    cr_assert(sender.message.size() == 2U);
+    successor.exchange.onWorkNews(process("i"), sender.message.back(), Start + Millis(1000));
     proto::LoadNews news;
     successor.exchange.addBacklogs(news, Start + Millis(1000));
     cr_assert(news.backlogs_size() == 1);
@@ -195,7 +195,7 @@
     Member former;
     sender.estimate.sent().onSent(Engine, 50'000, std::nullopt, Start);
     sender.exchange.onTick(Start);
-    former.exchange.onWorkNews(process("i"), sender.told.back(), Start);
+    former.exchange.onWorkNews(process("i"), sender.message.back(), Start);
     former.isAssigned = false;
     proto::LoadNews news;
     former.exchange.addBacklogs(news, Start + Millis(3000));
@@ -226,5 +226,5 @@
     cr_assert(sender.estimate.sent().unreadTokens("e") == 0);
     sender.estimate.sent().onRead("e", 6000);
     sender.exchange.onTick(Start + Millis(300));
-    cr_assert(sender.told.back().works(0).read_tokens() == 6000);
+    cr_assert(sender.message.back().works(0).read_tokens() == 6000);
 }
--- a/src/balance/evenload_test.cpp
+++ b/src/balance/evenload_test.cpp
@@ -154,7 +154,7 @@
     {
         ExchangeHooks result;
         result.taskOf = [](const std::string &) { return ExchangeHooks::Task{"ra", "t"}; };
-        result.tell = [this, sender](const ExchangeHooks::Task &, const proto::WorkNews &news) {
+        result.send = [this, sender](const ExchangeHooks::Task &, const proto::WorkNews &news) {
             this->deliver([this, sender, news] {
                 proto::ProcessId from;
                 from.set_name(std::to_string(sender));
--- a/src/balance/loadestimate.cpp
+++ b/src/balance/loadestimate.cpp
@@ -70,9 +70,9 @@
                                     static_cast<double>(engine.backlog.waitingTokens)
                                         - static_cast<double>(age.count()) * estimate.speed);
     const auto ownSince = static_cast<double>(
-        this->sentWork.unreadSince(endpointId, engine.heardAt - this->settings.tellDelay));
+        this->sentWork.unreadSince(endpointId, engine.heardAt - this->settings.reportDelay));
     const auto blindMillis = static_cast<double>(
-        std::min(age + this->settings.tellDelay, this->settings.blindTime).count());
+        std::min(age + this->settings.reportDelay, this->settings.blindTime).count());
     estimate.waitingTokens = std::max(own, drained + ownSince)
         + std::min(engine.backlog.arrivingPerMilli, estimate.speed) * blindMillis / 2;
     estimate.newsAge = age;
--- a/src/balance/loadestimate.h
+++ b/src/balance/loadestimate.h
@@ -13,7 +13,7 @@
 struct EstimateSettings
 {
     Millis newsLifetime{5000}; ///< after it, only own requests count
-    Millis tellDelay{150}; ///< until what is sent is part of the announced backlog
+    Millis reportDelay{150}; ///< until what is sent is part of the announced backlog
     Millis blindTime{300}; ///< for which others' requests since the news are allowed for
     double homeWeightExponent = 1.5; ///< see homeWeight()
 };
--- a/src/balance/sentwork.cpp
+++ b/src/balance/sentwork.cpp
@@ -17,8 +17,8 @@
     engine.isChanged = true;
 }
 
-// Requests of equal size need not be told apart. One that the engine had before a restart, or that
-// has counted as read already, is not found.
+// Requests of equal size need not be message apart. One that the engine had before a restart, or
+// that has counted as read already, is not found.
 void SentWork::onRead(const std::string &endpointId, std::int64_t tokens)
 {
     const auto found = this->engines.find(endpointId);
@@ -62,7 +62,7 @@
 bool SentWork::hasNews(const Engine &engine, MonoTime now)
 {
     const bool isWorthRepeating = !engine.pending.empty() || engine.repeats == 0;
-    return engine.isChanged || (isWorthRepeating && now - engine.toldAt >= RepeatInterval);
+    return engine.isChanged || (isWorthRepeating && now - engine.lastSentAt >= RepeatInterval);
 }
 
 std::int64_t SentWork::unreadTokens(const std::string &endpointId) const
--- a/src/balance/sentwork.h
+++ b/src/balance/sentwork.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-/// Keeps what this instance has sent to engines, and what of it other instances have to be told.
+/// Keeps what this instance has sent to engines, and what of it other instances have to be message.
 namespace lavenderhall {
 
 class SentWork
@@ -29,7 +29,7 @@
     /// The engine has restarted or is gone.
     void forget(const std::string &endpointId) { this->engines.erase(endpointId); }
     /// Returns the engines of which there is something to tell, if \a isDue allows it for them, and
-    /// records that it is told.
+    /// records that it is message.
     template <typename IsDue> std::vector<Entry> takeNews(IsDue &&isDue, MonoTime now);
 
     /// Returns the tokens sent that have not been read.
@@ -58,7 +58,7 @@
         std::vector<ReadSample> samples;
         bool isChanged = false;
         int repeats = 0; ///< of the last counts without unread tokens
-        MonoTime toldAt{};
+        MonoTime lastSentAt{};
     };
 
     static bool hasNews(const Engine &engine, MonoTime now);
@@ -75,7 +75,7 @@
             continue;
         engine.repeats = engine.isChanged ? 0 : engine.repeats + 1;
         engine.isChanged = false;
-        engine.toldAt = now;
+        engine.lastSentAt = now;
         news.push_back({{id, engine.startMillis}, engine.counts, std::move(engine.samples)});
         engine.samples.clear();
     }
--- a/src/canary/controller.cpp
+++ b/src/canary/controller.cpp
@@ -15,6 +15,9 @@
 constexpr Millis NewsInterval{300};
 constexpr Millis LastNewsTime{3000}; ///< after the end, until all instances know it
 constexpr Millis WriteRetryInterval{300};
+// A holder that has not repeated its decision for so many intervals may be gone.
+constexpr int MissedNewsUntilTakeover = 4;
+constexpr double PerMille = 1000;
 /// Other versions that this instance sees within this time after a completed rollout are ruled out
 /// too: their endpoints may have been there before.
 constexpr Millis LateDirectoryTime{5000};
@@ -62,12 +65,13 @@
     const Service &service = found->second;
     const bool areOrdersKnown = this->lastTick.areOrdersKnown;
     if (!service.rollout || service.rollout->isEnded())
-        return service.versions.rule("", false, false, false, areOrdersKnown, now);
+        return service.versions.rule({}, areOrdersKnown, now);
     const ServiceRollout &rollout = *service.rollout;
     const double slack = static_cast<double>(this->settings.exposureSlack)
         / static_cast<double>(std::max<std::size_t>(1, this->lastTick.instanceCount));
-    return service.versions.rule(rollout.order().to, rollout.mayExpose(draw, slack, now),
-                                 rollout.isShifted(now), rollout.isBad(), areOrdersKnown, now);
+    const CandidateVersion candidate{rollout.order().to, rollout.mayExpose(draw, slack, now),
+                                     rollout.isShifted(now), rollout.isBad()};
+    return service.versions.rule(candidate, areOrdersKnown, now);
 }
 
 void ServiceRolloutController::onOrder(const StoredObject &object, const ServiceOrder &order,
@@ -91,7 +95,7 @@
                                             MonoTime now)
 {
     if (service.rollout && !service.rollout->isEnded())
-        service.versions.bar(service.rollout->order().to);
+        service.versions.exclude(service.rollout->order().to);
     logEvent(LogLevel::Info, "service_rollout_order",
              {{"service", order.service},
               {"to", order.to},
@@ -121,9 +125,9 @@
     service.endedAt = now;
     service.ended[rollout.order().to] = rollout.endState();
     if (rollout.endState() == RolloutState::Completed)
-        service.versions.barOthers(rollout.order().to);
+        service.versions.excludeOthers(rollout.order().to);
     else
-        service.versions.bar(rollout.order().to);
+        service.versions.exclude(rollout.order().to);
     const ExposureSum sum = rollout.exposureSum();
     logEvent(LogLevel::Info, "service_rollout_end",
              {{"service", rollout.order().service},
@@ -151,7 +155,7 @@
         service.versions.onPresent(service.present, now);
         const bool isLate = service.endedAt && now - *service.endedAt < LateDirectoryTime;
         if (isLate && service.rollout->endState() == RolloutState::Completed)
-            service.versions.barOthers(service.rollout->order().to);
+            service.versions.excludeOthers(service.rollout->order().to);
     }
 }
 
@@ -176,9 +180,10 @@
         const Millis silence = heardAt == MonoTime{}
             ? age
             : std::min(age, std::chrono::duration_cast<Millis>(now - heardAt));
-        const Millis patience = std::max(this->lastTick.takeoverDelay,
-                                         heardAt == MonoTime{} ? Millis(0) : 4 * NewsInterval);
-        if (this->lease.isHeld(now) || silence >= patience)
+        const Millis takeoverDelay
+            = std::max(this->lastTick.takeoverDelay,
+                       heardAt == MonoTime{} ? Millis(0) : MissedNewsUntilTakeover * NewsInterval);
+        if (this->lease.isHeld(now) || silence >= takeoverDelay)
             return true;
     }
     return false;
@@ -303,7 +308,7 @@
                  {{"service", rollout.order().service},
                   {"to", rollout.order().to},
                   {"phase", toString(decision.phase)},
-                  {"share_permille", std::llround(decision.share * 1000)},
+                  {"share_permille", std::llround(decision.share * PerMille)},
                   {"fence", decision.fence},
                   {"holder", isHeld ? 1 : 0},
                   {"age_ms", rollout.age(now).count()},
--- a/src/canary/rollout.cpp
+++ b/src/canary/rollout.cpp
@@ -30,6 +30,8 @@
 // Instances that have been silent for longer are out of reach.
 constexpr Millis PeerLifetime{1500};
 constexpr Millis MinShiftTime{700}; ///< until all instances have heard of the shift
+// A longer age says that the sender's clock is wrong, not that the order is older than known here.
+constexpr Millis MaxReportedAge{1'000'000};
 
 } // namespace
 
@@ -91,7 +93,7 @@
     this->bad = this->bad || report.isBad;
     if (!this->observations.merge(report.sender, report.number, report.counts, now))
         return;
-    const bool isOlderStart = report.age > this->age(now) && report.age < Millis(1'000'000);
+    const bool isOlderStart = report.age > this->age(now) && report.age < MaxReportedAge;
     if (isOlderStart)
         this->startedAt = now - report.age;
     this->peers[report.sender]
@@ -255,7 +257,7 @@
 void ServiceRollout::decideCanary(const RolloutInput &input, double elapsed)
 {
     const Verdict &verdict = this->lastVerdict;
-    const bool isSuspicious = verdict.judgement != Judgement::Unobtrusive;
+    const bool isSuspicious = verdict.judgement != Judgement::NoDifference;
     const bool isGood = !isSuspicious && verdict.candidateAnswers >= EnoughAnswers;
     const double share = input.hasCandidates ? this->stepShare(elapsed) : 0;
     // While the verdict is unclear, the share does not grow.
--- a/src/canary/verdict.cpp
+++ b/src/canary/verdict.cpp
@@ -116,8 +116,8 @@
     switch (judgement) {
     case Judgement::Unclear:
         return "unclear";
-    case Judgement::Unobtrusive:
-        return "unobtrusive";
+    case Judgement::NoDifference:
+        return "no_difference";
     case Judgement::Bad:
         return "bad";
     }
@@ -162,7 +162,7 @@
         verdict.slowness = slowness;
         return verdict;
     }
-    verdict.judgement = isSuspicious ? Judgement::Unclear : Judgement::Unobtrusive;
+    verdict.judgement = isSuspicious ? Judgement::Unclear : Judgement::NoDifference;
     return verdict;
 }
 
--- a/src/canary/verdict.h
+++ b/src/canary/verdict.h
@@ -14,7 +14,7 @@
 
 enum class Judgement {
     Unclear, ///< signs of a difference, but not enough for Bad
-    Unobtrusive, ///< no sign of a difference
+    NoDifference, ///< no sign of one
     Bad, ///< the version under test is worse
 };
 
--- a/src/canary/versions.cpp
+++ b/src/canary/versions.cpp
@@ -28,13 +28,13 @@
     this->present = versions;
 }
 
-void ServiceVersions::barOthers(const std::string &version)
+void ServiceVersions::excludeOthers(const std::string &version)
 {
     for (const auto &[other, start] : this->present) {
         if (other != version)
-            this->barred.insert(other);
+            this->ruledOut.insert(other);
     }
-    this->barred.erase(version);
+    this->ruledOut.erase(version);
 }
 
 // Before the orders are known, the version whose endpoints have run for longest is in use.
@@ -54,45 +54,49 @@
     return versions;
 }
 
-VersionRule ServiceVersions::rule(const std::string &candidate, bool isExposed, bool isShifted,
-                                  bool isBad, bool areOrdersKnown, MonoTime now) const
+VersionRule ServiceVersions::rule(const CandidateVersion &candidate, bool areOrdersKnown,
+                                  MonoTime now) const
 {
     VersionRule rule;
-    const bool hasCandidate = this->present.contains(candidate);
-    if (isShifted && hasCandidate) {
-        rule.excluded = this->barred;
+    const bool hasCandidate = this->present.contains(candidate.version);
+    if (candidate.isShifted && hasCandidate) {
+        rule.excluded = this->ruledOut;
         for (const auto &[version, start] : this->present)
             rule.excluded.insert(version);
-        rule.excluded.erase(candidate);
+        rule.excluded.erase(candidate.version);
         return rule;
     }
     rule.excluded = this->heldBack(areOrdersKnown, now);
-    rule.excluded.erase(candidate);
-    rule.excluded.insert(this->barred.begin(), this->barred.end());
-    if (!candidate.empty() && !isExposed)
-        rule.excluded.insert(candidate);
-    if (isExposed && hasCandidate)
-        rule.preferred = candidate;
+    rule.excluded.erase(candidate.version);
+    rule.excluded.insert(this->ruledOut.begin(), this->ruledOut.end());
+    const bool isKeptFromCandidate = !candidate.version.empty() && !candidate.isExposed;
+    if (isKeptFromCandidate)
+        rule.excluded.insert(candidate.version);
+    if (candidate.isExposed && hasCandidate)
+        rule.preferred = candidate.version;
     const auto isAllowed = [&](const auto &entry) { return !rule.excluded.contains(entry.first); };
-    if (std::any_of(this->present.begin(), this->present.end(), isAllowed))
-        return rule;
-    // If not all of the versions are bad, the exclusions are lifted at once, otherwise when no
-    // other version has been present for FallbackDelay.
-    const bool areAllBad
-        = std::all_of(this->present.begin(), this->present.end(), [&](const auto &entry) {
-              return this->barred.contains(entry.first) || (isBad && entry.first == candidate);
-          });
-    const auto isRecent = [&](const auto &entry) {
-        return !this->present.contains(entry.first) && now - entry.second < FallbackDelay;
-    };
-    const bool hadOthers
-        = std::any_of(this->lastPresent.begin(), this->lastPresent.end(), isRecent);
-    if (areAllBad && hadOthers)
+    const bool isAnyAllowed = std::any_of(this->present.begin(), this->present.end(), isAllowed);
+    if (isAnyAllowed || this->mustRefuse(candidate, now))
         return rule;
     rule.excluded.clear();
-    if (this->present.size() > 1 && !candidate.empty() && !isExposed)
-        rule.excluded.insert(candidate);
+    if (this->present.size() > 1 && isKeptFromCandidate)
+        rule.excluded.insert(candidate.version);
     return rule;
 }
 
+// If one of the versions is not bad, it serves at once. If all are, they serve when no other
+// version has been present for FallbackDelay: a worse version is better than none.
+bool ServiceVersions::mustRefuse(const CandidateVersion &candidate, MonoTime now) const
+{
+    const auto isBad = [&](const auto &entry) {
+        return this->ruledOut.contains(entry.first)
+            || (candidate.isBad && entry.first == candidate.version);
+    };
+    const auto hasLeftLately = [&](const auto &entry) {
+        return !this->present.contains(entry.first) && now - entry.second < FallbackDelay;
+    };
+    return std::all_of(this->present.begin(), this->present.end(), isBad)
+        && std::any_of(this->lastPresent.begin(), this->lastPresent.end(), hasLeftLately);
+}
+
 } // namespace lavenderhall
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -24,15 +24,6 @@
 constexpr Millis BalancerDetectionTime{3000};
 // Each instance adds a random delay up to this, so that not all take over the rollout at once.
 constexpr unsigned MaxTakeoverJitterMillis = 600;
-// Two instances of each region tell the others which parts of prompts and requests are blocked, as
-// one may have just started. One instance of the fleet sends the requests that find out whether a
-// part or request still crashes endpoints; another one takes its turn, as it may get none.
-constexpr const char *CrashBlocksTask = "tell which parts are blocked";
-constexpr std::size_t CrashBlockTellers = 2;
-const std::string CrashTrialTask = "try part ";
-constexpr Millis CrashTrialTurn = std::chrono::seconds(10);
-// One instance of the fleet issues the permits for requests to an endpoint that has named a limit.
-const std::string PermitTask = "issue permits for ";
 // One instance of the fleet keeps the builds of the services in the store.
 constexpr const char *BuildsTask = "keep the builds of services";
 // Two instances of the fleet try to acquire the lease of the rollout, each of which reads it
@@ -371,120 +362,6 @@
     return 0;
 }
 
-EngineBroadcast ForwardDaemon::engineBroadcast()
-{
-    EngineBroadcast broadcast;
-    broadcast.load = [this](const proto::LoadNews &news) { this->fleet.broadcast(news); };
-    broadcast.weights
-        = [this](const proto::WeightsNotice &notice) { this->fleet.broadcast(notice); };
-    return broadcast;
-}
-
-CrashMonitorHooks ForwardDaemon::crashMonitorHooks()
-{
-    CrashMonitorHooks hooks;
-    hooks.broadcast = [this](const proto::CrashNews &news) { this->fleet.broadcast(news); };
-    hooks.isTeller = [this] { return this->fleet.isAssigned(CrashBlocksTask, CrashBlockTellers); };
-    hooks.isTrialInstance = [this](const std::string &subject) {
-        const auto turn = wallMillis() / CrashTrialTurn.count();
-        const std::string task = CrashTrialTask + subject + "/" + std::to_string(turn);
-        return this->fleet.isAssigned(task, 1, TaskScope::Fleet);
-    };
-    hooks.onNewBlocks = [this] { this->forwarder.onNewBlocks(); };
-    return hooks;
-}
-
-LimitMonitorHooks ForwardDaemon::limitMonitorHooks()
-{
-    LimitMonitorHooks hooks;
-    hooks.broadcast = [this](const proto::LimitNews &news) { this->fleet.broadcast(news); };
-    hooks.ask = [this](const Incarnation &endpoint, const proto::PermitRequest &request) {
-        this->fleet.sendToAssigned(PermitTask + endpoint.endpointId, request);
-    };
-    hooks.answer = [this](const proto::ProcessId &to, const proto::PermitAnswer &answer) {
-        this->fleet.send(to, answer);
-    };
-    return hooks;
-}
-
-LimitMessageHandlers ForwardDaemon::limitMessageHandlers()
-{
-    LimitMessageHandlers handlers;
-    handlers.onNews
-        = [this](const proto::LimitNews &news) { this->limitMonitor.onNews(news, monoNow()); };
-    handlers.onPermitRequest
-        = [this](const proto::ProcessId &from, const proto::PermitRequest &request) {
-              this->limitMonitor.onPermitRequest(from, request, monoNow());
-          };
-    handlers.onPermitAnswer = [this](const proto::PermitAnswer &answer) {
-        this->limitMonitor.onPermitAnswer(answer, monoNow());
-    };
-    return handlers;
-}
-
-StreamOriginHooks ForwardDaemon::streamOriginHooks()
-{
-    StreamOriginHooks hooks;
-    hooks.isReady = [this](const std::string &service) {
-        return this->originLookup.isReady(service, monoNow());
-    };
-    hooks.onSent
-        = [this](const std::string &stream, const std::string &service, const std::string &build) {
-              this->originLookup.onSent(stream, service, build, monoNow());
-          };
-    hooks.onNotBegun = [this](const std::string &stream) { this->originLookup.onNotBegun(stream); };
-    hooks.find = [this](const std::string &stream, const std::string &service,
-                        const StreamOriginHooks::Handler &handler) {
-        this->originLookup.find(stream, service, handler, monoNow());
-    };
-    return hooks;
-}
-
-ExchangeHooks ForwardDaemon::exchangeHooks()
-{
-    ExchangeHooks hooks;
-    hooks.taskOf = [this](const std::string &endpointId) {
-        return ExchangeHooks::Task{this->selector.regionOf(endpointId), loadTask(endpointId)};
-    };
-    hooks.isOwnTask = [this](const std::string &endpointId) {
-        return this->selector.regionOf(endpointId) == this->settings.region
-            && this->fleet.isAssigned(loadTask(endpointId), 1);
-    };
-    hooks.tell = [this](const ExchangeHooks::Task &task, const proto::WorkNews &news) {
-        this->fleet.sendToAssigned(task.name, task.region, news);
-    };
-    hooks.serviceOf = [this](const Incarnation &engine) {
-        const RegisteredEndpoint *entry = this->selector.findEntry(engine.endpointId);
-        return entry && entry->startMillis == engine.startMillis ? &entry->service : nullptr;
-    };
-    return hooks;
-}
-
-void ForwardDaemon::balanceLoad()
-{
-    this->selector.balanceLoad();
-    this->backlogExchange.emplace(*this->selector.loadEstimate(), this->exchangeHooks());
-    this->loadMonitor.setNewsSource([this](proto::LoadNews &news, MonoTime now) {
-        this->backlogExchange->addBacklogs(news, now);
-    });
-}
-
-StoreReplicaHandlers ForwardDaemon::storeReplicaHandlers()
-{
-    StoreReplicaHandlers handlers;
-    handlers.onEvent
-        = [this](ObjectKind kind, const ObjectEvent &event) { this->applyEvent(kind, event); };
-    handlers.onListed = [this](ObjectKind kind, const std::vector<std::string> &names,
-                               std::int64_t revision, bool wasUnreachable) {
-        if (kind == ObjectKind::Endpoints)
-            this->directory.onListed(names, revision, wasUnreachable, monoNow());
-    };
-    handlers.onStoreChange
-        = [this](ObjectKind kind) { this->fleet.publishObjects(static_cast<std::size_t>(kind)); };
-    handlers.onBatchEnd = [this] { this->applyDirectoryChanges(); };
-    return handlers;
-}
-
 LeaseTimings ForwardDaemon::leaseTimings() const
 {
     return leaseTimingsOf(this->settings);
--- a/src/http/memorybudget.cpp
+++ b/src/http/memorybudget.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr double CutLinesPerSecond = 1;
-constexpr double CutLinesBurst = 3;
+constexpr double DisconnectLinesPerSecond = 1;
+constexpr double DisconnectLinesBurst = 3;
 
 } // namespace
 
@@ -31,7 +31,7 @@
 // Large answers may take three quarters, as fewer of them would fit otherwise and each of them has
 // run already.
 MemoryBudget::MemoryBudget(std::size_t bodyBytes)
-    : cutLines(CutLinesPerSecond, CutLinesBurst)
+    : disconnectLines(DisconnectLinesPerSecond, DisconnectLinesBurst)
 {
     for (Account &one : this->accounts)
         one.budget = this;
@@ -57,12 +57,12 @@
 }
 
 void MemoryBudget::addReader(const void *reader, std::function<std::size_t()> unsent,
-                             std::function<void()> cut)
+                             std::function<void()> disconnect)
 {
     if (this->readers.contains(reader))
         return;
     const std::size_t bytes = unsent();
-    this->readers[reader] = {monoNow(), bytes, std::move(unsent), std::move(cut)};
+    this->readers[reader] = {monoNow(), bytes, std::move(unsent), std::move(disconnect)};
 }
 
 // A backlog may be a single large write, whose progress no event tells.
@@ -76,7 +76,7 @@
     }
 }
 
-bool MemoryBudget::cutSlowestReader(Millis minAge)
+bool MemoryBudget::disconnectSlowestReader(Millis minAge)
 {
     const MonoTime now = monoNow();
     this->updateProgress(now);
@@ -88,17 +88,17 @@
         return false;
     if (now - slowest->second.lastProgress < minAge)
         return false;
-    const auto cut = std::move(slowest->second.cut);
+    const auto disconnect = std::move(slowest->second.disconnect);
     this->readers.erase(slowest);
-    ++this->cutCount;
-    if (this->cutLines.tryAcquire(now))
-        logEvent(LogLevel::Warning, "slow_reader_cut",
+    ++this->disconnectCount;
+    if (this->disconnectLines.tryAcquire(now))
+        logEvent(LogLevel::Warning, "slow_reader_disconnected",
                  {{"backlog_bytes", this->usedBytes(MemoryKind::Backlogs)},
                   {"answer_bytes", this->usedBytes(MemoryKind::Answers)},
                   {"all_bytes", this->totalUsed},
-                  {"cut", this->cutCount},
-                  {"lines_left_out", this->cutLines.takeDroppedCount()}});
-    cut();
+                  {"disconnected", this->disconnectCount},
+                  {"lines_left_out", this->disconnectLines.takeDroppedCount()}});
+    disconnect();
     return true;
 }
 
--- a/src/http/memorybudget.h
+++ b/src/http/memorybudget.h
@@ -49,14 +49,14 @@
     }
     std::size_t totalUsedBytes() const { return this->totalUsed; }
     /// Returns the number of slow readers whose connections were closed to make room.
-    std::uint64_t cutReaders() const { return this->cutCount; }
+    std::uint64_t disconnectedReaders() const { return this->disconnectCount; }
     /// Returns how often there was no room for a share of \a kind.
     std::uint64_t refusals(MemoryKind kind) const { return this->account(kind).refusals; }
 
     /// Adds the owner of a backlog, unless it is there already. \a unsent returns the bytes that
-    /// are left of it, and \a cut closes the connection.
+    /// are left of it, and \a disconnect closes the connection.
     void addReader(const void *reader, std::function<std::size_t()> unsent,
-                   std::function<void()> cut);
+                   std::function<void()> disconnect);
     void removeReader(const void *reader) { this->readers.erase(reader); }
     /// Returns whether shares of \a kind, or all shares, hold more than their limit.
     bool isOver(MemoryKind kind) const
@@ -65,7 +65,7 @@
     }
     /// Closes the connection of the reader that has taken nothing for longest, but at least for \a
     /// minAge. Returns false if there is none.
-    bool cutSlowestReader(Millis minAge);
+    bool disconnectSlowestReader(Millis minAge);
 
 private:
     friend class MemoryShare;
@@ -89,7 +89,7 @@
         MonoTime lastProgress;
         std::size_t lastUnsent = 0;
         std::function<std::size_t()> unsent;
-        std::function<void()> cut;
+        std::function<void()> disconnect;
     };
 
     /// A share is large if it is over this part of its kind's limit.
@@ -107,8 +107,8 @@
     std::size_t totalLimit = SIZE_MAX;
     std::size_t totalUsed = 0;
     std::map<const void *, Reader> readers;
-    std::uint64_t cutCount = 0;
-    LogRateLimiter cutLines;
+    std::uint64_t disconnectCount = 0;
+    LogRateLimiter disconnectLines;
 };
 
 using MemoryBudgetPtr = std::shared_ptr<MemoryBudget>;
--- a/src/http/memorybudget_test.cpp
+++ b/src/http/memorybudget_test.cpp
@@ -117,11 +117,11 @@
         &fast, [&] { return fastUnsent; }, [&] { cut.push_back('f'); });
     budget.addReader(
         &slow, [] { return std::size_t(100); }, [&] { cut.push_back('s'); });
-    cr_assert(not(budget.cutSlowestReader(lavenderhall::Millis(60'000))));
+    cr_assert(not(budget.disconnectSlowestReader(lavenderhall::Millis(60'000))));
     fastUnsent = 50;
-    cr_assert(budget.cutSlowestReader(lavenderhall::Millis(0)));
+    cr_assert(budget.disconnectSlowestReader(lavenderhall::Millis(0)));
     cr_assert(cut == std::vector<char>{'s'});
     budget.removeReader(&fast);
-    cr_assert(not(budget.cutSlowestReader(lavenderhall::Millis(0))));
-    cr_assert(budget.cutReaders() == 1U);
+    cr_assert(not(budget.disconnectSlowestReader(lavenderhall::Millis(0))));
+    cr_assert(budget.disconnectedReaders() == 1U);
 }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -252,7 +252,7 @@
 {
     while (!share.grow(bytes)) {
         const bool madeRoom = this->server.closeStalledHolder()
-            || this->server.memoryBudget->cutSlowestReader(SlowReaderTime);
+            || this->server.memoryBudget->disconnectSlowestReader(SlowReaderTime);
         if (!madeRoom)
             return false;
     }
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -259,16 +259,17 @@
     if (this->heldBytes == 0)
         return this->memoryBudget->removeReader(this);
     const auto unsent = [this] { return uv_stream_get_write_queue_size(this->tcp->stream()); };
-    const auto cut = [weak = this->weak_from_this()] {
+    const auto disconnect = [weak = this->weak_from_this()] {
         if (const Ptr self = weak.lock())
             self->isClosingGracefully ? self->close()
                                       : self->end(SocketEnd::Failed, "the peer reads too slowly");
     };
-    this->memoryBudget->addReader(this, unsent, cut);
+    this->memoryBudget->addReader(this, unsent, disconnect);
     if (!this->memoryBudget->isOver(MemoryKind::Backlogs))
         return;
     this->loop.post([budget = this->memoryBudget] {
-        while (budget->isOver(MemoryKind::Backlogs) && budget->cutSlowestReader(Millis(0))) { }
+        while (budget->isOver(MemoryKind::Backlogs) && budget->disconnectSlowestReader(Millis(0))) {
+        }
     });
 }
 
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -206,7 +206,8 @@
         held.Add({{"kind", name}}).Set(static_cast<double>(budget.usedBytes(kind)));
         refusals.Add({{"kind", name}}).Set(static_cast<double>(budget.refusals(kind)));
     }
-    refusals.Add({{"kind", "slow_readers_cut"}}).Set(static_cast<double>(budget.cutReaders()));
+    refusals.Add({{"kind", "slow_readers_disconnected"}})
+        .Set(static_cast<double>(budget.disconnectedReaders()));
 }
 
 void Metrics::setRefusedConnections(const std::string &listener,
