Logs: when a drain began, refuses and ends, and when a request came in it

Change: drain_began, drain_refuses_new and stopped name their cause, the time since the start, open requests and connections, and how late the event loop was; request_done has arrived_in_drain_ms; refusals of an instance that stops are counted (they were not). Signals that ask to stop again are logged. The process ends as before: the decisions are unchanged.

No functional change

--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -226,10 +226,11 @@
 {
     http::Loop loop;
     bool isStopped = false;
-    loop.drainOnSignals([&] {
+    const auto onStopSignal = [&](int) {
         isStopped = true;
         loop.stop();
-    });
+    };
+    loop.onStopSignals(onStopSignal, onStopSignal);
     const MonoTime startedAt = monoNow();
     MonoTime nextLine = startedAt;
     for (;;) {
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -291,6 +291,15 @@
     this->finish(refusal.status, refusal.reason);
 }
 
+void ForwardCall::addDrain(std::vector<LogField> &fields) const
+{
+    if (!this->context.drainStartedAt)
+        return;
+    const auto arrived
+        = std::chrono::duration_cast<Millis>(this->arrivedAt - *this->context.drainStartedAt);
+    fields.emplace_back("arrived_in_drain_ms", arrived.count());
+}
+
 void ForwardCall::finish(int status, const std::string &outcome)
 {
     if (this->isFinished)
@@ -316,6 +325,7 @@
         {"endpoint", this->triedEndpoints.empty() ? "" : this->triedEndpoints.back()},
         {"ms", elapsed.count()},
         {"table", this->table ? this->table->version() : 0}};
+    this->addDrain(fields);
     this->addAdmission(fields);
     logEvent(LogLevel::Info, "request_done", fields);
     const auto self = this->shared_from_this();
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -96,6 +96,7 @@
     RelayTargets relayTargets{};
     EndpointReach reach{};
     AdmissionControl *admissionControl = nullptr; ///< nullptr: requests are sent whatever the load
+    std::optional<MonoTime> drainStartedAt{}; ///< set once the instance stops
 };
 
 /// Where a request comes from.
@@ -165,6 +166,8 @@
     AdmissionSubject admissionSubject() const;
     /// Returns the request's urgency, 0 first.
     int rank() const;
+    /// Adds to a log line how long after the start of a drain, if there is one, the request came.
+    void addDrain(std::vector<LogField> &fields) const;
     /// Adds what admission control has decided to a log line.
     void addAdmission(std::vector<LogField> &fields) const;
     /// Asks for a permit to send the request to \a endpoint, which has named a limit, and goes on
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -169,7 +169,7 @@
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining; };
     hooks.status = [this] { return this->status(); };
-    hooks.drain = [this] { this->drain(); };
+    hooks.drain = [this] { this->drain("operator"); };
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
         this->updateWaitingGauges();
@@ -353,12 +353,15 @@
 
 int ForwardDaemon::run()
 {
-    this->loop.drainOnSignals([this] { this->drain(); });
+    this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
+                             [this](int signal) { this->onStopSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
     if (!this->start())
         return 0;
     this->loop.run();
-    logEvent(LogLevel::Info, "stopped", {{"open_requests", this->forwarder.openCalls()}});
+    std::vector<LogField> fields = this->drainFields();
+    fields.emplace_back("cause", this->stopCause);
+    logEvent(LogLevel::Info, "stopped", fields);
     return 0;
 }
 
@@ -432,14 +435,40 @@
     logEvent(LogLevel::Info, "settings_reloaded", {{"cause", cause}});
 }
 
-void ForwardDaemon::drain()
+std::vector<LogField> ForwardDaemon::drainFields() const
+{
+    const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->drainStartedAt);
+    const auto connections = [](const std::unique_ptr<http::Server> &server) {
+        return server ? server->connectionCount() : 0;
+    };
+    return {{"drain_ms", elapsed.count()},
+            {"open_requests", this->forwarder.openCalls()},
+            {"caller_connections", connections(this->callers)},
+            {"relay_connections", connections(this->relayServer)},
+            {"loop_lag_ms", this->processWatch.maxLoopLag().count()}};
+}
+
+void ForwardDaemon::stop(std::string cause)
+{
+    this->stopCause = std::move(cause);
+    this->loop.stop();
+}
+
+void ForwardDaemon::onStopSignalRepeated(int signal)
+{
+    logEvent(LogLevel::Info, "stop_signal_repeated", {{"signal", http::stopSignalName(signal)}});
+    this->stop("signal_repeated");
+}
+
+void ForwardDaemon::drain(const char *cause)
 {
     if (this->isDraining)
         return;
     this->isDraining = true;
-    if (!this->isStarted)
-        return this->loop.stop();
     this->drainStartedAt = monoNow();
+    if (!this->isStarted)
+        return this->stop("not_started");
+    this->context.drainStartedAt = this->drainStartedAt;
     this->rollout.stop();
     if (this->serviceRollouts)
         this->serviceRollouts->stop();
@@ -447,7 +476,10 @@
     this->callers->closeAfterAnswers();
     if (this->relayServer)
         this->relayServer->closeAfterAnswers();
-    logEvent(LogLevel::Info, "drain_began", {{"open_requests", this->forwarder.openCalls()}});
+    std::vector<LogField> fields = this->drainFields();
+    fields.emplace_back("cause", cause);
+    fields.emplace_back("grace_ms", this->settings.bounds.grace.count());
+    logEvent(LogLevel::Info, "drain_began", fields);
     this->checkDrained();
 }
 
@@ -458,6 +490,7 @@
         && (!this->relayServer || this->relayServer->hasSentAll());
     if (elapsed > BalancerDetectionTime && !this->isRefusingNew) {
         this->isRefusingNew = true;
+        logEvent(LogLevel::Info, "drain_refuses_new", this->drainFields());
         this->forwarder.refuseNewRequests();
         this->callers->closeIdleConnections();
         if (this->relayServer)
@@ -467,7 +500,7 @@
         this->forwarder.stopAll();
     const bool isGraceOver = elapsed > this->settings.bounds.grace - StopMargin;
     if ((isIdle && elapsed > BalancerDetectionTime) || isGraceOver)
-        return this->loop.stop();
+        return this->stop(isIdle ? "idle" : "grace_over");
     this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->checkDrained(); });
 }
 
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -39,8 +39,8 @@
     /// still in use; returns false if the instance was stopped meanwhile.
     bool start();
     /// Starts a graceful stop: reports itself as not ready, and serves requests until the balancer
-    /// has noticed.
-    void drain();
+    /// has noticed. \a cause is for the log.
+    void drain(const char *cause);
 
 private:
     static constexpr double RejectionLinesPerSecond = 5;
@@ -93,6 +93,12 @@
     void recordMemoryRefusal();
     void tick(); ///< called periodically
     void checkDrained();
+    /// Stops the loop. \a cause is for the log.
+    void stop(std::string cause);
+    /// A signal has asked to stop again.
+    void onStopSignalRepeated(int signal);
+    /// Returns the fields that the log lines on a drain have in common.
+    std::vector<LogField> drainFields() const;
     void reloadSettings(const char *cause);
     void applySettings();
     Json status() const;
@@ -140,6 +146,7 @@
     Millis takeoverJitter{0}; ///< random part of the takeover delay of the rollout
     std::size_t fleetSize = 0; ///< upper bound on the instances among which budgets are divided
     MonoTime drainStartedAt{};
+    std::string stopCause; ///< why the loop was stopped, for the log
     bool isStarted = false;
     bool isMetricsMissing = false; ///< the listening socket for metrics could not be opened so far
     bool isDraining = false;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -29,8 +29,14 @@
     }
     if (this->isRefusing) {
         const std::string &id = std::get<ForwardRequest>(read).id;
+        const auto arrived
+            = std::chrono::duration_cast<Millis>(monoNow() - *this->context.drainStartedAt);
         logEvent(LogLevel::Info, "request_done",
-                 {{"request", id}, {"status", 503}, {"outcome", "stopping"}});
+                 {{"request", id},
+                  {"status", 503},
+                  {"outcome", "stopping"},
+                  {"arrived_in_drain_ms", arrived.count()}});
+        this->context.metrics.countRefusal("stopping");
         exchange->respond(
             this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
         return;
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -26,6 +26,11 @@
     changeSignalMask(SIG_BLOCK, {SIGHUP, SIGINT, SIGTERM});
 }
 
+const char *stopSignalName(int signal)
+{
+    return signal == SIGINT ? "SIGINT" : "SIGTERM";
+}
+
 /// The libuv timer behind a handle. libuv uses it until its close callback has run, also when the
 /// caller's Timer has been destroyed by then.
 struct Timer::State
@@ -133,15 +138,14 @@
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
 }
 
-void Loop::drainOnSignals(const std::function<void()> &drain)
+void Loop::onStopSignals(const std::function<void(int signal)> &onFirst,
+                         const std::function<void(int signal)> &onRepeated)
 {
-    const auto onStopSignal = [this, drain, isFirst = std::make_shared<bool>(true)] {
-        if (!std::exchange(*isFirst, false))
-            return this->stop();
-        drain();
-    };
-    this->onSignal(SIGTERM, onStopSignal);
-    this->onSignal(SIGINT, onStopSignal);
+    const auto isFirst = std::make_shared<bool>(true);
+    for (const int signal : {SIGTERM, SIGINT}) {
+        this->onSignal(
+            signal, [=] { std::exchange(*isFirst, false) ? onFirst(signal) : onRepeated(signal); });
+    }
 }
 
 void Loop::onSignal(int signal, std::function<void()> work)
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -38,6 +38,9 @@
 /// handles them. Call it at the start of the process, before other threads are started.
 void holdSignals();
 
+/// Returns the name of a signal that asks a process to stop, such as "SIGTERM".
+const char *stopSignalName(int signal);
+
 /// Event loop of one thread. Only post() and stop() may be called from other threads.
 class Loop
 {
@@ -62,8 +65,9 @@
     /// Calls \a work on the loop's thread each time the process gets \a signal. Once the loop is
     /// destroyed, the signal is held back.
     void onSignal(int signal, std::function<void()> work);
-    /// Calls \a drain on the first SIGTERM or SIGINT, and stops the loop on each further one.
-    void drainOnSignals(const std::function<void()> &drain);
+    /// Calls \a onFirst with the first SIGTERM or SIGINT, and \a onRepeated with each further one.
+    void onStopSignals(const std::function<void(int signal)> &onFirst,
+                       const std::function<void(int signal)> &onRepeated);
 
     /// Returns the libuv loop, for sockets and listeners.
     uv_loop_s *handle() { return this->uvLoop.get(); }
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -170,7 +170,7 @@
 
 int Daemon::run()
 {
-    this->loop.drainOnSignals([this] { this->drain(); });
+    this->loop.onStopSignals([this](int) { this->drain(); }, [this](int) { this->loop.stop(); });
     this->loop.onSignal(SIGHUP, [] { logEvent(LogLevel::Warning, "settings_not_reloaded"); });
     if (!this->start())
         return 0;
--- a/src/router/processwatch.h
+++ b/src/router/processwatch.h
@@ -32,6 +32,8 @@
     void start();
     /// Sets the process's gauges to what they are now.
     void updateMetrics();
+    /// Returns how late the event loop was at most since the last line.
+    Millis maxLoopLag() const { return this->maxLag; }
 
 private:
     void measureLag();
