Drain: refuse by the time of arrival, half a second earlier

What callers saw: a request sent 3.004 s to 3.027 s after SIGTERM was taken, passed on, and given up at 7.55 s, as the users report. Cause: whether an instance that stops takes a request was a flag, set by a timer that is checked every 50 ms and runs when the event loop gets to it, 3 s after the loop had handled the signal. The balancer's two checks need 2 s; what is sent later than 3 s after the signal has no excuse, so the border lay behind the bound by the handling of the signal, the timer and the loop's lag. Change: drain/drain decides from the time of each request's arrival, and from 2.5 s on, so that 0.5 s are left for a late signal and for connections on their way. At most half of the grace time is spent on acceptance. drain/gracefulstop carries the drain out; the daemon only connects it. A repeated signal and the end of the process are as before. Ruled out: a faster timer (the loop's lag remains); a flag at the signal (the balancer still sends).

--- /dev/null
+++ b/src/drain/drain.cpp
@@ -0,0 +1,73 @@
+#include "drain/drain.h"
+
+#include <algorithm>
+
+namespace lavenderhall {
+
+namespace {
+
+// The balancer stops sending requests to an instance after two failed checks, one second apart. The
+// rest is for a signal that the event loop handles late, and for connections that are on their way.
+constexpr Millis BalancerDetectionTime{2500};
+// At least this part of the grace time is left for requests in progress.
+constexpr int AnswerDivisor = 2;
+// Requests that are still in progress are ended this long before the process would be killed, so
+// that their callers get the answers. The process stops while there is time to free what it uses.
+constexpr Millis LastAnswerMargin{500};
+constexpr Millis StopMargin{250};
+
+} // namespace
+
+DrainTimings drainTimingsOf(Millis grace)
+{
+    DrainTimings timings;
+    timings.acceptTime = std::min(BalancerDetectionTime, grace / AnswerDivisor);
+    timings.answerTime = std::max(timings.acceptTime, grace - LastAnswerMargin);
+    timings.stopTime = std::max(timings.answerTime, grace - StopMargin);
+    return timings;
+}
+
+void Drain::begin(const DrainTimings &drainTimings, MonoTime now)
+{
+    if (this->startedAt)
+        return;
+    this->timings = drainTimings;
+    this->startedAt = now;
+    this->currentPhase = DrainPhase::Accepting;
+}
+
+bool Drain::isOver(Millis time, MonoTime now) const
+{
+    return this->startedAt && now - *this->startedAt >= time;
+}
+
+bool Drain::refusesNew(MonoTime now) const
+{
+    return this->isOver(this->timings.acceptTime, now);
+}
+
+bool Drain::endsRequests(MonoTime now) const
+{
+    return this->isOver(this->timings.answerTime, now);
+}
+
+DrainPhase Drain::advance(const OpenWork &work, MonoTime now)
+{
+    const DrainPhase next = this->nextPhase(work, now);
+    this->currentPhase = next;
+    return next;
+}
+
+DrainPhase Drain::nextPhase(const OpenWork &work, MonoTime now) const
+{
+    const DrainPhase phase = this->currentPhase;
+    if (phase == DrainPhase::Serving || phase == DrainPhase::Ended)
+        return phase;
+    if (this->isOver(this->timings.stopTime, now))
+        return DrainPhase::Ended;
+    if (phase == DrainPhase::Accepting)
+        return this->refusesNew(now) ? DrainPhase::Refusing : phase;
+    return work.isIdle ? DrainPhase::Ended : phase;
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/drain/drain.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstddef>
+#include <optional>
+
+/// Decides what an instance that stops still begins, and when its process ends.
+namespace lavenderhall {
+
+/// Lengths of the parts of a drain, each from its start.
+struct DrainTimings
+{
+    Millis acceptTime{0}; ///< new requests are accepted
+    Millis answerTime{0}; ///< requests in progress may finish
+    Millis stopTime{0}; ///< the process may run
+
+    bool operator==(const DrainTimings &) const = default;
+};
+
+/// Returns the timings of an instance that is killed \a grace after it was asked to stop, and that
+/// gets requests until the balancer has noticed.
+DrainTimings drainTimingsOf(Millis grace);
+
+/// The parts of a drain, in their order.
+enum class DrainPhase {
+    Serving, ///< there is no drain
+    Accepting, ///< the balancer has not noticed yet
+    Refusing, ///< new requests are refused, those in progress finish
+    Ended, ///< the process may end
+};
+
+/// What is still open in an instance.
+struct OpenWork
+{
+    bool isIdle = false; ///< all answers have been sent to their last byte
+    std::size_t connections = 0; ///< that callers or this side have not closed
+
+    bool operator==(const OpenWork &) const = default;
+};
+
+/// The drain of one instance. Every decision depends on the time that is passed in, so that none
+/// waits for a timer.
+class Drain
+{
+public:
+    /// Begins, unless it has begun.
+    void begin(const DrainTimings &drainTimings, MonoTime now);
+
+    /// Returns when the drain began, if it has.
+    const std::optional<MonoTime> &beganAt() const { return this->startedAt; }
+    /// Returns whether a request that arrives at \a now is refused.
+    bool refusesNew(MonoTime now) const;
+    /// Returns whether requests in progress are ended.
+    bool endsRequests(MonoTime now) const;
+
+    /// Goes to the phase that is due at \a now, and returns it.
+    DrainPhase advance(const OpenWork &work, MonoTime now);
+    DrainPhase phase() const { return this->currentPhase; }
+
+private:
+    /// Returns whether \a time has passed since the drain began.
+    bool isOver(Millis time, MonoTime now) const;
+    DrainPhase nextPhase(const OpenWork &work, MonoTime now) const;
+
+    DrainTimings timings;
+    std::optional<MonoTime> startedAt;
+    DrainPhase currentPhase = DrainPhase::Serving;
+};
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/drain/gracefulstop.cpp
@@ -0,0 +1,96 @@
+#include "drain/gracefulstop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhall {
+
+namespace {
+
+constexpr Millis CheckInterval{50};
+
+} // namespace
+
+GracefulStop::GracefulStop(http::Loop &loop, Drain &drain, StopHooks hooks)
+    : loop(loop)
+    , drain(drain)
+    , hooks(std::move(hooks))
+{ }
+
+OpenWork GracefulStop::openWork() const
+{
+    OpenWork work;
+    work.isIdle = this->hooks.openRequests() == 0 && this->hooks.hasHandedOver();
+    for (const http::Server *server : this->servers) {
+        work.isIdle = work.isIdle && server->hasSentAll();
+        work.connections += server->openSockets();
+    }
+    return work;
+}
+
+std::vector<LogField> GracefulStop::fields() const
+{
+    const MonoTime now = monoNow();
+    const auto elapsed
+        = std::chrono::duration_cast<Millis>(now - this->drain.beganAt().value_or(now));
+    return {{"drain_ms", elapsed.count()},
+            {"open_requests", this->hooks.openRequests()},
+            {"connections", this->openWork().connections},
+            {"loop_lag_ms", this->hooks.loopLag().count()}};
+}
+
+void GracefulStop::begin(const DrainTimings &timings, const std::string &cause)
+{
+    if (this->drain.beganAt())
+        return;
+    this->drain.begin(timings, monoNow());
+    for (http::Server *server : this->servers)
+        server->closeAfterAnswers();
+    std::vector<LogField> line = this->fields();
+    line.emplace_back("cause", cause);
+    line.emplace_back("accept_ms", timings.acceptTime.count());
+    line.emplace_back("answer_ms", timings.answerTime.count());
+    logEvent(LogLevel::Info, "drain_began", line);
+    this->check();
+}
+
+void GracefulStop::onSignalRepeated(int signal)
+{
+    std::vector<LogField> line = this->fields();
+    line.emplace_back("signal", http::stopSignalName(signal));
+    logEvent(LogLevel::Info, "stop_signal_repeated", line);
+    this->loop.stop();
+}
+
+void GracefulStop::check()
+{
+    const MonoTime now = monoNow();
+    if (this->drain.endsRequests(now))
+        this->hooks.endRequests();
+    const OpenWork work = this->openWork();
+    this->wasIdle = work.isIdle;
+    const DrainPhase before = this->drain.phase();
+    const DrainPhase phase = this->drain.advance(work, now);
+    if (phase != before)
+        this->onPhase(phase);
+    if (phase != DrainPhase::Ended)
+        this->timer = this->loop.after(CheckInterval, [this] { this->check(); });
+}
+
+void GracefulStop::onPhase(DrainPhase phase)
+{
+    if (phase == DrainPhase::Ended)
+        return this->loop.stop();
+    logEvent(LogLevel::Info, "drain_refuses_new", this->fields());
+    for (http::Server *server : this->servers)
+        server->closeIdleConnections();
+}
+
+void GracefulStop::logEnd() const
+{
+    std::vector<LogField> line = this->fields();
+    line.emplace_back("cause", this->wasIdle ? "idle" : "grace_over");
+    logEvent(LogLevel::Info, "stopped", line);
+}
+
+} // namespace lavenderhall
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -293,10 +293,10 @@
 
 void ForwardCall::addDrain(std::vector<LogField> &fields) const
 {
-    if (!this->context.drainStartedAt)
+    const std::optional<MonoTime> &drainBeganAt = this->context.drain.beganAt();
+    if (!drainBeganAt)
         return;
-    const auto arrived
-        = std::chrono::duration_cast<Millis>(this->arrivedAt - *this->context.drainStartedAt);
+    const auto arrived = std::chrono::duration_cast<Millis>(this->arrivedAt - *drainBeganAt);
     fields.emplace_back("arrived_in_drain_ms", arrived.count());
 }
 
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -2,6 +2,7 @@
 
 #include "admission/calladmission.h"
 #include "base/log.h"
+#include "drain/drain.h"
 #include "forward/adapter.h"
 #include "forward/crashmonitor.h"
 #include "forward/endpointselector.h"
@@ -96,7 +97,7 @@
     RelayTargets relayTargets{};
     EndpointReach reach{};
     AdmissionControl *admissionControl = nullptr; ///< nullptr: requests are sent whatever the load
-    std::optional<MonoTime> drainStartedAt{}; ///< set once the instance stops
+    Drain drain{}; ///< of the instance
 };
 
 /// Where a request comes from.
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -19,9 +19,6 @@
 constexpr Millis TickInterval{100};
 constexpr Millis SettingsInterval{1000}; ///< between checks of the settings file
 constexpr Millis MetricsRetryInterval{1000}; ///< between attempts to open the socket for metrics
-constexpr Millis DrainCheckInterval{50};
-// The balancer stops sending requests to an instance after two failed checks, one second apart.
-constexpr Millis BalancerDetectionTime{3000};
 // Each instance adds a random delay up to this, so that not all take over the rollout at once.
 constexpr unsigned MaxTakeoverJitterMillis = 600;
 // One instance of the fleet keeps the builds of the services in the store.
@@ -36,10 +33,6 @@
 constexpr int ServiceUnavailable = 503; ///< HTTP status
 constexpr Millis NoMemoryRetryAfter{200}; ///< the next try usually reaches another instance
 constexpr Millis MemoryLineInterval{1000}; ///< between two log lines on refusals
-// Requests that are still in progress are ended this long before the process would be killed, so
-// that their callers get the answers. The process stops while there is time to free what it uses.
-constexpr Millis LastAnswerMargin{500};
-constexpr Millis StopMargin{250};
 // When the holder of a seat fails, its organisations have no decision for about one lease.
 constexpr Millis SeatLease{1500};
 constexpr Millis SeatRenewInterval{300};
@@ -126,10 +119,12 @@
           [this](const Incarnation &engine) {
               this->crashMonitor.onEndpointAlive(engine, monoNow());
           })
-    , processWatch(loop, this->metrics, [this] {
-        return ServedLoad{this->forwarder.openCalls(),
-                          this->callers ? this->callers->connectionCount() : 0};
-    })
+    , processWatch(loop, this->metrics,
+                   [this] {
+                       return ServedLoad{this->forwarder.openCalls(),
+                                         this->callers ? this->callers->connectionCount() : 0};
+                   })
+    , gracefulStop(loop, this->context.drain, this->stopHooks())
 {
     this->context.client.setMaxConnections(this->descriptors.endpoints);
     this->fleet.setMaxPeerConnections(this->descriptors.peers);
@@ -167,7 +162,7 @@
 AdminHooks ForwardDaemon::adminHooks()
 {
     AdminHooks hooks;
-    hooks.isReady = [this] { return this->context.table && !this->isDraining; };
+    hooks.isReady = [this] { return this->context.table && !this->isDraining(); };
     hooks.status = [this] { return this->status(); };
     hooks.drain = [this] { this->drain("operator"); };
     hooks.updateGauges = [this] {
@@ -218,7 +213,7 @@
     this->requestMemory = makeMemoryBudget(
         requestMemoryLimit(this->settings.memoryMegabytes, readProcessState().maxAddressBytes));
     const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
-        return openWhenFree(this->loop, listener, open, [this] { return this->isDraining; });
+        return openWhenFree(this->loop, listener, open, [this] { return this->isDraining(); });
     };
     const auto openAdmin = [this] {
         this->admin
@@ -354,14 +349,12 @@
 int ForwardDaemon::run()
 {
     this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
-                             [this](int signal) { this->onStopSignalRepeated(signal); });
+                             [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
     if (!this->start())
         return 0;
     this->loop.run();
-    std::vector<LogField> fields = this->drainFields();
-    fields.emplace_back("cause", this->stopCause);
-    logEvent(LogLevel::Info, "stopped", fields);
+    this->gracefulStop.logEnd();
     return 0;
 }
 
@@ -404,7 +397,7 @@
                                       {this->serviceTakeoverDelay(), this->fleet.maxInstanceCount(),
                                        this->storeReplica.hasList(ObjectKind::Rollouts)},
                                       now);
-    if (!this->isDraining)
+    if (!this->isDraining())
         this->loadMonitor.onTick(this->directory, now);
     if (this->fleet.maxInstanceCount() != this->fleetSize)
         this->applySettings();
@@ -435,73 +428,33 @@
     logEvent(LogLevel::Info, "settings_reloaded", {{"cause", cause}});
 }
 
-std::vector<LogField> ForwardDaemon::drainFields() const
+StopHooks ForwardDaemon::stopHooks()
 {
-    const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->drainStartedAt);
-    const auto connections = [](const std::unique_ptr<http::Server> &server) {
-        return server ? server->connectionCount() : 0;
-    };
-    return {{"drain_ms", elapsed.count()},
-            {"open_requests", this->forwarder.openCalls()},
-            {"caller_connections", connections(this->callers)},
-            {"relay_connections", connections(this->relayServer)},
-            {"loop_lag_ms", this->processWatch.maxLoopLag().count()}};
-}
-
-void ForwardDaemon::stop(std::string cause)
-{
-    this->stopCause = std::move(cause);
-    this->loop.stop();
-}
-
-void ForwardDaemon::onStopSignalRepeated(int signal)
-{
-    logEvent(LogLevel::Info, "stop_signal_repeated", {{"signal", http::stopSignalName(signal)}});
-    this->stop("signal_repeated");
+    StopHooks hooks;
+    hooks.openRequests = [this] { return this->forwarder.openCalls(); };
+    hooks.hasHandedOver = [] { return true; };
+    hooks.loopLag = [this] { return this->processWatch.maxLoopLag(); };
+    hooks.endRequests = [this] { this->forwarder.stopAll(); };
+    return hooks;
 }
 
 void ForwardDaemon::drain(const char *cause)
 {
-    if (this->isDraining)
+    if (this->isDraining())
         return;
-    this->isDraining = true;
-    this->drainStartedAt = monoNow();
-    if (!this->isStarted)
-        return this->stop("not_started");
-    this->context.drainStartedAt = this->drainStartedAt;
+    const DrainTimings timings = drainTimingsOf(this->settings.bounds.grace);
+    if (!this->isStarted) {
+        this->context.drain.begin(timings, monoNow());
+        return this->loop.stop();
+    }
     this->rollout.stop();
     if (this->serviceRollouts)
         this->serviceRollouts->stop();
     this->fleet.leave();
-    this->callers->closeAfterAnswers();
+    this->gracefulStop.addServer(*this->callers);
     if (this->relayServer)
-        this->relayServer->closeAfterAnswers();
-    std::vector<LogField> fields = this->drainFields();
-    fields.emplace_back("cause", cause);
-    fields.emplace_back("grace_ms", this->settings.bounds.grace.count());
-    logEvent(LogLevel::Info, "drain_began", fields);
-    this->checkDrained();
-}
-
-void ForwardDaemon::checkDrained()
-{
-    const auto elapsed = monoNow() - this->drainStartedAt;
-    const bool isIdle = this->forwarder.openCalls() == 0 && this->callers->hasSentAll()
-        && (!this->relayServer || this->relayServer->hasSentAll());
-    if (elapsed > BalancerDetectionTime && !this->isRefusingNew) {
-        this->isRefusingNew = true;
-        logEvent(LogLevel::Info, "drain_refuses_new", this->drainFields());
-        this->forwarder.refuseNewRequests();
-        this->callers->closeIdleConnections();
-        if (this->relayServer)
-            this->relayServer->closeIdleConnections();
-    }
-    if (elapsed > this->settings.bounds.grace - LastAnswerMargin)
-        this->forwarder.stopAll();
-    const bool isGraceOver = elapsed > this->settings.bounds.grace - StopMargin;
-    if ((isIdle && elapsed > BalancerDetectionTime) || isGraceOver)
-        return this->stop(isIdle ? "idle" : "grace_over");
-    this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->checkDrained(); });
+        this->gracefulStop.addServer(*this->relayServer);
+    this->gracefulStop.begin(timings, cause);
 }
 
 Json ForwardDaemon::status() const
@@ -520,7 +473,7 @@
             {"zone", this->settings.zone},
             {"version", LAVENDERHALL_VERSION},
             {"state",
-             this->isDraining          ? "draining"
+             this->isDraining()        ? "draining"
                  : this->context.table ? "ready"
                                        : "starting"},
             {"config", {{"version", this->context.table ? this->context.table->version() : 0}}},
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -4,6 +4,7 @@
 #include "base/descriptorplan.h"
 #include "base/logratelimiter.h"
 #include "canary/controller.h"
+#include "drain/gracefulstop.h"
 #include "forward/crashmonitor.h"
 #include "forward/forwarder.h"
 #include "forward/loadmonitor.h"
@@ -92,13 +93,8 @@
     void recordRejection(const ForwardRefusal &refusal, const std::string &requestId);
     void recordMemoryRefusal();
     void tick(); ///< called periodically
-    void checkDrained();
-    /// Stops the loop. \a cause is for the log.
-    void stop(std::string cause);
-    /// A signal has asked to stop again.
-    void onStopSignalRepeated(int signal);
-    /// Returns the fields that the log lines on a drain have in common.
-    std::vector<LogField> drainFields() const;
+    StopHooks stopHooks();
+    bool isDraining() const { return this->context.drain.beganAt().has_value(); }
     void reloadSettings(const char *cause);
     void applySettings();
     Json status() const;
@@ -137,20 +133,16 @@
     std::unique_ptr<Admin> metricsServer;
     std::unique_ptr<http::Server> callers;
     std::unique_ptr<http::Server> relayServer; ///< for requests that other instances relay
+    GracefulStop gracefulStop;
     std::int64_t tableRevision = 0;
     http::Timer tickTimer;
     http::Timer metricsTimer;
     MonoTime nextNamedTimes{}; ///< next call of tellNamedTimes() that tells something
     http::Timer settingsTimer;
-    http::Timer drainTimer;
     Millis takeoverJitter{0}; ///< random part of the takeover delay of the rollout
     std::size_t fleetSize = 0; ///< upper bound on the instances among which budgets are divided
-    MonoTime drainStartedAt{};
-    std::string stopCause; ///< why the loop was stopped, for the log
     bool isStarted = false;
     bool isMetricsMissing = false; ///< the listening socket for metrics could not be opened so far
-    bool isDraining = false;
-    bool isRefusingNew = false; ///< the balancer has had time to notice; new requests are refused
 };
 
 } // namespace lavenderhall
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -27,20 +27,9 @@
         exchange->respond(this->context.adapter.writeRefusal({400, error->detail, {}}, ""));
         return;
     }
-    if (this->isRefusing) {
-        const std::string &id = std::get<ForwardRequest>(read).id;
-        const auto arrived
-            = std::chrono::duration_cast<Millis>(monoNow() - *this->context.drainStartedAt);
-        logEvent(LogLevel::Info, "request_done",
-                 {{"request", id},
-                  {"status", 503},
-                  {"outcome", "stopping"},
-                  {"arrived_in_drain_ms", arrived.count()}});
-        this->context.metrics.countRefusal("stopping");
-        exchange->respond(
-            this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
-        return;
-    }
+    const MonoTime now = monoNow();
+    if (this->context.drain.refusesNew(now))
+        return this->refuseStopping(exchange, std::get<ForwardRequest>(read).id, now);
     exchange->discardBody();
     const auto call = std::make_shared<ForwardCall>(
         this->context, exchange, std::get<ForwardRequest>(std::move(read)), source,
@@ -51,6 +40,21 @@
     call->start();
 }
 
+void Forwarder::refuseStopping(const http::ExchangePtr &exchange, const std::string &id,
+                               MonoTime now)
+{
+    const auto arrived
+        = std::chrono::duration_cast<Millis>(now - this->context.drain.beganAt().value_or(now));
+    logEvent(LogLevel::Info, "request_done",
+             {{"request", id},
+              {"status", 503},
+              {"outcome", "stopping"},
+              {"arrived_in_drain_ms", arrived.count()}});
+    this->context.metrics.countRefusal("stopping");
+    exchange->respond(
+        this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
+}
+
 void Forwarder::onWeightsNamed()
 {
     for (const std::shared_ptr<ForwardCall> &call : this->calls)
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -28,13 +28,13 @@
     void onCutOff(const std::string &service);
     /// Ends all requests in progress.
     void stopAll();
-    /// Refuses new requests from now on, so that callers send them to another instance.
-    void refuseNewRequests() { this->isRefusing = true; }
 
 private:
+    /// Refuses a request as the instance stops, so that its caller sends it to another one.
+    void refuseStopping(const http::ExchangePtr &exchange, const std::string &id, MonoTime now);
+
     ForwardContext &context;
     std::set<std::shared_ptr<ForwardCall>> calls;
-    bool isRefusing = false;
 };
 
 } // namespace lavenderhall
--- /dev/null
+++ b/src/forward/forwarderdrain_test.cpp
@@ -0,0 +1,47 @@
+#include "forward/forwarderfixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace lavenderhall;
+
+namespace {
+
+constexpr Millis Grace{8000};
+
+/// An instance that was asked to stop \a age ago. Nothing but the time tells it so: no timer of the
+/// drain runs.
+struct DrainFixture : Fixture
+{
+    explicit DrainFixture(Millis age)
+    {
+        this->context.drain.begin(drainTimingsOf(Grace), monoNow() - age);
+        this->join(this->first, "desk");
+        this->first.onRequest = answerPlain;
+    }
+};
+
+} // namespace
+
+// Guards against a request that is passed on long after SIGTERM because the timer that ends the
+// acceptance is late.
+Test(forwarderdrain, a_request_taken_long_after_sigterm_is_refused_at_once)
+{
+    for (const char *route : {"read", "book"}) {
+        DrainFixture fixture(Millis(3000));
+        const auto result = fixture.call(route);
+        cr_assert(result.ok);
+        cr_assert(result.response.status == 503, "%s: %d", route, result.response.status);
+        cr_assert(fixture.first.exchanges.empty(), "%s", route);
+    }
+}
+
+// The balancer needs up to two seconds to notice. Guards against refusals of requests that it sends
+// meanwhile.
+Test(forwarderdrain, a_request_that_the_balancer_still_sends_is_served)
+{
+    DrainFixture fixture(Millis(2100));
+    const auto result = fixture.call("book");
+    cr_assert(result.ok);
+    cr_assert(result.response.status == 200, "%d", result.response.status);
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -68,8 +68,7 @@
 
 void Server::onConnection()
 {
-    const auto openSockets = static_cast<std::size_t>(this->socketLease.use_count() - 1);
-    const bool hasRoom = openSockets < this->limits.maxConnections || this->makeRoom();
+    const bool hasRoom = this->openSockets() < this->limits.maxConnections || this->makeRoom();
     const auto connection = std::make_shared<ServerConnection>(*this);
     if (!connection->open(this->loop, this->listener))
         return;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -147,6 +147,12 @@
     /// Closes the connections that are between two requests.
     void closeIdleConnections();
     std::size_t connectionCount() const { return this->connections.size(); }
+    /// Returns the number of open connections, also of those that only wait for their caller to
+    /// close.
+    std::size_t openSockets() const
+    {
+        return static_cast<std::size_t>(this->socketLease.use_count() - 1);
+    }
     const RefusedConnections &refusedConnections() const { return this->refusedCounts; }
     /// Returns the number of exchanges whose answer has not ended.
     std::size_t openExchanges() const { return this->exchangeCount; }
