Drain: a repeated SIGTERM changes nothing

What callers saw: 8 to 14 streams that were in progress broke off within milliseconds of a second SIGTERM, and everything else in progress ended with 504, with seconds of the grace time left. Cause: each further SIGTERM or SIGINT stopped the event loop. Whoever sends SIGTERM twice (a platform that repeats it, an operator beside it) wants the same stop, not another one. Change: a repeated SIGTERM is logged and changes nothing. SIGINT while the instance stops shortens the drain: requests in progress are ended with an answer, and the process ends 250 ms later.

--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -36,6 +36,16 @@
     this->currentPhase = DrainPhase::Accepting;
 }
 
+void Drain::hurry(MonoTime now)
+{
+    if (!this->startedAt)
+        return;
+    const auto elapsed = std::chrono::duration_cast<Millis>(now - *this->startedAt);
+    this->timings.acceptTime = std::min(this->timings.acceptTime, elapsed);
+    this->timings.answerTime = std::min(this->timings.answerTime, elapsed);
+    this->timings.stopTime = std::min(this->timings.stopTime, elapsed + StopMargin);
+}
+
 bool Drain::isOver(Millis time, MonoTime now) const
 {
     return this->startedAt && now - *this->startedAt >= time;
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -46,6 +46,8 @@
 public:
     /// Begins, unless it has begun.
     void begin(const DrainTimings &drainTimings, MonoTime now);
+    /// Ends requests in progress from \a now on, and the process soon after.
+    void hurry(MonoTime now);
 
     /// Returns when the drain began, if it has.
     const std::optional<MonoTime> &beganAt() const { return this->startedAt; }
--- a/src/drain/drain_test.cpp
+++ b/src/drain/drain_test.cpp
@@ -70,6 +70,19 @@
     cr_assert(drain.advance(Idle, Start + Millis(2500)) == DrainPhase::Refusing);
 }
 
+// Guards against an end, once an operator has pressed Ctrl-C again, before callers have their
+// answers.
+Test(drain, a_hurried_drain_ends_requests_at_once_and_the_process_soon_after)
+{
+    Drain drain = drainSince(Start);
+    const MonoTime hurried = Start + Millis(1000);
+    drain.hurry(hurried);
+    cr_assert(drain.refusesNew(hurried));
+    cr_assert(drain.endsRequests(hurried));
+    cr_assert(drain.advance(Busy, hurried) == DrainPhase::Refusing);
+    cr_assert(drain.advance(Busy, hurried + Millis(250)) == DrainPhase::Ended);
+}
+
 Test(drain, a_request_in_progress_keeps_the_process_until_the_grace_time_is_nearly_over)
 {
     Drain drain = drainSince(Start);
--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -1,6 +1,6 @@
 #include "drain/gracefulstop.h"
 
-#include <algorithm>
+#include <csignal>
 #include <utility>
 
 namespace lavenderhall {
@@ -54,12 +54,16 @@
     this->check();
 }
 
+// A platform may send SIGTERM more than once, which changes nothing.
 void GracefulStop::onSignalRepeated(int signal)
 {
     std::vector<LogField> line = this->fields();
     line.emplace_back("signal", http::stopSignalName(signal));
     logEvent(LogLevel::Info, "stop_signal_repeated", line);
-    this->loop.stop();
+    if (signal != SIGINT)
+        return;
+    this->drain.hurry(monoNow());
+    this->check();
 }
 
 void GracefulStop::check()
--- a/src/drain/gracefulstop.h
+++ b/src/drain/gracefulstop.h
@@ -33,7 +33,7 @@
     void addServer(http::Server &server) { this->servers.push_back(&server); }
     /// Begins, unless it has begun. \a cause is for the log.
     void begin(const DrainTimings &timings, const std::string &cause);
-    /// A signal asks to stop again: stops the loop at once.
+    /// A signal asks to stop again. SIGINT, as from an impatient operator, shortens the drain.
     void onSignalRepeated(int signal);
     /// Logs that the process ends.
     void logEnd() const;
