Drain: close the listeners before the process ends

Cause: the event loop stopped at the first idle moment, with listeners and connections open; what was sent while the process freed what it uses had nobody to read it. Change: an idle instance first closes its listeners and idle connections, and answers on those that remain, until callers have closed them or for 200 ms. A closed port tells a caller at once to go elsewhere.

--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -15,6 +15,7 @@
 // that their callers get the answers. The process stops while there is time to free what it uses.
 constexpr Millis LastAnswerMargin{500};
 constexpr Millis StopMargin{250};
+constexpr Millis CloseTime{200}; ///< for callers to close the connections that this side has closed
 
 } // namespace
 
@@ -34,6 +35,7 @@
     this->timings = drainTimings;
     this->startedAt = now;
     this->currentPhase = DrainPhase::Accepting;
+    this->phaseBeganAt = now;
 }
 
 void Drain::hurry(MonoTime now)
@@ -64,6 +66,8 @@
 DrainPhase Drain::advance(const OpenWork &work, MonoTime now)
 {
     const DrainPhase next = this->nextPhase(work, now);
+    if (next != this->currentPhase)
+        this->phaseBeganAt = now;
     this->currentPhase = next;
     return next;
 }
@@ -77,7 +81,10 @@
         return DrainPhase::Ended;
     if (phase == DrainPhase::Accepting)
         return this->refusesNew(now) ? DrainPhase::Refusing : phase;
-    return work.isIdle ? DrainPhase::Ended : phase;
+    if (phase == DrainPhase::Refusing)
+        return work.isIdle ? DrainPhase::Closing : phase;
+    const bool isClosed = work.isIdle && work.connections == 0;
+    return isClosed || now - this->phaseBeganAt >= CloseTime ? DrainPhase::Ended : phase;
 }
 
 } // namespace lavenderhall
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -27,6 +27,7 @@
     Serving, ///< there is no drain
     Accepting, ///< the balancer has not noticed yet
     Refusing, ///< new requests are refused, those in progress finish
+    Closing, ///< connections are closed
     Ended, ///< the process may end
 };
 
@@ -68,6 +69,7 @@
     DrainTimings timings;
     std::optional<MonoTime> startedAt;
     DrainPhase currentPhase = DrainPhase::Serving;
+    MonoTime phaseBeganAt{};
 };
 
 } // namespace lavenderhall
--- a/src/drain/drain_test.cpp
+++ b/src/drain/drain_test.cpp
@@ -83,6 +83,28 @@
     cr_assert(drain.advance(Busy, hurried + Millis(250)) == DrainPhase::Ended);
 }
 
+// Guards against connections that wait at an open listener while the process ends, and are reset
+// without having been read.
+Test(drain, the_process_ends_when_its_connections_are_closed)
+{
+    Drain drain = drainSince(Start);
+    drain.advance(Busy, Start + Millis(2500));
+    const MonoTime idleAt = Start + Millis(3000);
+    cr_assert(drain.advance({true, 2}, idleAt) == DrainPhase::Closing);
+    cr_assert(drain.advance({true, 2}, idleAt + Millis(50)) == DrainPhase::Closing);
+    cr_assert(drain.advance({true, 0}, idleAt + Millis(100)) == DrainPhase::Ended);
+}
+
+// Guards against a caller that keeps its connection open and the process with it.
+Test(drain, a_connection_that_its_caller_does_not_close_does_not_keep_the_process)
+{
+    Drain drain = drainSince(Start);
+    drain.advance(Idle, Start + Millis(2500));
+    const MonoTime closingAt = Start + Millis(2550);
+    cr_assert(drain.advance({true, 1}, closingAt) == DrainPhase::Closing);
+    cr_assert(drain.advance({true, 1}, closingAt + Millis(200)) == DrainPhase::Ended);
+}
+
 Test(drain, a_request_in_progress_keeps_the_process_until_the_grace_time_is_nearly_over)
 {
     Drain drain = drainSince(Start);
--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -85,9 +85,13 @@
 {
     if (phase == DrainPhase::Ended)
         return this->loop.stop();
-    logEvent(LogLevel::Info, "drain_refuses_new", this->fields());
-    for (http::Server *server : this->servers)
+    const bool isClosing = phase == DrainPhase::Closing;
+    logEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
+    for (http::Server *server : this->servers) {
+        if (isClosing)
+            server->stopListening();
         server->closeIdleConnections();
+    }
 }
 
 void GracefulStop::logEnd() const
