Forward: a request that waited does not begin long after SIGTERM

What callers saw: nothing that was traced; by reading and a test. A request that comes in time and waits (for tokens of its rate up to 3 s, a permit, a place in a queue, the origin of a stream, other instances) was passed on to an endpoint up to 7.5 s after SIGTERM, and given up at 7.5 s. Cause: only the arrival of a request was decided with the drain in view, not the beginning of its work. Change: what has not run and whose own time ends after the drain does not begin once half of the grace time is over; its caller is told so at once, and that it has not run. What has run already is not repeated when too little of the drain is left.

--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -9,8 +9,9 @@
 // The balancer stops sending requests to an instance after two failed checks, one second apart. The
 // rest is for a signal that the event loop handles late, and for connections that are on their way.
 constexpr Millis BalancerDetectionTime{2500};
-// At least this part of the grace time is left for requests in progress.
-constexpr int AnswerDivisor = 2;
+// With less than this part of the grace time left, a request has a better chance at another
+// instance.
+constexpr int BeginDivisor = 2;
 // Requests that are still in progress are ended this long before the process would be killed, so
 // that their callers get the answers. The process stops while there is time to free what it uses.
 constexpr Millis LastAnswerMargin{500};
@@ -22,8 +23,9 @@
 DrainTimings drainTimingsOf(Millis grace)
 {
     DrainTimings timings;
-    timings.acceptTime = std::min(BalancerDetectionTime, grace / AnswerDivisor);
-    timings.answerTime = std::max(timings.acceptTime, grace - LastAnswerMargin);
+    timings.beginTime = grace / BeginDivisor;
+    timings.acceptTime = std::min(BalancerDetectionTime, timings.beginTime);
+    timings.answerTime = std::max(timings.beginTime, grace - LastAnswerMargin);
     timings.stopTime = std::max(timings.answerTime, grace - StopMargin);
     return timings;
 }
@@ -44,6 +46,7 @@
         return;
     const auto elapsed = std::chrono::duration_cast<Millis>(now - *this->startedAt);
     this->timings.acceptTime = std::min(this->timings.acceptTime, elapsed);
+    this->timings.beginTime = std::min(this->timings.beginTime, elapsed);
     this->timings.answerTime = std::min(this->timings.answerTime, elapsed);
     this->timings.stopTime = std::min(this->timings.stopTime, elapsed + StopMargin);
 }
@@ -58,6 +61,18 @@
     return this->isOver(this->timings.acceptTime, now);
 }
 
+// A request whose own time ends before the drain does loses nothing by the drain.
+bool Drain::refusesToBegin(MonoTime deadline, MonoTime now) const
+{
+    return this->isOver(this->timings.beginTime, now) && this->answerLimit(deadline) < deadline;
+}
+
+MonoTime Drain::answerLimit(MonoTime deadline) const
+{
+    return this->startedAt ? std::min(deadline, *this->startedAt + this->timings.answerTime)
+                           : deadline;
+}
+
 bool Drain::endsRequests(MonoTime now) const
 {
     return this->isOver(this->timings.answerTime, now);
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -8,10 +8,15 @@
 /// Decides what an instance that stops still begins, and when its process ends.
 namespace lavenderhall {
 
+/// After this time the caller of a request that is refused by a drain may retry: at once, since
+/// another instance will get it.
+inline constexpr Millis StoppingRetryAfter{20};
+
 /// Lengths of the parts of a drain, each from its start.
 struct DrainTimings
 {
     Millis acceptTime{0}; ///< new requests are accepted
+    Millis beginTime{0}; ///< accepted requests are sent to endpoints, whenever they would end
     Millis answerTime{0}; ///< requests in progress may finish
     Millis stopTime{0}; ///< the process may run
 
@@ -54,6 +59,11 @@
     const std::optional<MonoTime> &beganAt() const { return this->startedAt; }
     /// Returns whether a request that arrives at \a now is refused.
     bool refusesNew(MonoTime now) const;
+    /// Returns whether an accepted request that has not run is refused at \a now instead of being
+    /// sent to an endpoint. Its own time ends at \a deadline.
+    bool refusesToBegin(MonoTime deadline, MonoTime now) const;
+    /// Returns when requests in progress are ended; \a deadline if that is sooner.
+    MonoTime answerLimit(MonoTime deadline) const;
     /// Returns whether requests in progress are ended.
     bool endsRequests(MonoTime now) const;
 
--- a/src/drain/drain_test.cpp
+++ b/src/drain/drain_test.cpp
@@ -105,6 +105,18 @@
     cr_assert(drain.advance({true, 1}, closingAt + Millis(200)) == DrainPhase::Ended);
 }
 
+// Guards against work that begins long after SIGTERM for a request that came in time and had to
+// wait.
+Test(drain, an_accepted_request_that_could_not_finish_does_not_begin)
+{
+    const Drain drain = drainSince(Start);
+    const MonoTime longAfter = Start + Millis(15'000);
+    cr_assert(not(drain.refusesToBegin(longAfter, Start + Millis(3900))));
+    cr_assert(drain.refusesToBegin(longAfter, Start + Millis(4000)));
+    cr_assert(not(drain.refusesToBegin(Start + Millis(7000), Start + Millis(6000))));
+    cr_assert(drain.answerLimit(longAfter) == Start + Millis(7500));
+}
+
 Test(drain, a_request_in_progress_keeps_the_process_until_the_grace_time_is_nearly_over)
 {
     Drain drain = drainSince(Start);
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -62,7 +62,7 @@
     conditions.hasBudget = this->context.budget.allowsRetry(this->service, now);
     conditions.hasCandidate = !this->context.crashMonitor.blockReason(this->signature)
         && this->context.selector.hasCandidate(this->query(), now);
-    conditions.hasTime = this->deadline - now > MinRetryTime;
+    conditions.hasTime = this->context.drain.answerLimit(this->deadline) - now > MinRetryTime;
     return conditions;
 }
 
@@ -147,10 +147,20 @@
     return now + Millis(std::llround(chosen.expectedMillis));
 }
 
+// The caller of a stream that broke off has half an answer, of which a refusal keeps it from more.
+bool ForwardCall::refuseStopping()
+{
+    const bool hasRun = this->retryState.mayHaveRun() || this->isStreaming;
+    if (hasRun || !this->context.drain.refusesToBegin(this->deadline, monoNow()))
+        return false;
+    this->refuse({503, "stopping", StoppingRetryAfter});
+    return true;
+}
+
 void ForwardCall::startAttempt()
 {
     // Tokens and permits may have taken a moment.
-    if (this->endIfBlocked())
+    if (this->endIfBlocked() || this->refuseStopping())
         return;
     if (this->shouldRelay() && this->relay())
         return;
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -157,6 +157,8 @@
     void recordBrittleness();
     ForwardRefusal noEndpointRefusal(const char *reason) const;
     void startAttempt();
+    /// Refuses the request if the instance stops and an attempt would begin too late.
+    bool refuseStopping();
     /// Refuses the request if it cannot begin in time at \a chosen, the best endpoint, or
     /// elsewhere.
     bool refuseOverload(const Choice &chosen, MonoTime now);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -6,13 +6,6 @@
 
 namespace lavenderhall {
 
-namespace {
-
-// Short, since the caller is to retry at another instance at once.
-constexpr Millis StoppingRetryAfter{20};
-
-} // namespace
-
 Forwarder::Forwarder(ForwardContext &context)
     : context(context)
 {
--- a/src/forward/forwarderdrain_test.cpp
+++ b/src/forward/forwarderdrain_test.cpp
@@ -13,9 +13,9 @@
 /// drain runs.
 struct DrainFixture : Fixture
 {
-    explicit DrainFixture(Millis age)
+    explicit DrainFixture(Millis age, Millis grace = Grace)
     {
-        this->context.drain.begin(drainTimingsOf(Grace), monoNow() - age);
+        this->context.drain.begin(drainTimingsOf(grace), monoNow() - age);
         this->join(this->first, "desk");
         this->first.onRequest = answerPlain;
     }
@@ -45,3 +45,26 @@
     cr_assert(result.ok);
     cr_assert(result.response.status == 200, "%d", result.response.status);
 }
+
+// A request comes in time and waits, here for the origin of a stream. Guards against work that
+// begins when little of the grace time is left, and is given up at its end.
+Test(forwarderdrain, a_request_that_waits_until_long_after_sigterm_does_not_begin)
+{
+    const Millis grace{1000};
+    DrainFixture fixture(grace / 2 - Millis(100), grace);
+    fixture.join(fixture.second, "models", 1);
+    fixture.second.onRequest = answerStream;
+    http::Timer timer;
+    fixture.context.streamOrigins.find
+        = [&](const std::string &, const std::string &, const StreamOriginHooks::Handler &handler) {
+              timer = fixture.loop.after(Millis(200), [handler] {
+                  handler({StreamOrigin::Kind::Known, std::string()});
+              });
+          };
+    const auto result = fixture.resume("r0", 1);
+    cr_assert(result.ok);
+    cr_assert(result.response.status == 503, "%d", result.response.status);
+    cr_assert(result.response.body.find("stopping") != std::string::npos, "%s",
+              result.response.body.c_str());
+    cr_assert(fixture.second.exchanges.empty());
+}
