Forward: an instance that stops takes no relayed request

What callers saw: nothing that was traced; by reading and a test. An instance that stops took requests that others relayed to it for as long as those of its own callers, and gave them up at the end of its grace time. Their callers' instance was not stopping at all. Cause: the acceptance time is for the balancer, which needs 2 s to notice. Other instances hear of the stop at once. Change: from the start of a drain a relayed request is answered with the status for instances that are unable to serve, on which the other instance chooses again.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -6,6 +6,12 @@
 
 namespace lavenderhall {
 
+namespace {
+
+constexpr int UnavailableStatus = 503; ///< HTTP status
+
+} // namespace
+
 Forwarder::Forwarder(ForwardContext &context)
     : context(context)
 {
@@ -21,8 +27,8 @@
         return;
     }
     const MonoTime now = monoNow();
-    if (this->context.drain.refusesNew(now))
-        return this->refuseStopping(exchange, std::get<ForwardRequest>(read).id, now);
+    if (this->refusesNew(source, now))
+        return this->refuseStopping(exchange, std::get<ForwardRequest>(read).id, source, now);
     exchange->discardBody();
     const auto call = std::make_shared<ForwardCall>(
         this->context, exchange, std::get<ForwardRequest>(std::move(read)), source,
@@ -33,19 +39,28 @@
     call->start();
 }
 
+// The instance that relays a request can choose another one at once, and has heard of the stop.
+bool Forwarder::refusesNew(RequestSource source, MonoTime now) const
+{
+    const Drain &drain = this->context.drain;
+    return drain.refusesNew(now)
+        || (source == RequestSource::OtherInstance && drain.beganAt().has_value());
+}
+
 void Forwarder::refuseStopping(const http::ExchangePtr &exchange, const std::string &id,
-                               MonoTime now)
+                               RequestSource source, MonoTime now)
 {
+    const int status = source == RequestSource::Caller ? UnavailableStatus : UnableStatus;
     const auto arrived
         = std::chrono::duration_cast<Millis>(now - this->context.drain.beganAt().value_or(now));
     logEvent(LogLevel::Info, "request_done",
              {{"request", id},
-              {"status", 503},
+              {"status", status},
               {"outcome", "stopping"},
               {"arrived_in_drain_ms", arrived.count()}});
     this->context.metrics.countRefusal("stopping");
     exchange->respond(
-        this->context.adapter.writeRefusal({503, "stopping", StoppingRetryAfter}, id));
+        this->context.adapter.writeRefusal({status, "stopping", StoppingRetryAfter}, id));
 }
 
 void Forwarder::onWeightsNamed()
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -30,8 +30,12 @@
     void stopAll();
 
 private:
-    /// Refuses a request as the instance stops, so that its caller sends it to another one.
-    void refuseStopping(const http::ExchangePtr &exchange, const std::string &id, MonoTime now);
+    /// Whether a request that arrives at \a now is refused as the instance stops.
+    bool refusesNew(RequestSource source, MonoTime now) const;
+    /// Refuses a request so that its caller, or the instance that relays it, sends it to another
+    /// one.
+    void refuseStopping(const http::ExchangePtr &exchange, const std::string &id,
+                        RequestSource source, MonoTime now);
 
     ForwardContext &context;
     std::set<std::shared_ptr<ForwardCall>> calls;
--- a/src/forward/forwarderdrain_test.cpp
+++ b/src/forward/forwarderdrain_test.cpp
@@ -68,3 +68,15 @@
               result.response.body.c_str());
     cr_assert(fixture.second.exchanges.empty());
 }
+
+// Guards against a request that another instance relays to one that stops, and that is given up
+// there while its own instance goes on. The instance that relays has others to choose from.
+Test(forwarderdrain, a_relayed_request_is_sent_back_from_the_start_of_a_drain)
+{
+    DrainFixture fixture(Millis(0));
+    fixture.isCallerAnInstance = true;
+    const auto result = fixture.call("book");
+    cr_assert(result.ok);
+    cr_assert(result.response.status == UnableStatus, "%d", result.response.status);
+    cr_assert(fixture.first.exchanges.empty());
+}
