Soak: tests of the check for lost requests

Cause: a check that excuses too much passes as quietly as a sound router. Change: losses_test.py goes through the rule's clauses, both sides of each bound; make soak runs it first.

No functional change

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 # Runs real processes under random faults of a seed. SOAK holds the options of soak.py.
 SOAK ?= --seed 1 --seconds 8
 soak: build
+	python3 platform/soak/losses_test.py
 	python3 platform/soak/soak.py --build $(BUILD) $(SOAK)
 
 # Starts and stops real processes while something passing stands in the way.
