Http: do not drop a request for the bytes behind it

A caller that pipelined more than 64 KiB behind a request in progress lost that request: its connection was closed without an answer, although the request might have been sent to an endpoint.

Cause: the connection read on while a request was in progress, and was dropped when the bytes that waited exceeded the limit.

Now reading stops above the limit and goes on once earlier requests have been answered, so that TCP's flow control slows the caller down. The bytes that a connection holds are bounded as before (the limit and one read).

a_request_in_progress_survives_many_bytes_behind_it (20,000 requests, 380 KB) failed before and passes now. http_test: 32 of 32; requestowners_test, answerowners_test, makeroom_test and descriptors_test pass.

Not changed: if the memory share does not cover the bytes behind a request, the connection is still dropped, as stopping would hold memory that nobody has granted. While reading is stopped, a caller that closes is noticed when its answer is written.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -731,6 +731,38 @@
     caller->close();
 }
 
+// Guards against requests that are lost with a caller that pipelines faster than it is answered.
+Test(http, a_request_in_progress_survives_many_bytes_behind_it)
+{
+    constexpr std::size_t Requests = 20'000; // 380 KB
+    const Address address{"127.0.0.1", 18115};
+    Loop loop;
+    std::size_t served = 0;
+    bool hasGone = false;
+    ExchangePtr first;
+    Server server(loop, address, limitsWithMaxBody(1000), [&](const ExchangePtr &exchange) {
+        if (served++ > 0)
+            return exchange->respond({200, {}, "x"});
+        first = exchange;
+        exchange->onClosed([&] { hasGone = true; });
+    });
+    Socket::Ptr caller;
+    SocketHandlers handlers;
+    handlers.onConnected = [&] {
+        for (std::size_t request = 0; request < Requests; ++request)
+            caller->write("GET /a HTTP/1.1\r\n\r\n");
+    };
+    caller = Socket::connect(loop, address, std::move(handlers));
+    loop.runFor(Millis(300));
+    cr_assert(served == 1);
+    cr_assert(not(hasGone));
+    first->respond({200, {}, "x"});
+    for (int round = 0; round < 100 && served < Requests; ++round)
+        loop.runFor(Millis(100));
+    cr_assert(served == Requests, "%zu", served);
+    caller->close();
+}
+
 // A server that sends without end. Guards against memory and time without bounds in calls that
 // collect the whole answer.
 Test(client, an_answer_that_does_not_end_fails_the_call)
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr int ServiceUnavailable = 503; ///< HTTP status
-// Limit on the bytes of pipelined requests, which a caller sends before the current answer ends.
+// With more bytes of pipelined requests, which a caller sends before the current answer ends, no
+// more are read until earlier ones have been answered.
 constexpr std::size_t MaxPipelinedBytes = 65536;
 // With more bytes of earlier answers waiting for the caller, its next request is not begun.
 constexpr std::size_t MaxUnreadBytes = 65536;
@@ -88,6 +89,8 @@
         return this->server.remove(self);
     }
     this->awaitRequest();
+    if (this->unparsed.size() <= MaxPipelinedBytes)
+        this->socket->setReading(true);
     if (this->unparsed.empty())
         return;
     // Posted, as the caller is usually the handler of the current request, and the next one
@@ -165,8 +168,10 @@
     this->lastActiveAt = monoNow();
     this->unparsed.append(data);
     if (this->exchange) {
-        if (this->unparsed.size() > MaxPipelinedBytes || !this->chargeHead())
+        if (!this->chargeHead())
             this->drop();
+        else if (this->unparsed.size() > MaxPipelinedBytes)
+            this->socket->setReading(false);
         return;
     }
     while (!this->unparsed.empty() && !this->exchange && !this->socket->isClosed()) {
