Http: accept the connections that wait before a listener closes

Callers whose connection was established, and whose request was sent, were reset when the server stopped to listen before its event loop had accepted them. A busy loop makes that window as long as it is late.

Cause: the kernel resets what waits in a listener's queue when the listener is closed.

stopListening() now accepts what waits first. Since libuv accepts in its loop only, a socket accepts for itself where libuv holds no connection. A server that is destroyed, or has no descriptor left, closes its listener as before.

connections_that_wait_when_a_server_stops_to_listen_are_answered failed before and passes now. http_test: 32 of 32; requestowners_test, answerowners_test, makeroom_test and descriptors_test pass.

Ruled out: running the loop once more, since handlers would run inside a handler. Left: a connection whose handshake ends between the last accept and the close, some microseconds.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -763,6 +763,34 @@
     caller->close();
 }
 
+// Guards against connections that are established, with a request sent, and reset unread because
+// the event loop has not accepted them when the server stops to listen.
+Test(http, connections_that_wait_when_a_server_stops_to_listen_are_answered)
+{
+    const Address address{"127.0.0.1", 18116};
+    Loop loop;
+    Server server(loop, address, limitsWithMaxBody(1000), [](const ExchangePtr &exchange) {
+        exchange->respond({200, {}, "x"});
+    });
+    std::array<int, 3> callers{};
+    for (int &caller : callers) {
+        caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in target{};
+        uv_ip4_addr(address.host.c_str(), address.port, &target);
+        cr_assert(connect(caller, reinterpret_cast<sockaddr *>(&target), sizeof(target)) == 0);
+        const std::string_view request = "GET /a HTTP/1.1\r\n\r\n";
+        cr_assert(send(caller, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    }
+    server.stopListening();
+    loop.runFor(Millis(200));
+    for (const int caller : callers) {
+        char byte = 0;
+        cr_assert(recv(caller, &byte, 1, MSG_DONTWAIT) == 1);
+        cr_assert(byte == 'H');
+        close(caller);
+    }
+}
+
 // A server that sends without end. Guards against memory and time without bounds in calls that
 // collect the whole answer.
 Test(client, an_answer_that_does_not_end_fails_the_call)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "http/serverconnection.h"
 
+#include <poll.h>
 #include <uv.h>
 
 namespace lavenderhall::http {
@@ -15,6 +16,25 @@
 constexpr double FullLinesPerSecond = 0.2;
 constexpr double FullLinesBurst = 2;
 
+void closeListener(uv_tcp_t *&listener)
+{
+    if (!listener)
+        return;
+    uv_close(reinterpret_cast<uv_handle_t *>(listener),
+             [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
+    listener = nullptr;
+}
+
+/// Returns whether the kernel has established a connection that has not been accepted.
+bool hasWaiting(const uv_tcp_t *listener)
+{
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(listener), &fd) != 0)
+        return false;
+    pollfd waiting{fd, POLLIN, 0};
+    return poll(&waiting, 1, 0) > 0 && (waiting.revents & POLLIN) != 0;
+}
+
 } // namespace
 
 Server::Server(Loop &loop, const Address &listen, ServerLimits limits, Handler handler)
@@ -45,25 +65,29 @@
     if (code == 0)
         code = uv_listen(reinterpret_cast<uv_stream_t *>(this->listener), ListenBacklog, onPending);
     if (code != 0)
-        this->stopListening();
+        closeListener(this->listener);
     return code;
 }
 
 Server::~Server()
 {
-    this->stopListening();
+    this->listenTimer.cancel();
+    closeListener(this->listener);
     for (const auto &connection : this->connections)
         connection->shutDown();
 }
 
+// The kernel resets the connections that wait when their listener is closed, so they are accepted
+// before. The bound is for connections that cannot be accepted.
 void Server::stopListening()
 {
     this->listenTimer.cancel();
-    if (!this->listener)
-        return;
-    uv_close(reinterpret_cast<uv_handle_t *>(this->listener),
-             [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
-    this->listener = nullptr;
+    for (int count = 0; count < ListenBacklog; ++count) {
+        if (!this->listener || !hasWaiting(this->listener))
+            break;
+        this->onConnection();
+    }
+    closeListener(this->listener);
 }
 
 void Server::onConnection()
@@ -121,7 +145,7 @@
     this->logFull(uv_strerror(code));
     if (this->makeRoom())
         return;
-    this->stopListening();
+    closeListener(this->listener);
     this->listenAgainLater();
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -140,7 +140,7 @@
     /// is read.
     void setMemoryBudget(MemoryBudgetPtr budget) { this->memoryBudget = std::move(budget); }
     void setRefusal(Refusal refusal) { this->refusal = std::move(refusal); }
-    /// Closes the listening socket. Open connections are kept.
+    /// Closes the listening socket. Connections are kept, also those that waited to be accepted.
     void stopListening();
     /// From now on closes each connection after its next answer.
     void closeAfterAnswers() { this->isClosing = true; }
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -72,6 +72,23 @@
         return code;
     }
 
+    // libuv accepts connections in its loop only, and holds one for uv_accept(). Others that wait
+    // are accepted here.
+    int acceptFrom(uv_stream_t *listener)
+    {
+        const int held = uv_accept(listener, this->stream());
+        uv_os_fd_t fd = -1;
+        if (held != UV_EAGAIN || uv_fileno(reinterpret_cast<uv_handle_t *>(listener), &fd) != 0)
+            return held;
+        const int accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0)
+            return -errno;
+        const int code = uv_tcp_open(&this->tcp, accepted);
+        if (code < 0)
+            ::close(accepted);
+        return code;
+    }
+
     // The system joins a connection with itself if it chooses the port that the connection goes to.
     bool isOwnPeer() const
     {
@@ -153,7 +170,7 @@
     Ptr socket(new Socket(loop));
     socket->handlers = std::move(handlers);
     socket->tcp->owner = socket;
-    if (uv_accept(listener, socket->tcp->stream()) < 0) {
+    if (socket->tcp->acceptFrom(listener) < 0) {
         socket->close();
         return nullptr;
     }
