Http: a server that closes answers the requests that have arrived

Cause: the answer to the request in progress announced the close, and what had arrived behind it was read and dropped. Change: while requests wait behind the current one, its answer does not announce the close; the answer to the last of them does. The decision is made once, with the head.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -72,9 +72,12 @@
     return true;
 }
 
-bool ServerConnection::isLast(const Exchange &exchange) const
+// A server that closes answers first what has arrived behind the request, which would be dropped
+// without an answer otherwise.
+bool ServerConnection::closesAfter(const Exchange &exchange) const
 {
-    return !exchange.isKeepAlive || this->server.isClosing || this->closesAfterAnswer;
+    const bool isServerClosing = this->server.isClosing && this->unparsed.empty();
+    return !exchange.isKeepAlive || this->closesAfterAnswer || isServerClosing;
 }
 
 void ServerConnection::finish()
@@ -83,7 +86,7 @@
     this->exchange = nullptr;
     finished->connection = nullptr;
     --this->server.exchangeCount;
-    if (this->isLast(*finished)) {
+    if (finished->isLast || this->closesAfter(*finished)) {
         const auto self = this->shared_from_this();
         this->socket->closeGracefully(this->server.unsentMark);
         return this->server.remove(self);
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -28,8 +28,8 @@
     std::size_t backlog() const { return this->socket->backlog(); }
     /// Returns whether \a held may hold \a bytes of its answer.
     bool holdAnswer(Exchange &held, std::size_t bytes);
-    /// Returns whether the connection is closed after the answer of \a exchange.
-    bool isLast(const Exchange &exchange) const;
+    /// Returns whether the connection is to be closed after the answer of \a exchange.
+    bool closesAfter(const Exchange &exchange) const;
 
     /// Ends the current exchange, whose answer is complete.
     void finish();
