Metrics: phase of a drain and requests that it ended

What operators saw: no metric told whether an instance drains, or how many requests a stop has ended in which way; the refusals at arrival and after waiting shared the reason "stopping", streams broken off and 504 were in none. Change: gauge lavenderhall_drain_phase (read at the scrape) and counter lavenderhall_drain_ended_requests_total by outcome (refused, not_begun, unknown, cut), with all series from 0. Forward dialect only; the other one does not set the gauge.

No functional change

--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -20,6 +20,21 @@
 
 } // namespace
 
+const char *toString(StopOutcome outcome)
+{
+    switch (outcome) {
+    case StopOutcome::Refused:
+        return "refused";
+    case StopOutcome::NotBegun:
+        return "not_begun";
+    case StopOutcome::Unknown:
+        return "unknown";
+    case StopOutcome::Cut:
+        return "cut";
+    }
+    return "";
+}
+
 DrainTimings drainTimingsOf(Millis grace)
 {
     DrainTimings timings;
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <array>
 #include <cstddef>
 #include <optional>
 
@@ -36,6 +37,20 @@
     Ended, ///< the process may end
 };
 
+/// How a stop ended a request.
+enum class StopOutcome {
+    Refused, ///< when it arrived
+    NotBegun, ///< it had waited, and was not sent to an endpoint
+    Unknown, ///< it may have run, and its caller got no answer of an endpoint
+    Cut, ///< its answer had begun
+};
+
+inline constexpr std::array StopOutcomes{StopOutcome::Refused, StopOutcome::NotBegun,
+                                         StopOutcome::Unknown, StopOutcome::Cut};
+
+/// Returns the name in metrics and log lines.
+const char *toString(StopOutcome outcome);
+
 /// What is still open in an instance.
 struct OpenWork
 {
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -153,6 +153,7 @@
     const bool hasRun = this->retryState.mayHaveRun() || this->isStreaming;
     if (hasRun || !this->context.drain.refusesToBegin(this->deadline, monoNow()))
         return false;
+    this->isStopped = true;
     this->refuse({503, "stopping", StoppingRetryAfter});
     return true;
 }
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -218,6 +218,12 @@
     this->startAttempt();
 }
 
+void ForwardCall::stop()
+{
+    this->isStopped = true;
+    this->giveUp("stopping");
+}
+
 void ForwardCall::giveUp(const char *reason)
 {
     if (this->isFinished)
@@ -300,6 +306,13 @@
     fields.emplace_back("arrived_in_drain_ms", arrived.count());
 }
 
+StopOutcome ForwardCall::stopOutcome(int status) const
+{
+    if (status == 0)
+        return StopOutcome::Cut;
+    return promisesNotRun(status) ? StopOutcome::NotBegun : StopOutcome::Unknown;
+}
+
 void ForwardCall::finish(int status, const std::string &outcome)
 {
     if (this->isFinished)
@@ -311,6 +324,8 @@
     this->forgetUnbegunStream();
     this->waitTimer.cancel();
     this->callAdmission.onDone(outcome == "ran", monoNow());
+    if (this->isStopped)
+        this->context.metrics.countStopped(this->stopOutcome(status));
     const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
     std::vector<LogField> fields{
         {"request", this->request.id},
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -124,7 +124,7 @@
     /// another instance, if the request may run again.
     void onCutOff(const std::string &service);
     /// The instance stops: ends the request with an answer that tells whether it may have run.
-    void stop() { this->giveUp("stopping"); }
+    void stop();
 
 private:
     /// A refusal is sent this long before the caller's timeout, so that it arrives in time.
@@ -171,6 +171,8 @@
     int rank() const;
     /// Adds to a log line how long after the start of a drain, if there is one, the request came.
     void addDrain(std::vector<LogField> &fields) const;
+    /// Returns how the stop of the instance has ended the request, with HTTP \a status or 0.
+    StopOutcome stopOutcome(int status) const;
     /// Adds what admission control has decided to a log line.
     void addAdmission(std::vector<LogField> &fields) const;
     /// Asks for a permit to send the request to \a endpoint, which has named a limit, and goes on
@@ -258,6 +260,7 @@
     std::uint64_t admissionId = 0;
     double requestedTokens = 0;
     bool isAdmitted = false;
+    bool isStopped = false; ///< the stop of the instance ends the request
 
     std::shared_ptr<Relay> activeRelay; ///< nullptr unless another instance has the request
     Address relayInstance; ///< that has it
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -169,6 +169,7 @@
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
         this->updateWaitingGauges();
         this->fleet.updateMetrics();
+        this->metrics.setDrainPhase(this->context.drain.phase());
         this->metrics.setStoreCalls(static_cast<double>(this->store.callCount()));
         if (this->callers)
             this->metrics.setRefusedConnections("callers", this->callers->refusedConnections());
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -59,6 +59,7 @@
               {"outcome", "stopping"},
               {"arrived_in_drain_ms", arrived.count()}});
     this->context.metrics.countRefusal("stopping");
+    this->context.metrics.countStopped(StopOutcome::Refused);
     exchange->respond(
         this->context.adapter.writeRefusal({status, "stopping", StoppingRetryAfter}, id));
 }
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -39,6 +39,9 @@
                             "Answers to callers by kind of route, outcome and status"))
     , refusals(counterFamily(*this->registry, "lavenderhall_refusals_total",
                              "Requests refused before they ran, by reason"))
+    , stopped(counterFamily(*this->registry, "lavenderhall_drain_ended_requests_total",
+                            "Requests that the stop of this instance ended, by outcome: refused at "
+                            "arrival, not begun after waiting, unknown (504), cut (broken off)"))
     , admissions(counterFamily(*this->registry, "lavenderhall_admissions_total",
                                "Decisions of admission control by service, rank and decision"))
     , admissionWait(BuildHistogram()
@@ -77,6 +80,8 @@
     , peers(gauge(*this->registry, "lavenderhall_peers", "Other instances seen alive"))
     , seatsHeld(gauge(*this->registry, "lavenderhall_limit_seats_held",
                       "Seats of limits that this instance decides for"))
+    , drainPhase(gauge(*this->registry, "lavenderhall_drain_phase",
+                       "Phase of the drain: 0 serving, 1 accepting, 2 refusing, 3 closing"))
     , openDescriptors(gauge(*this->registry, "process_open_fds", "Open file descriptors"))
     , maxDescriptors(
           gauge(*this->registry, "process_max_fds", "Soft limit of open file descriptors"))
@@ -90,7 +95,11 @@
                                      "Connections closed or not accepted as there was no room"))
     , tokens(counterFamily(*this->registry, "lavenderhall_tokens_total",
                            "Tokens by kind, as engines report them"))
-{ }
+{
+    // A series that begins with its first count would hide that count from a rate.
+    for (const StopOutcome outcome : StopOutcomes)
+        this->stopped.Add({{"outcome", toString(outcome)}});
+}
 
 void Metrics::countAnswer(const std::string &kind, const std::string &outcome, int status)
 {
@@ -103,6 +112,16 @@
     this->refusals.Add({{"reason", reason}}).Increment();
 }
 
+void Metrics::countStopped(StopOutcome outcome)
+{
+    this->stopped.Add({{"outcome", toString(outcome)}}).Increment();
+}
+
+void Metrics::setDrainPhase(DrainPhase phase)
+{
+    this->drainPhase.Set(static_cast<double>(phase));
+}
+
 void Metrics::countAdmission(const std::string &service, int rank, const std::string &decision)
 {
     this->admissions
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/processstate.h"
+#include "drain/drain.h"
 #include "http/server.h"
 #include "membership/peerlink.h"
 
@@ -27,6 +28,8 @@
     void countAnswer(const std::string &kind, const std::string &outcome, int status);
     /// Counts a refused request by \a reason, the code of the error.
     void countRefusal(const std::string &reason);
+    /// Counts a request that the stop of this instance has ended.
+    void countStopped(StopOutcome outcome);
     /// Counts a decision of admission control on a request of \a rank to \a service.
     void countAdmission(const std::string &service, int rank, const std::string &decision);
     /// \a seconds is how long a request has waited for an endpoint to open.
@@ -50,6 +53,7 @@
     /// \a alive is the number of other instances that seem to be alive.
     void setPeers(double alive);
     void setSeatsHeld(double count);
+    void setDrainPhase(DrainPhase phase);
     void setProcessState(const ProcessState &state);
     /// \a seconds is how late the event loop was at most, lately.
     void setLoopLag(double seconds);
@@ -66,6 +70,7 @@
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &refusals;
+    prometheus::Family<prometheus::Counter> &stopped;
     prometheus::Family<prometheus::Counter> &admissions;
     prometheus::Histogram &admissionWait;
     prometheus::Family<prometheus::Gauge> &waiting;
@@ -82,6 +87,7 @@
     prometheus::Family<prometheus::Gauge> &peerRefusals;
     prometheus::Gauge &peers;
     prometheus::Gauge &seatsHeld;
+    prometheus::Gauge &drainPhase;
     prometheus::Gauge &openDescriptors;
     prometheus::Gauge &maxDescriptors;
     prometheus::Gauge &residentBytes;
