Log: lines on a stop have a rate of their own

What operators saw: nothing that was traced; by a trial. 400 streams are in progress and 24 callers open connections that are refused until the grace time is over: of the 400 streams that the stop breaks off, 14 have a line request_done, and the lines on the phases of the drain are missing. Cause: each refusal writes a line, so the log's rate is used up when the stop ends what is in progress, all at once. Change: the lines on a stop take from a second token bucket of the same size, so that ordinary lines do not displace them.

--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -1,10 +1,12 @@
 #include "base/address.h"
 #include "base/log.h"
 #include "base/logratelimiter.h"
+#include "base/stoplog.h"
 
 #include <array>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <cstdio>
 #include <string>
 #include <unistd.h>
 
@@ -57,6 +59,38 @@
     cr_assert(rest.find("event=after") != std::string::npos);
 }
 
+// A busy instance has used up the rate of its log when its stop ends hundreds of requests at once.
+// Guards against the loss of the lines that tell what became of them and why the process ended, and
+// of the number of ordinary lines that were dropped before.
+Test(log, lines_on_a_stop_are_written_when_the_rate_of_ordinary_lines_is_used_up)
+{
+    FILE *output = tmpfile();
+    cr_assert(output != nullptr);
+    const int savedOutput = dup(STDOUT_FILENO);
+    dup2(fileno(output), STDOUT_FILENO);
+    openLog(LogLevel::Info, "one");
+    for (int line = 0; line < 3000; ++line)
+        logEvent(LogLevel::Info, "ordinary", {{"number", line}});
+    for (int line = 0; line < 500; ++line)
+        logStopEvent(LogLevel::Info, "request_done", {{"number", line}});
+    logStopEvent(LogLevel::Info, "stopped");
+    dup2(savedOutput, STDOUT_FILENO);
+    rewind(output);
+    std::array<char, 512> line{};
+    int ended = 0;
+    bool hasLoss = false;
+    std::string last;
+    while (fgets(line.data(), static_cast<int>(line.size()), output)) {
+        last = line.data();
+        ended += last.find("event=request_done") != std::string::npos ? 1 : 0;
+        hasLoss = hasLoss || last.find("event=log_lines_lost") != std::string::npos;
+    }
+    static_cast<void>(fclose(output));
+    cr_assert(ended == 500, "%d", ended);
+    cr_assert(hasLoss);
+    cr_assert(last.find("event=stopped") != std::string::npos, "%s", last.c_str());
+}
+
 // What passes the check can be connected to.
 Test(address, only_ipv4_addresses_with_a_port_are_accepted)
 {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/logratelimiter.h"
+#include "base/stoplog.h"
 
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
@@ -53,6 +54,9 @@
     return name;
 }
 
+// Whether the line in progress is one of logStopEvent().
+thread_local bool writesStopLine = false;
+
 constexpr double LinesPerSecond = 400;
 constexpr double BurstLines = 1000;
 // A pipe that poll() reports as writable accepts at least this many bytes without blocking.
@@ -74,7 +78,8 @@
 protected:
     void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
     {
-        if (!this->limiter.tryAcquire(monoNow()))
+        LogRateLimiter &limiter = writesStopLine ? this->stopLimiter : this->ordinaryLimiter;
+        if (!limiter.tryAcquire(monoNow()))
             return;
         log4cxx::LogString line;
         this->layout->format(line, event, pool);
@@ -83,7 +88,7 @@
             line.back() = '\n';
         }
         if (!isWritable())
-            return this->limiter.countDropped();
+            return limiter.countDropped();
         this->reportDropped();
         writeLine(line);
     }
@@ -103,7 +108,8 @@
 
     void reportDropped()
     {
-        const std::uint64_t dropped = this->limiter.takeDroppedCount();
+        const std::uint64_t dropped
+            = this->ordinaryLimiter.takeDroppedCount() + this->stopLimiter.takeDroppedCount();
         if (dropped == 0)
             return;
         writeLine("level=WARN instance=" + quoteIfNeeded(instanceName())
@@ -112,7 +118,8 @@
     }
 
     log4cxx::LayoutPtr layout;
-    LogRateLimiter limiter{LinesPerSecond, BurstLines};
+    LogRateLimiter ordinaryLimiter{LinesPerSecond, BurstLines};
+    LogRateLimiter stopLimiter{LinesPerSecond, BurstLines};
 };
 
 } // namespace
@@ -142,6 +149,13 @@
     Root->forcedLog(target, line, LOG4CXX_LOCATION);
 }
 
+void logStopEvent(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
+{
+    writesStopLine = true;
+    logEvent(level, event, fields);
+    writesStopLine = false;
+}
+
 std::string formatFields(const std::vector<LogField> &fields)
 {
     std::string line;
--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -1,5 +1,7 @@
 #include "drain/gracefulstop.h"
 
+#include "base/stoplog.h"
+
 #include <csignal>
 #include <utility>
 
@@ -50,7 +52,7 @@
     line.emplace_back("cause", cause);
     line.emplace_back("accept_ms", timings.acceptTime.count());
     line.emplace_back("answer_ms", timings.answerTime.count());
-    logEvent(LogLevel::Info, "drain_began", line);
+    logStopEvent(LogLevel::Info, "drain_began", line);
     this->check();
 }
 
@@ -59,7 +61,7 @@
 {
     std::vector<LogField> line = this->fields();
     line.emplace_back("signal", http::stopSignalName(signal));
-    logEvent(LogLevel::Info, "stop_signal_repeated", line);
+    logStopEvent(LogLevel::Info, "stop_signal_repeated", line);
     if (signal != SIGINT)
         return;
     this->drain.hurry(monoNow());
@@ -86,7 +88,7 @@
     if (phase == DrainPhase::Ended)
         return this->loop.stop();
     const bool isClosing = phase == DrainPhase::Closing;
-    logEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
+    logStopEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
     for (http::Server *server : this->servers) {
         if (isClosing)
             server->stopListening();
@@ -98,7 +100,7 @@
 {
     std::vector<LogField> line = this->fields();
     line.emplace_back("cause", this->wasIdle ? "idle" : "grace_over");
-    logEvent(LogLevel::Info, "stopped", line);
+    logStopEvent(LogLevel::Info, "stopped", line);
 }
 
 } // namespace lavenderhall
