Forward: request_done tells how a stop ended the request

What operators saw: a request that the stop ended with 504 has the outcome "unknown" like one that ran out of time, and one that was refused after waiting the outcome "stopping" like one refused at arrival. Change: field ended_by_stop with the outcomes of lavenderhall_drain_ended_requests_total. Lines of accepted requests that the stop ends use the rate of the lines on a stop.

No functional change

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/outsidetext.h"
+#include "base/stoplog.h"
 
 #include <algorithm>
 #include <random>
@@ -313,6 +314,16 @@
     return promisesNotRun(status) ? StopOutcome::NotBegun : StopOutcome::Unknown;
 }
 
+void ForwardCall::logEnd(int status, std::vector<LogField> fields) const
+{
+    if (!this->isStopped)
+        return logEvent(LogLevel::Info, "request_done", fields);
+    const StopOutcome stopped = this->stopOutcome(status);
+    this->context.metrics.countStopped(stopped);
+    fields.emplace_back("ended_by_stop", toString(stopped));
+    logStopEvent(LogLevel::Info, "request_done", fields);
+}
+
 void ForwardCall::finish(int status, const std::string &outcome)
 {
     if (this->isFinished)
@@ -324,8 +335,6 @@
     this->forgetUnbegunStream();
     this->waitTimer.cancel();
     this->callAdmission.onDone(outcome == "ran", monoNow());
-    if (this->isStopped)
-        this->context.metrics.countStopped(this->stopOutcome(status));
     const auto elapsed = std::chrono::duration_cast<Millis>(monoNow() - this->arrivedAt);
     std::vector<LogField> fields{
         {"request", this->request.id},
@@ -342,7 +351,7 @@
         {"table", this->table ? this->table->version() : 0}};
     this->addDrain(fields);
     this->addAdmission(fields);
-    logEvent(LogLevel::Info, "request_done", fields);
+    this->logEnd(status, std::move(fields));
     const auto self = this->shared_from_this();
     this->onDone(*this);
 }
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -173,6 +173,8 @@
     void addDrain(std::vector<LogField> &fields) const;
     /// Returns how the stop of the instance has ended the request, with HTTP \a status or 0.
     StopOutcome stopOutcome(int status) const;
+    /// Logs the end of the request, with HTTP \a status or 0.
+    void logEnd(int status, std::vector<LogField> fields) const;
     /// Adds what admission control has decided to a log line.
     void addAdmission(std::vector<LogField> &fields) const;
     /// Asks for a permit to send the request to \a endpoint, which has named a limit, and goes on
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -57,6 +57,7 @@
              {{"request", id},
               {"status", status},
               {"outcome", "stopping"},
+              {"ended_by_stop", toString(StopOutcome::Refused)},
               {"arrived_in_drain_ms", arrived.count()}});
     this->context.metrics.countRefusal("stopping");
     this->context.metrics.countStopped(StopOutcome::Refused);
