Drain: the last line tells that requests were ended

What operators saw: stopped with cause=idle although the end of the grace time had just broken off what was in progress. Cause: once the requests have been ended there are none, and the cause was read after that. Change: line drain_ends_requests before the lines of the requests that end, field ended_requests in stopped, and cause=grace_over if any had to be ended.

No functional change

--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -2,6 +2,7 @@
 
 #include "base/stoplog.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -72,7 +73,7 @@
 {
     const MonoTime now = monoNow();
     if (this->drain.endsRequests(now))
-        this->hooks.endRequests();
+        this->endRequests();
     const OpenWork work = this->openWork();
     this->wasIdle = work.isIdle;
     const DrainPhase before = this->drain.phase();
@@ -83,6 +84,19 @@
         this->timer = this->loop.after(CheckInterval, [this] { this->check(); });
 }
 
+// The lines of the requests that end follow, so that their cause precedes them.
+void GracefulStop::endRequests()
+{
+    const std::size_t open = this->hooks.openRequests();
+    if (open == 0)
+        return;
+    if (!this->hasEndedRequests)
+        logStopEvent(LogLevel::Info, "drain_ends_requests", this->fields());
+    this->hasEndedRequests = true;
+    this->hooks.endRequests();
+    this->endedRequests += open - std::min(open, this->hooks.openRequests());
+}
+
 void GracefulStop::onPhase(DrainPhase phase)
 {
     if (phase == DrainPhase::Ended)
@@ -99,7 +113,9 @@
 void GracefulStop::logEnd() const
 {
     std::vector<LogField> line = this->fields();
-    line.emplace_back("cause", this->wasIdle ? "idle" : "grace_over");
+    const bool isIdle = this->wasIdle && !this->hasEndedRequests;
+    line.emplace_back("cause", isIdle ? "idle" : "grace_over");
+    line.emplace_back("ended_requests", this->endedRequests);
     logStopEvent(LogLevel::Info, "stopped", line);
 }
 
--- a/src/drain/gracefulstop.h
+++ b/src/drain/gracefulstop.h
@@ -43,6 +43,8 @@
     /// Checks periodically which phase is due.
     void check();
     void onPhase(DrainPhase phase);
+    /// Ends the requests in progress, if any.
+    void endRequests();
     /// Returns the fields that the log lines on a drain have in common.
     std::vector<LogField> fields() const;
 
@@ -52,6 +54,8 @@
     std::vector<http::Server *> servers;
     http::Timer timer;
     bool wasIdle = false; ///< at the last check
+    bool hasEndedRequests = false; ///< some were in progress when their time was over
+    std::size_t endedRequests = 0;
 };
 
 } // namespace lavenderhall
