Settings: start where the platform states no features

What was seen: since the routers of review/ don't start (start_failed: features: found null, expected a list of texts), and all of its cases end with 2. Change: null stands for no features. Everything else that is not a list of texts is refused as before.

--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -136,6 +136,14 @@
     return settings;
 }
 
+/// Removes \a name from \a settings if it is null, which a template writes where the platform
+/// states nothing.
+void removeIfNull(Json &settings, const std::string &name)
+{
+    if (settings.is_object() && settings.contains(name) && settings[name].is_null())
+        settings.erase(name);
+}
+
 Address readRequiredAddress(ObjectReader &reader, const std::string &name)
 {
     Address address;
@@ -170,6 +178,7 @@
 Result<Settings> parseSettings(std::string_view text, const std::string &file)
 {
     BOOST_LEAF_AUTO(json, parseJson(text, file));
+    removeIfNull(json, "features");
     ObjectReader reader(json, file, "");
     if (reader.choice("dialect", DialectNames, 0) == static_cast<std::size_t>(Dialect::Forward)) {
         Settings forward = readForwardSettings(reader);
--- a/src/router/settings_test.cpp
+++ b/src/router/settings_test.cpp
@@ -72,3 +72,15 @@
     cr_assert(not(settingsWith(R"("rollouts":{"exposure_share":2})").has_value()));
     cr_assert(not(settingsWith(R"("balance":{"unknown":1})").has_value()));
 }
+
+// The template of the settings writes null for what a platform does not state. Guards against an
+// instance that does not start there.
+Test(settings, a_platform_that_states_no_features_has_none)
+{
+    const auto settings = settingsWith(R"("features":null)");
+    cr_assert(settings.has_value());
+    cr_assert(settings->features.empty());
+    for (const char *refused : {"{}", "\"base\"", "[null]", "0"})
+        cr_assert(not(settingsWith("\"features\":" + std::string(refused)).has_value()), "%s",
+                  refused);
+}
