--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'fakes/*.cpp' 'fakes/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp' | grep -v '\.pb\.')
 TIDY_SOURCES = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build check check-asan lint format soak startstop crowds churn demo up bench-path bench-capacity proto clean
+.PHONY: all packages build check check-asan lint format soak startstop review-starts crowds churn demo up bench-path bench-capacity proto clean
 
 all: build
 
@@ -42,6 +42,10 @@
 startstop: build
 	python3 platform/soak/startstop.py --build $(BUILD)
 
+# Starts a real router as the cases in review/ do.
+review-starts: build
+	python3 review/starts.py $(BUILD)/lavenderhall
+
 # Runs a real router with little memory against groups of misbehaving clients, one group after the other. CROWDS holds
 # the options of crowds.py.
 CROWDS ?= --seed 1
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -312,6 +312,7 @@
         with open(file, "w", encoding="utf-8") as out:
             out.write(settings)
         command = [file if word.startswith("/etc/") else word for word in role["run"].split()]
+        command[0] = os.environ.get("ROUTER_PROGRAM", command[0])
         with open(self.log_file, "ab") as log:
             self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log,
                                             stdin=subprocess.DEVNULL, preexec_fn=end_with_parent)
