--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -1,5 +1,8 @@
 #include "drain/gracefulstop.h"
 
+#include "base/stoplog.h"
+
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -50,7 +53,7 @@
     line.emplace_back("cause", cause);
     line.emplace_back("accept_ms", timings.acceptTime.count());
     line.emplace_back("answer_ms", timings.answerTime.count());
-    logEvent(LogLevel::Info, "drain_began", line);
+    logStopEvent(LogLevel::Info, "drain_began", line);
     this->check();
 }
 
@@ -59,7 +62,7 @@
 {
     std::vector<LogField> line = this->fields();
     line.emplace_back("signal", http::stopSignalName(signal));
-    logEvent(LogLevel::Info, "stop_signal_repeated", line);
+    logStopEvent(LogLevel::Info, "stop_signal_repeated", line);
     if (signal != SIGINT)
         return;
     this->drain.hurry(monoNow());
@@ -70,7 +73,7 @@
 {
     const MonoTime now = monoNow();
     if (this->drain.endsRequests(now))
-        this->hooks.endRequests();
+        this->endRequests();
     const OpenWork work = this->openWork();
     this->wasIdle = work.isIdle;
     const DrainPhase before = this->drain.phase();
@@ -81,12 +84,25 @@
         this->timer = this->loop.after(CheckInterval, [this] { this->check(); });
 }
 
+// The lines of the requests that end follow, so that their cause precedes them.
+void GracefulStop::endRequests()
+{
+    const std::size_t open = this->hooks.openRequests();
+    if (open == 0)
+        return;
+    if (!this->hasEndedRequests)
+        logStopEvent(LogLevel::Info, "drain_ends_requests", this->fields());
+    this->hasEndedRequests = true;
+    this->hooks.endRequests();
+    this->endedRequests += open - std::min(open, this->hooks.openRequests());
+}
+
 void GracefulStop::onPhase(DrainPhase phase)
 {
     if (phase == DrainPhase::Ended)
         return this->loop.stop();
     const bool isClosing = phase == DrainPhase::Closing;
-    logEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
+    logStopEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
     for (http::Server *server : this->servers) {
         if (isClosing)
             server->stopListening();
@@ -97,8 +113,10 @@
 void GracefulStop::logEnd() const
 {
     std::vector<LogField> line = this->fields();
-    line.emplace_back("cause", this->wasIdle ? "idle" : "grace_over");
-    logEvent(LogLevel::Info, "stopped", line);
+    const bool isIdle = this->wasIdle && !this->hasEndedRequests;
+    line.emplace_back("cause", isIdle ? "idle" : "grace_over");
+    line.emplace_back("ended_requests", this->endedRequests);
+    logStopEvent(LogLevel::Info, "stopped", line);
 }
 
 } // namespace lavenderhall
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/outsidetext.h"
+#include "base/stoplog.h"
 
 #include <algorithm>
 #include <random>
@@ -218,6 +219,12 @@
     this->startAttempt();
 }
 
+void ForwardCall::stop()
+{
+    this->isStopped = true;
+    this->giveUp("stopping");
+}
+
 void ForwardCall::giveUp(const char *reason)
 {
     if (this->isFinished)
@@ -300,6 +307,23 @@
     fields.emplace_back("arrived_in_drain_ms", arrived.count());
 }
 
+StopOutcome ForwardCall::stopOutcome(int status) const
+{
+    if (status == 0)
+        return StopOutcome::Cut;
+    return promisesNotRun(status) ? StopOutcome::NotBegun : StopOutcome::Unknown;
+}
+
+void ForwardCall::logEnd(int status, std::vector<LogField> fields) const
+{
+    if (!this->isStopped)
+        return logEvent(LogLevel::Info, "request_done", fields);
+    const StopOutcome stopped = this->stopOutcome(status);
+    this->context.metrics.countStopped(stopped);
+    fields.emplace_back("ended_by_stop", toString(stopped));
+    logStopEvent(LogLevel::Info, "request_done", fields);
+}
+
 void ForwardCall::finish(int status, const std::string &outcome)
 {
     if (this->isFinished)
@@ -327,7 +351,7 @@
         {"table", this->table ? this->table->version() : 0}};
     this->addDrain(fields);
     this->addAdmission(fields);
-    logEvent(LogLevel::Info, "request_done", fields);
+    this->logEnd(status, std::move(fields));
     const auto self = this->shared_from_this();
     this->onDone(*this);
 }
