Http: a new connection is not closed as idle

A caller that had just connected to an instance which stops saw its connection closed without an answer: its request was sent, or even waited to be read, when the instance closed the connections between two requests.

Cause: a connection counted as idle if nothing had been parsed, whatever waited in the kernel.

Now a connection is not closed if bytes wait to be read, or if it was opened or has answered less than 100 ms ago.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -791,6 +791,35 @@
     }
 }
 
+// Guards against a request that is dropped, unread, when a server that stops closes idle
+// connections.
+Test(http, a_new_connection_is_not_closed_as_idle_before_its_request_is_read)
+{
+    const Address address{"127.0.0.1", 18117};
+    Loop loop;
+    Server server(loop, address, limitsWithMaxBody(1000), [](const ExchangePtr &exchange) {
+        exchange->respond({200, {}, "x"});
+    });
+    const std::string_view request = "GET /a HTTP/1.1\r\n\r\n";
+    for (const bool isSentBefore : {true, false}) {
+        const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in target{};
+        uv_ip4_addr(address.host.c_str(), address.port, &target);
+        cr_assert(connect(caller, reinterpret_cast<sockaddr *>(&target), sizeof(target)) == 0);
+        loop.runFor(Millis(isSentBefore ? 150 : 20));
+        if (isSentBefore)
+            send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+        server.closeIdleConnections();
+        if (!isSentBefore)
+            send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+        loop.runFor(Millis(100));
+        char byte = 0;
+        cr_assert(recv(caller, &byte, 1, MSG_DONTWAIT) == 1, "%d", isSentBefore);
+        cr_assert(byte == 'H');
+        close(caller);
+    }
+}
+
 // A server that sends without end. Guards against memory and time without bounds in calls that
 // collect the whole answer.
 Test(client, an_answer_that_does_not_end_fails_the_call)
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxUnreadBytes = 65536;
 // A body that is announced with up to this length gets its memory before it arrives.
 constexpr std::size_t MaxReservedBytes = 131072;
+/// The first request of a connection is usually sent within this time.
+constexpr Millis NewConnectionTime{100};
 /// A request of which nothing has arrived for this long may be given up to make room.
 constexpr Millis StalledTime{2000};
 /// A caller that has taken nothing of its answer for this long may be given up to make room.
@@ -117,9 +119,11 @@
         aborted->closedHandler();
 }
 
+// The request of a new connection may be on its way, or waits to be read.
 void ServerConnection::closeIfIdle()
 {
-    if (!this->isBetweenRequests())
+    const bool isNew = monoNow() - this->lastActiveAt < NewConnectionTime;
+    if (!this->isBetweenRequests() || isNew || this->socket->hasInput())
         return;
     const auto self = this->shared_from_this();
     this->timer.cancel();
