Router: stop in the OpenAI dialect by the common drain

Callers of an instance in the OpenAI dialect lost streams in progress when SIGTERM came a second time, and connections that were opened while the process ended were reset or left unread at a listener that was still open.

Cause: the daemon had a drain of its own. A repeated signal ended the event loop at once, and the first idle moment ended it with an open listener.

The daemon now uses Drain and GracefulStop, which stay as they are. New requests are refused from the start, by their time of arrival; requests in progress are ended after drain_ms; the process needs the handover of its seats, or 3 s, to be idle. A repeated SIGTERM changes nothing, a repeated SIGINT ends requests with an answer and the process 250 ms later. Answers that callers read slowly have 16 s after drain_ms, more than the 15 s for which a closed connection is kept; there was no bound on the process before. The exit code and the timeline's events are as before. The log line "stopped" has open_requests instead of open_calls, as in the forward dialect.

Not changed: a request that waits for its organisation's tokens may still begin at any time until drain_ms.

--- a/src/router/context.h
+++ b/src/router/context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/tracker.h"
+#include "drain/drain.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "identity/keyring.h"
@@ -33,6 +34,7 @@
     RetryBudget retryBudget;
     ActiveConfigPtr config; ///< null before the first configuration
     Keyring keyring;
+    Drain drain;
 };
 
 /// A caller's request with what the gateway has found out about it.
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -22,8 +22,19 @@
 constexpr Millis LoadTimeout{1000};
 constexpr std::size_t MaxHistoryBlocks = 50'000;
 constexpr Millis HistoryRetention{30'000}; ///< assumed time for which engines cache a prefix
-constexpr Millis DrainCheckInterval{50};
 constexpr Millis HandoverTimeout{3000}; ///< for the handover of seats during a drain
+// For callers that read their last answers slowly. Longer than a connection that is closed is kept
+// for that, see http/socket.cpp.
+constexpr Millis FlushTime{16'000};
+
+DrainTimings drainTimings(const Settings &settings)
+{
+    DrainTimings timings;
+    timings.beginTime = settings.drainTimeout;
+    timings.answerTime = settings.drainTimeout;
+    timings.stopTime = settings.drainTimeout + FlushTime;
+    return timings;
+}
 
 LoadReport readLoadReport(const Json &json)
 {
@@ -79,6 +90,7 @@
               PrefixHistory(MaxHistoryBlocks, HistoryRetention),
               RetryBudget(RouterRetryBudget),
               {},
+              {},
               {}}
     , gateway(this->context)
     , processWatch(this->loop, this->metrics,
@@ -88,6 +100,7 @@
                                                             : 0};
                    })
     , random(randomSeed())
+    , gracefulStop(this->loop, this->context.drain, this->stopHooks())
 { }
 
 // Requests in progress refer to the members.
@@ -99,11 +112,10 @@
 AdminHooks Daemon::adminHooks()
 {
     AdminHooks hooks;
-    hooks.isReady = [this] {
-        return this->context.config && !this->gateway.isDraining() && !this->fleet.isCutOff();
-    };
+    hooks.isReady
+        = [this] { return this->context.config && !this->isDraining() && !this->fleet.isCutOff(); };
     hooks.status = [this] { return this->status(); };
-    hooks.drain = [this] { this->drain(); };
+    hooks.drain = [this] { this->drain("operator"); };
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()),
                                       static_cast<double>(this->gateway.backlogBytes()));
@@ -138,8 +150,7 @@
 bool Daemon::openListeners()
 {
     const auto openOne = [this](std::string_view listener, const std::function<void()> &open) {
-        return openWhenFree(this->loop, listener, open,
-                            [this] { return this->gateway.isDraining(); });
+        return openWhenFree(this->loop, listener, open, [this] { return this->isDraining(); });
     };
     const auto openAdmin = [this] {
         this->admin
@@ -170,42 +181,43 @@
 
 int Daemon::run()
 {
-    this->loop.onStopSignals([this](int) { this->drain(); }, [this](int) { this->loop.stop(); });
+    this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
+                             [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [] { logEvent(LogLevel::Warning, "settings_not_reloaded"); });
     if (!this->start())
         return 0;
     this->loop.run();
     this->timeline.add(EventKind::ProcessStopped, "", "");
-    logEvent(LogLevel::Info, "stopped", {{"open_calls", this->gateway.openCalls()}});
+    this->gracefulStop.logEnd();
     return this->gateway.openCalls() == 0 ? 0 : 1;
 }
 
-void Daemon::drain()
+StopHooks Daemon::stopHooks()
 {
-    if (this->gateway.isDraining())
-        return;
-    this->gateway.beginDrain();
-    if (!this->isStarted)
-        return this->loop.stop();
-    this->fleet.leave();
-    this->timeline.add(EventKind::DrainBegan, "", "", {{"open_calls", this->gateway.openCalls()}});
-    logEvent(LogLevel::Info, "drain_began", {{"open_calls", this->gateway.openCalls()}});
-    this->drainTimeoutTimer
-        = this->loop.after(this->settings.drainTimeout, [this] { this->gateway.stopAll(); });
-    this->drainBeganAt = monoNow();
-    this->checkDrained();
+    StopHooks hooks;
+    hooks.openRequests = [this] { return this->gateway.openCalls(); };
+    hooks.hasHandedOver = [this] {
+        const MonoTime drainBeganAt = this->context.drain.beganAt().value_or(monoNow());
+        return this->fleet.hasLeft() || monoNow() - drainBeganAt > HandoverTimeout;
+    };
+    hooks.loopLag = [this] { return this->processWatch.maxLoopLag(); };
+    hooks.endRequests = [this] { this->gateway.stopAll(); };
+    return hooks;
 }
 
-void Daemon::checkDrained()
+void Daemon::drain(const char *cause)
 {
-    // An answer is complete when its last bytes have been sent, not when they have been written.
-    const bool hasAnsweredAll = this->gateway.openCalls() == 0 && this->callerServer->hasSentAll();
-    const bool isHandoverTimedOut = monoNow() - this->drainBeganAt > HandoverTimeout;
-    if (hasAnsweredAll && (this->fleet.hasLeft() || isHandoverTimedOut)) {
-        this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->loop.stop(); });
+    if (this->isDraining())
         return;
+    const DrainTimings timings = drainTimings(this->settings);
+    if (!this->isStarted) {
+        this->context.drain.begin(timings, monoNow());
+        return this->loop.stop();
     }
-    this->drainTimer = this->loop.after(DrainCheckInterval, [this] { this->checkDrained(); });
+    this->fleet.leave();
+    this->timeline.add(EventKind::DrainBegan, "", "", {{"open_calls", this->gateway.openCalls()}});
+    this->gracefulStop.addServer(*this->callerServer);
+    this->gracefulStop.begin(timings, cause);
 }
 
 void Daemon::onConfig(const ActiveConfigPtr &config)
@@ -317,9 +329,9 @@
             {"zone", this->settings.zone},
             {"version", LAVENDERHALL_VERSION},
             {"state",
-             this->gateway.isDraining() ? "draining"
-                 : config               ? "ready"
-                                        : "starting"},
+             this->isDraining() ? "draining"
+                 : config       ? "ready"
+                                : "starting"},
             {"uptime_ms", std::chrono::duration_cast<Millis>(now - this->startedAt).count()},
             {"config",
              {{"version", config ? config->root.version : 0},
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/descriptorplan.h"
+#include "drain/gracefulstop.h"
 #include "router/admin.h"
 #include "router/configloader.h"
 #include "router/gateway.h"
@@ -29,8 +30,8 @@
     /// calls have ended, otherwise 1.
     int run();
     /// Starts a graceful stop: the instance is no longer ready, new requests are refused, and those
-    /// in progress finish. Then the loop is stopped.
-    void drain();
+    /// in progress finish. Then the loop is stopped. \a cause is for the log.
+    void drain(const char *cause = "operator");
     std::int64_t configVersion() const { return this->configLoader.tracker().activeVersion(); }
     const TimelineRing &events() const { return this->timeline; }
     std::size_t peerCount() const { return this->fleet.peerCount(); }
@@ -49,7 +50,8 @@
     void onInstanceList(const StoreReply &reply);
     void pollLoads();
     void pollLoad(const EndpointView &view);
-    void checkDrained();
+    bool isDraining() const { return this->context.drain.beganAt().has_value(); }
+    StopHooks stopHooks();
     Json status() const;
 
     http::Loop &loop;
@@ -71,12 +73,10 @@
     pcg32 random;
     http::Timer instanceTimer;
     http::Timer loadTimer;
-    http::Timer drainTimer;
-    http::Timer drainTimeoutTimer;
     std::string configRefusal; ///< why the latest configuration was refused, "" if it was not
     bool isStarted = false;
     MonoTime startedAt{};
-    MonoTime drainBeganAt{};
+    GracefulStop gracefulStop;
 };
 
 } // namespace lavenderhall
--- a/src/router/gateway.cpp
+++ b/src/router/gateway.cpp
@@ -77,7 +77,7 @@
     this->context.timeline.add(EventKind::RequestArrived, caller.id, "",
                                {{"method", http::toString(exchange->request().method)},
                                 {"bytes", exchange->request().body.size()}});
-    if (this->draining)
+    if (this->context.drain.refusesNew(caller.arrivedAt))
         return this->refuse(caller,
                             unavailable("draining", "this instance is stopping", Millis(0)));
     if (!this->context.config)
@@ -310,11 +310,6 @@
     stopCallsWithKey(services);
 }
 
-void Gateway::beginDrain()
-{
-    this->draining = true;
-}
-
 std::size_t Gateway::backlogBytes() const
 {
     std::size_t total = 0;
--- a/src/router/gateway.h
+++ b/src/router/gateway.h
@@ -23,11 +23,8 @@
     void onRequest(const http::ExchangePtr &exchange);
     /// Puts a configuration in force and ends calls whose key it has withdrawn.
     void onConfig(const ActiveConfigPtr &config);
-    /// Refuses new requests from now on; calls in progress continue.
-    void beginDrain();
     /// Ends calls that were authenticated by a key if this instance is cut off from the fleet.
     void checkCutOff();
-    bool isDraining() const { return this->draining; }
     std::size_t openCalls() const { return this->modelCalls.size() + this->serviceCalls.size(); }
     /// Returns the bytes of answers that callers have not read yet.
     std::size_t backlogBytes() const;
@@ -51,7 +48,6 @@
     RouterContext &context;
     std::map<std::string, std::shared_ptr<ModelCall>> modelCalls; ///< by request id
     std::map<std::string, std::shared_ptr<ServiceCall>> serviceCalls; ///< by request id
-    bool draining = false;
 };
 
 } // namespace lavenderhall
