--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -304,7 +304,7 @@
     if (!drainBeganAt)
         return;
     const auto arrived = std::chrono::duration_cast<Millis>(this->arrivedAt - *drainBeganAt);
-    fields.emplace_back("arrived_in_drain_ms", arrived.count());
+    fields.push_back({"arrived_in_drain_ms", arrived.count()});
 }
 
 StopOutcome ForwardCall::stopOutcome(int status) const
@@ -320,7 +320,7 @@
         return logEvent(LogLevel::Info, "request_done", fields);
     const StopOutcome stopped = this->stopOutcome(status);
     this->context.metrics.countStopped(stopped);
-    fields.emplace_back("ended_by_stop", toString(stopped));
+    fields.push_back({"ended_by_stop", toString(stopped)});
     logStopEvent(LogLevel::Info, "request_done", fields);
 }
 
