Http: reading goes on behind a request whose body is long

Since reading stops behind a request in progress, one whose long body was pipelined there was not read to its end and got 408 after 15 s. Cause: reading went on only if little waited when the request before had been answered. Change: it goes on whenever the parser needs more.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -763,6 +763,38 @@
     caller->close();
 }
 
+// Reading stops behind a request in progress. Guards against a body behind it whose rest is not
+// read any more.
+Test(http, a_long_body_behind_a_request_in_progress_arrives)
+{
+    constexpr std::size_t BodyBytes = 400'000;
+    const Address address{"127.0.0.1", 18117};
+    Loop loop;
+    ExchangePtr first;
+    std::size_t received = 0;
+    Server server(loop, address, limitsWithMaxBody(BodyBytes), [&](const ExchangePtr &exchange) {
+        if (!first) {
+            first = exchange;
+            return;
+        }
+        received = exchange->request().body.size();
+        exchange->respond({200, {}, "x"});
+    });
+    Socket::Ptr caller;
+    SocketHandlers handlers;
+    handlers.onConnected = [&] {
+        caller->write("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\ncontent-length: 400000\r\n\r\n");
+        caller->write(std::string(BodyBytes, 'x'));
+    };
+    caller = Socket::connect(loop, address, std::move(handlers));
+    loop.runFor(Millis(200));
+    first->respond({200, {}, "x"});
+    for (int round = 0; round < 30 && received == 0; ++round)
+        loop.runFor(Millis(100));
+    cr_assert(received == BodyBytes, "%zu", received);
+    caller->close();
+}
+
 // Guards against connections that are established, with a request sent, and reset unread because
 // the event loop has not accepted them when the server stops to listen.
 Test(http, connections_that_wait_when_a_server_stops_to_listen_are_answered)
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -197,7 +197,7 @@
         if (this->isOverBudget)
             return this->refuse(ServiceUnavailable, "no memory is left for the request");
         if (step.state == ParseState::NeedsMore)
-            return;
+            return this->socket->setReading(true);
         if (step.state == ParseState::HeadTooLarge)
             return this->refuse(431, "the request's headers are too large");
         if (step.state == ParseState::Malformed)
