Forward: a relayed request that may not begin goes back as unable

A relayed request that was accepted just before a drain and refused before its work began got 503, which the other instance passed on to its caller, although it could have chosen again. Change: it gets the status for instances that are unable to serve, as at its arrival.

--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -154,7 +154,8 @@
     if (hasRun || !this->context.drain.refusesToBegin(this->deadline, monoNow()))
         return false;
     this->isStopped = true;
-    this->refuse({503, "stopping", StoppingRetryAfter});
+    const int status = this->isFromCaller() ? 503 : UnableStatus;
+    this->refuse({status, "stopping", StoppingRetryAfter});
     return true;
 }
 
