Loop: when a signal may have been sent, and work after waiting events

Cause: a busy loop handles a signal late, and its timers run before the events that have come meanwhile; a drain has to know both. Change: signalSentSince() is the begin of the poll before the last one, before which a signal that is handled now was not sent. afterEvents() calls its work once connections that waited have been accepted and their requests read.

No functional change

--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -83,6 +83,9 @@
 Loop::Loop()
     : uvLoop(std::make_unique<uv_loop_t>())
     , wakeUp(std::make_unique<uv_async_t>())
+    , beforePoll(std::make_unique<uv_prepare_t>())
+    , pollAt(monoNow())
+    , previousPollAt(this->pollAt)
 {
     // By default SIGPIPE ends the process on a write to a connection that the peer has closed.
     // Ignored, the write returns an error.
@@ -93,6 +96,13 @@
     uv_async_init(this->uvLoop.get(), this->wakeUp.get(),
                   [](uv_async_t *handle) { static_cast<Loop *>(handle->data)->runPosted(); });
     this->wakeUp->data = this;
+    uv_prepare_init(this->uvLoop.get(), this->beforePoll.get());
+    this->beforePoll->data = this;
+    uv_prepare_start(this->beforePoll.get(), [](uv_prepare_t *handle) {
+        auto *loop = static_cast<Loop *>(handle->data);
+        loop->previousPollAt = std::exchange(loop->pollAt, monoNow());
+    });
+    uv_unref(reinterpret_cast<uv_handle_t *>(this->beforePoll.get()));
 }
 
 // libuv frees its handles in close callbacks, which it calls from the loop. So the loop runs until
@@ -100,6 +110,7 @@
 Loop::~Loop()
 {
     uv_close(reinterpret_cast<uv_handle_t *>(this->wakeUp.get()), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(this->beforePoll.get()), nullptr);
     for (const auto &watch : this->signalWatches) {
         changeSignalMask(SIG_BLOCK, {watch->handle.signum});
         uv_close(reinterpret_cast<uv_handle_t *>(&watch->handle), nullptr);
@@ -175,6 +186,15 @@
     uv_async_send(this->wakeUp.get());
 }
 
+void Loop::postAfter(int rounds, std::function<void()> work)
+{
+    if (rounds == 0)
+        return work();
+    this->post([this, rounds, work = std::move(work)]() mutable {
+        this->postAfter(rounds - 1, std::move(work));
+    });
+}
+
 void Loop::runPosted()
 {
     std::vector<std::function<void()>> batch;
@@ -186,6 +206,15 @@
         work();
 }
 
+// After a delay of the process, timers run before the events that have come meanwhile.
+Timer Loop::afterEvents(Millis delay, std::function<void()> work)
+{
+    constexpr int Rounds = 3; // to accept a connection, to read its request, and to call the work
+    return this->after(delay, [this, work = std::move(work)]() mutable {
+        this->postAfter(Rounds, std::move(work));
+    });
+}
+
 Timer Loop::after(Millis delay, std::function<void()> work)
 {
     Timer timer;
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -9,6 +9,7 @@
 
 struct uv_loop_s;
 struct uv_async_s;
+struct uv_prepare_s;
 
 /// Event loop over libuv, with timers, signals and work posted by other threads.
 namespace lavenderhall::http {
@@ -59,6 +60,10 @@
     /// Calls \a work later on the loop's thread. Any thread may call it.
     void post(std::function<void()> work);
 
+    /// Calls \a work once after \a delay and once the events that wait then have been handled:
+    /// connections have been accepted and their first bytes read, also if the loop was held up.
+    [[nodiscard]] Timer afterEvents(Millis delay, std::function<void()> work);
+
     /// Calls \a work once after \a delay, unless the returned handle is destroyed before.
     [[nodiscard]] Timer after(Millis delay, std::function<void()> work);
 
@@ -69,16 +74,25 @@
     void onStopSignals(const std::function<void(int signal)> &onFirst,
                        const std::function<void(int signal)> &onRepeated);
 
+    /// Returns a time before which the signal that is being handled was not sent. It is at most two
+    /// iterations of the loop ago.
+    MonoTime signalSentSince() const { return this->previousPollAt; }
+
     /// Returns the libuv loop, for sockets and listeners.
     uv_loop_s *handle() { return this->uvLoop.get(); }
 
 private:
     void runPosted();
+    /// Calls \a work after \a rounds iterations of the loop.
+    void postAfter(int rounds, std::function<void()> work);
 
     struct SignalWatch;
 
     std::unique_ptr<uv_loop_s> uvLoop;
     std::unique_ptr<uv_async_s> wakeUp; ///< wakes the loop's thread after post()
+    std::unique_ptr<uv_prepare_s> beforePoll; ///< notes when the loop begins to wait for events
+    MonoTime pollAt{}; ///< when it began to for the last time
+    MonoTime previousPollAt{}; ///< the same, one iteration before
     std::vector<std::unique_ptr<SignalWatch>> signalWatches;
     std::mutex postedMutex;
     std::vector<std::function<void()>> posted; ///< guarded by postedMutex
