Drain: count from the signal, and close after what waits has been read

Cause: the drain's clock began when the loop handled the signal. Its timer came before the sockets' events, and closed connections, listeners and the process on what the loop had not read yet; connections were closed once and not looked at again. Change: the drain begins at the earliest time at which the signal may have been sent. Each check waits for the events that are there, and closes idle connections again. Callers have 1 s, as long as a closed connection lingers, to take what is on its way before the process ends. The first signal after an operator's drain is a repeated one.

--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -16,7 +16,8 @@
 // that their callers get the answers. The process stops while there is time to free what it uses.
 constexpr Millis LastAnswerMargin{500};
 constexpr Millis StopMargin{250};
-constexpr Millis CloseTime{200}; ///< for callers to close the connections that this side has closed
+constexpr Millis CloseTime{
+    1000}; ///< for callers to close the connections that this side has closed
 
 } // namespace
 
--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -42,17 +42,18 @@
             {"loop_lag_ms", this->hooks.loopLag().count()}};
 }
 
-void GracefulStop::begin(const DrainTimings &timings, const std::string &cause)
+// The platform's time runs from the signal, which a busy loop handles late.
+void GracefulStop::begin(const DrainTimings &timings, const std::string &cause, MonoTime askedAt)
 {
     if (this->drain.beganAt())
         return;
-    this->drain.begin(timings, monoNow());
+    this->drain.begin(timings, askedAt);
     for (http::Server *server : this->servers)
         server->closeAfterAnswers();
     std::vector<LogField> line = this->fields();
-    line.emplace_back("cause", cause);
-    line.emplace_back("accept_ms", timings.acceptTime.count());
-    line.emplace_back("answer_ms", timings.answerTime.count());
+    line.push_back({"cause", cause});
+    line.push_back({"accept_ms", timings.acceptTime.count()});
+    line.push_back({"answer_ms", timings.answerTime.count()});
     logStopEvent(LogLevel::Info, "drain_began", line);
     this->check();
 }
@@ -61,7 +62,7 @@
 void GracefulStop::onSignalRepeated(int signal)
 {
     std::vector<LogField> line = this->fields();
-    line.emplace_back("signal", http::stopSignalName(signal));
+    line.push_back({"signal", http::stopSignalName(signal)});
     logStopEvent(LogLevel::Info, "stop_signal_repeated", line);
     if (signal != SIGINT)
         return;
@@ -80,8 +81,9 @@
     const DrainPhase phase = this->drain.advance(work, now);
     if (phase != before)
         this->onPhase(phase);
+    this->closeConnections();
     if (phase != DrainPhase::Ended)
-        this->timer = this->loop.after(CheckInterval, [this] { this->check(); });
+        this->timer = this->loop.afterEvents(CheckInterval, [this] { this->check(); });
 }
 
 // The lines of the requests that end follow, so that their cause precedes them.
@@ -103,19 +105,27 @@
         return this->loop.stop();
     const bool isClosing = phase == DrainPhase::Closing;
     logStopEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
-    for (http::Server *server : this->servers) {
-        if (isClosing)
-            server->stopListening();
+    if (!isClosing)
+        return;
+    for (http::Server *server : this->servers)
+        server->stopListening();
+}
+
+// Repeated, as a connection whose request may be on its way is left open.
+void GracefulStop::closeConnections()
+{
+    if (this->drain.phase() < DrainPhase::Refusing)
+        return;
+    for (http::Server *server : this->servers)
         server->closeIdleConnections();
-    }
 }
 
 void GracefulStop::logEnd() const
 {
     std::vector<LogField> line = this->fields();
     const bool isIdle = this->wasIdle && !this->hasEndedRequests;
-    line.emplace_back("cause", isIdle ? "idle" : "grace_over");
-    line.emplace_back("ended_requests", this->endedRequests);
+    line.push_back({"cause", isIdle ? "idle" : "grace_over"});
+    line.push_back({"ended_requests", this->endedRequests});
     logStopEvent(LogLevel::Info, "stopped", line);
 }
 
--- a/src/drain/gracefulstop.h
+++ b/src/drain/gracefulstop.h
@@ -18,8 +18,7 @@
     std::function<std::size_t()> openRequests; ///< returns the number of requests in progress
     std::function<bool()> hasHandedOver; ///< whether other instances have what this one decided
     std::function<Millis()> loopLag; ///< how late the event loop was lately
-    std::function<void()>
-        endRequests; ///< ends all requests in progress, with an answer if possible
+    std::function<void()> endRequests; ///< ends requests in progress, if possible with an answer
 };
 
 /// Takes an instance through the phases of its drain, with a log line on each, and stops the loop
@@ -31,8 +30,9 @@
 
     /// Adds a server to be closed, which must exist until the end.
     void addServer(http::Server &server) { this->servers.push_back(&server); }
-    /// Begins, unless it has begun. \a cause is for the log.
-    void begin(const DrainTimings &timings, const std::string &cause);
+    /// Begins, unless it has begun. The stop was asked for at \a askedAt or later. \a cause is for
+    /// the log.
+    void begin(const DrainTimings &timings, const std::string &cause, MonoTime askedAt);
     /// A signal asks to stop again. SIGINT, as from an impatient operator, shortens the drain.
     void onSignalRepeated(int signal);
     /// Logs that the process ends.
@@ -43,6 +43,8 @@
     /// Checks periodically which phase is due.
     void check();
     void onPhase(DrainPhase phase);
+    /// Closes the connections that are between two requests, once new requests are refused.
+    void closeConnections();
     /// Ends the requests in progress, if any.
     void endRequests();
     /// Returns the fields that the log lines on a drain have in common.
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -164,7 +164,7 @@
     AdminHooks hooks;
     hooks.isReady = [this] { return this->context.table && !this->isDraining(); };
     hooks.status = [this] { return this->status(); };
-    hooks.drain = [this] { this->drain("operator"); };
+    hooks.drain = [this] { this->drain("operator", monoNow()); };
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->forwarder.openCalls()), 0);
         this->updateWaitingGauges();
@@ -349,7 +349,7 @@
 
 int ForwardDaemon::run()
 {
-    this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
+    this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); },
                              [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
     if (!this->start())
@@ -439,13 +439,21 @@
     return hooks;
 }
 
-void ForwardDaemon::drain(const char *cause)
+// An operator may have asked for the stop before.
+void ForwardDaemon::onStopSignal(int signal)
+{
+    if (this->isDraining())
+        return this->gracefulStop.onSignalRepeated(signal);
+    this->drain(http::stopSignalName(signal), this->loop.signalSentSince());
+}
+
+void ForwardDaemon::drain(const char *cause, MonoTime askedAt)
 {
     if (this->isDraining())
         return;
     const DrainTimings timings = drainTimingsOf(this->settings.bounds.grace);
     if (!this->isStarted) {
-        this->context.drain.begin(timings, monoNow());
+        this->context.drain.begin(timings, askedAt);
         return this->loop.stop();
     }
     this->rollout.stop();
@@ -455,7 +463,7 @@
     this->gracefulStop.addServer(*this->callers);
     if (this->relayServer)
         this->gracefulStop.addServer(*this->relayServer);
-    this->gracefulStop.begin(timings, cause);
+    this->gracefulStop.begin(timings, cause, askedAt);
 }
 
 Json ForwardDaemon::status() const
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -40,8 +40,8 @@
     /// still in use; returns false if the instance was stopped meanwhile.
     bool start();
     /// Starts a graceful stop: reports itself as not ready, and serves requests until the balancer
-    /// has noticed. \a cause is for the log.
-    void drain(const char *cause);
+    /// has noticed. The stop was asked for at \a askedAt or later. \a cause is for the log.
+    void drain(const char *cause, MonoTime askedAt);
 
 private:
     static constexpr double RejectionLinesPerSecond = 5;
@@ -94,6 +94,7 @@
     void recordMemoryRefusal();
     void tick(); ///< called periodically
     StopHooks stopHooks();
+    void onStopSignal(int signal);
     bool isDraining() const { return this->context.drain.beganAt().has_value(); }
     void reloadSettings(const char *cause);
     void applySettings();
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -115,7 +115,7 @@
     hooks.isReady
         = [this] { return this->context.config && !this->isDraining() && !this->fleet.isCutOff(); };
     hooks.status = [this] { return this->status(); };
-    hooks.drain = [this] { this->drain("operator"); };
+    hooks.drain = [this] { this->drain("operator", monoNow()); };
     hooks.updateGauges = [this] {
         this->metrics.setOpenRequests(static_cast<double>(this->gateway.openCalls()),
                                       static_cast<double>(this->gateway.backlogBytes()));
@@ -181,7 +181,7 @@
 
 int Daemon::run()
 {
-    this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
+    this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); },
                              [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [] { logEvent(LogLevel::Warning, "settings_not_reloaded"); });
     if (!this->start())
@@ -205,19 +205,27 @@
     return hooks;
 }
 
-void Daemon::drain(const char *cause)
+// An operator may have asked for the stop before.
+void Daemon::onStopSignal(int signal)
+{
+    if (this->isDraining())
+        return this->gracefulStop.onSignalRepeated(signal);
+    this->drain(http::stopSignalName(signal), this->loop.signalSentSince());
+}
+
+void Daemon::drain(const char *cause, MonoTime askedAt)
 {
     if (this->isDraining())
         return;
     const DrainTimings timings = drainTimings(this->settings);
     if (!this->isStarted) {
-        this->context.drain.begin(timings, monoNow());
+        this->context.drain.begin(timings, askedAt);
         return this->loop.stop();
     }
     this->fleet.leave();
     this->timeline.add(EventKind::DrainBegan, "", "", {{"open_calls", this->gateway.openCalls()}});
     this->gracefulStop.addServer(*this->callerServer);
-    this->gracefulStop.begin(timings, cause);
+    this->gracefulStop.begin(timings, cause, askedAt);
 }
 
 void Daemon::onConfig(const ActiveConfigPtr &config)
--- a/src/router/daemon.h
+++ b/src/router/daemon.h
@@ -30,8 +30,9 @@
     /// calls have ended, otherwise 1.
     int run();
     /// Starts a graceful stop: the instance is no longer ready, new requests are refused, and those
-    /// in progress finish. Then the loop is stopped. \a cause is for the log.
-    void drain(const char *cause = "operator");
+    /// in progress finish. Then the loop is stopped. The stop was asked for at \a askedAt or later.
+    /// \a cause is for the log.
+    void drain(const char *cause = "operator", MonoTime askedAt = monoNow());
     std::int64_t configVersion() const { return this->configLoader.tracker().activeVersion(); }
     const TimelineRing &events() const { return this->timeline; }
     std::size_t peerCount() const { return this->fleet.peerCount(); }
@@ -52,6 +53,7 @@
     void pollLoad(const EndpointView &view);
     bool isDraining() const { return this->context.drain.beganAt().has_value(); }
     StopHooks stopHooks();
+    void onStopSignal(int signal);
     Json status() const;
 
     http::Loop &loop;
