Start: answer what was sent before a stop during the start

Callers that had connected to an instance which was stopped while it waited for the address of its peer link were reset without an answer.

Cause: the callers' listener opens before the peer address is bound, and a stop during the start ended the process at once.

Both daemons now close the callers' server first: what waits is accepted and answered, for at most 200 ms. Requests are refused then as before, since there is no configuration.

The change in the forward dialect was built and not tested.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -351,8 +351,10 @@
     this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
                              [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
-    if (!this->start())
+    if (!this->start()) {
+        closeUnstarted(this->loop, this->callers.get());
         return 0;
+    }
     this->loop.run();
     this->gracefulStop.logEnd();
     return 0;
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -184,8 +184,10 @@
     this->loop.onStopSignals([this](int signal) { this->drain(http::stopSignalName(signal)); },
                              [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
     this->loop.onSignal(SIGHUP, [] { logEvent(LogLevel::Warning, "settings_not_reloaded"); });
-    if (!this->start())
+    if (!this->start()) {
+        closeUnstarted(this->loop, this->callerServer.get());
         return 0;
+    }
     this->loop.run();
     this->timeline.add(EventKind::ProcessStopped, "", "");
     this->gracefulStop.logEnd();
--- a/src/router/listenerstart.cpp
+++ b/src/router/listenerstart.cpp
@@ -12,6 +12,8 @@
 
 constexpr Millis RetryInterval{100};
 constexpr Millis LogInterval{5000}; ///< between two lines about the same listener
+constexpr Millis CloseTime{200}; ///< for callers to read their answers and close
+constexpr Millis CloseCheckInterval{10};
 
 } // namespace
 
@@ -45,4 +47,17 @@
     return false;
 }
 
+// Callers may have connected while the instance waited for another of its addresses.
+void closeUnstarted(http::Loop &loop, http::Server *server)
+{
+    if (!server)
+        return;
+    server->closeAfterAnswers();
+    server->closeIdleConnections();
+    server->stopListening();
+    const MonoTime until = monoNow() + CloseTime;
+    while (server->openSockets() > 0 && monoNow() < until)
+        loop.runFor(CloseCheckInterval);
+}
+
 } // namespace lavenderhall
--- a/src/router/listenerstart.h
+++ b/src/router/listenerstart.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/loop.h"
+#include "http/server.h"
 
 #include <functional>
 #include <string_view>
@@ -14,4 +15,8 @@
 bool openWhenFree(http::Loop &loop, std::string_view listener, const std::function<void()> &open,
                   const std::function<bool()> &isStopped);
 
+/// Closes \a server of an instance that was stopped during its start, and runs the loop until the
+/// requests that callers have sent are answered. \a server may be nullptr.
+void closeUnstarted(http::Loop &loop, http::Server *server);
+
 } // namespace lavenderhall
