--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -60,8 +60,8 @@
     /// Calls \a work later on the loop's thread. Any thread may call it.
     void post(std::function<void()> work);
 
-    /// Calls \a work once after \a delay and once the events that wait then have been handled:
-    /// connections have been accepted and their first bytes read, also if the loop was held up.
+    /// Calls \a work after \a delay, when the events that wait then have been handled: connections
+    /// are accepted and first bytes read. It can no longer be cancelled once \a delay is over.
     [[nodiscard]] Timer afterEvents(Millis delay, std::function<void()> work);
 
     /// Calls \a work once after \a delay, unless the returned handle is destroyed before.
