Read as a newcomer: one handler for the signals that ask to stop

The event loop told the first signal from further ones, and both daemons asked again whether they stop already. Now only they ask.

--- a/src/client/command.cpp
+++ b/src/client/command.cpp
@@ -230,7 +230,7 @@
         isStopped = true;
         loop.stop();
     };
-    loop.onStopSignals(onStopSignal, onStopSignal);
+    loop.onStopSignals(onStopSignal);
     const MonoTime startedAt = monoNow();
     MonoTime nextLine = startedAt;
     for (;;) {
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -349,8 +349,7 @@
 
 int ForwardDaemon::run()
 {
-    this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); },
-                             [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
+    this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
     if (!this->start()) {
         closeUnstarted(this->loop, this->callers.get());
@@ -441,7 +440,7 @@
     return hooks;
 }
 
-// An operator may have asked for the stop before.
+// Another signal or an operator may have asked for the stop before.
 void ForwardDaemon::onStopSignal(int signal)
 {
     if (this->isDraining())
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -149,14 +149,10 @@
     uv_run(this->uvLoop.get(), UV_RUN_DEFAULT);
 }
 
-void Loop::onStopSignals(const std::function<void(int signal)> &onFirst,
-                         const std::function<void(int signal)> &onRepeated)
+void Loop::onStopSignals(const std::function<void(int signal)> &work)
 {
-    const auto isFirst = std::make_shared<bool>(true);
-    for (const int signal : {SIGTERM, SIGINT}) {
-        this->onSignal(
-            signal, [=] { std::exchange(*isFirst, false) ? onFirst(signal) : onRepeated(signal); });
-    }
+    for (const int signal : {SIGTERM, SIGINT})
+        this->onSignal(signal, [work, signal] { work(signal); });
 }
 
 void Loop::onSignal(int signal, std::function<void()> work)
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -70,9 +70,8 @@
     /// Calls \a work on the loop's thread each time the process gets \a signal. Once the loop is
     /// destroyed, the signal is held back.
     void onSignal(int signal, std::function<void()> work);
-    /// Calls \a onFirst with the first SIGTERM or SIGINT, and \a onRepeated with each further one.
-    void onStopSignals(const std::function<void(int signal)> &onFirst,
-                       const std::function<void(int signal)> &onRepeated);
+    /// Calls \a work with each SIGTERM and SIGINT.
+    void onStopSignals(const std::function<void(int signal)> &work);
 
     /// Returns a time before which the signal that is being handled was not sent. It is at most two
     /// iterations of the loop ago.
--- a/src/http/loop_test.cpp
+++ b/src/http/loop_test.cpp
@@ -32,7 +32,7 @@
         handledAt = monoNow();
         loop.stop();
     };
-    loop.onStopSignals(onSignal, onSignal);
+    loop.onStopSignals(onSignal);
     const Timer busy = loop.after(Millis(20), [&] {
         sentAt = monoNow();
         kill(getpid(), SIGTERM);
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -181,8 +181,7 @@
 
 int Daemon::run()
 {
-    this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); },
-                             [this](int signal) { this->gracefulStop.onSignalRepeated(signal); });
+    this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); });
     this->loop.onSignal(SIGHUP, [] { logEvent(LogLevel::Warning, "settings_not_reloaded"); });
     if (!this->start()) {
         closeUnstarted(this->loop, this->callerServer.get());
@@ -207,7 +206,7 @@
     return hooks;
 }
 
-// An operator may have asked for the stop before.
+// Another signal or an operator may have asked for the stop before.
 void Daemon::onStopSignal(int signal)
 {
     if (this->isDraining())
