Drain: signals that keep coming do not keep the process

Cause: each repeated signal was logged with the state of all servers, and libuv goes on handling signals while its pipe is full, so that the loop did nothing else. Change: of each signal only the first repetition is handled.

--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -58,9 +58,12 @@
     this->check();
 }
 
-// A platform may send SIGTERM more than once, which changes nothing.
+// A platform may send SIGTERM more than once, which changes nothing. Signals may come faster than
+// they could be logged, and the event loop handles all that wait before it goes on.
 void GracefulStop::onSignalRepeated(int signal)
 {
+    if (!this->repeatedSignals.insert(signal).second)
+        return;
     std::vector<LogField> line = this->fields();
     line.push_back({"signal", http::stopSignalName(signal)});
     logStopEvent(LogLevel::Info, "stop_signal_repeated", line);
--- a/src/drain/gracefulstop.h
+++ b/src/drain/gracefulstop.h
@@ -6,6 +6,7 @@
 #include "http/server.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,8 @@
     /// Begins, unless it has begun. The stop was asked for at \a askedAt or later. \a cause is for
     /// the log.
     void begin(const DrainTimings &timings, const std::string &cause, MonoTime askedAt);
-    /// A signal asks to stop again. SIGINT, as from an impatient operator, shortens the drain.
+    /// A signal asks to stop again. SIGINT, as from an impatient operator, shortens the drain; what
+    /// follows of the same signal is ignored.
     void onSignalRepeated(int signal);
     /// Logs that the process ends.
     void logEnd() const;
@@ -58,6 +60,7 @@
     bool wasIdle = false; ///< at the last check
     bool hasEndedRequests = false; ///< some were in progress when their time was over
     std::size_t endedRequests = 0;
+    std::set<int> repeatedSignals; ///< that have been handled
 };
 
 } // namespace lavenderhall
