Read as a newcomer: tests of closes and stops of their own, names, reasons

The tests of what a server answers while it closes move from http_test to serverclose_test, those of stops of an instance from router_test to routerstop_test; their checks are the same.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -54,8 +54,9 @@
     return name;
 }
 
-// Whether the line in progress is one of logStopEvent().
-thread_local bool writesStopLine = false;
+// Whether the line that this thread writes is one of logStopEvent(). The logging library passes its
+// appender nothing but the level and the text.
+thread_local bool isStopLine = false;
 
 constexpr double LinesPerSecond = 400;
 constexpr double BurstLines = 1000;
@@ -78,7 +79,7 @@
 protected:
     void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
     {
-        LogRateLimiter &limiter = writesStopLine ? this->stopLimiter : this->ordinaryLimiter;
+        LogRateLimiter &limiter = isStopLine ? this->stopLimiter : this->ordinaryLimiter;
         if (!limiter.tryAcquire(monoNow()))
             return;
         log4cxx::LogString line;
@@ -151,9 +152,9 @@
 
 void logStopEvent(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
 {
-    writesStopLine = true;
+    isStopLine = true;
     logEvent(level, event, fields);
-    writesStopLine = false;
+    isStopLine = false;
 }
 
 std::string formatFields(const std::vector<LogField> &fields)
--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -16,8 +16,8 @@
 // that their callers get the answers. The process stops while there is time to free what it uses.
 constexpr Millis LastAnswerMargin{500};
 constexpr Millis StopMargin{250};
-constexpr Millis CloseTime{
-    1000}; ///< for callers to close the connections that this side has closed
+/// For callers to close the connections that this side has closed.
+constexpr Millis CloseTime{1000};
 
 } // namespace
 
@@ -46,14 +46,14 @@
     return timings;
 }
 
-void Drain::begin(const DrainTimings &drainTimings, MonoTime now)
+void Drain::begin(const DrainTimings &drainTimings, MonoTime since)
 {
     if (this->startedAt)
         return;
     this->timings = drainTimings;
-    this->startedAt = now;
+    this->startedAt = since;
     this->currentPhase = DrainPhase::Accepting;
-    this->phaseBeganAt = now;
+    this->phaseBeganAt = since;
 }
 
 void Drain::hurry(MonoTime now)
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -65,8 +65,8 @@
 class Drain
 {
 public:
-    /// Begins, unless it has begun.
-    void begin(const DrainTimings &drainTimings, MonoTime now);
+    /// Begins, unless it has begun. Its times run from \a since, which may lie in the past.
+    void begin(const DrainTimings &drainTimings, MonoTime since);
     /// Ends requests in progress from \a now on, and the process soon after.
     void hurry(MonoTime now);
 
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -147,7 +147,8 @@
     return now + Millis(std::llround(chosen.expectedMillis));
 }
 
-// The caller of a stream that broke off has half an answer, of which a refusal keeps it from more.
+// A refusal states that nothing has run, and would keep the caller of a stream that has begun from
+// the rest of it.
 bool ForwardCall::refuseStopping()
 {
     const bool hasRun = this->retryState.mayHaveRun() || this->isStreaming;
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -352,7 +352,7 @@
     this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); });
     this->loop.onSignal(SIGHUP, [this] { this->reloadSettings("signal"); });
     if (!this->start()) {
-        closeUnstarted(this->loop, this->callers.get());
+        answerAndClose(this->loop, this->callers.get());
         return 0;
     }
     this->loop.run();
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -74,8 +74,8 @@
         head += "transfer-encoding: chunked\r\n";
     else if (!hasNoBody(status))
         head += "content-length: " + std::to_string(this->remainingBytes) + "\r\n";
-    this->isLast = this->connection->closesAfter(*this);
-    if (this->isLast)
+    this->announcesClose = this->connection->closesAfter(*this);
+    if (this->announcesClose)
         head += "connection: close\r\n";
     this->connection->send(head + "\r\n");
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -72,7 +72,7 @@
     std::uint64_t remainingBytes = 0; ///< of the body of an answer with a length
     bool isKeepAlive = false; ///< both sides allow another request on the connection
     bool isChunked = false;
-    bool isLast = false; ///< the head of the answer announces the close of the connection
+    bool announcesClose = false; ///< the head of the answer tells that the connection is closed
     bool begun = false;
     bool ended = false;
     std::function<void()> drainedHandler;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -74,8 +74,7 @@
     return true;
 }
 
-// A server that closes answers first what has arrived behind the request, which would be dropped
-// without an answer otherwise.
+// What has arrived behind the request is answered first. Otherwise it would be dropped.
 bool ServerConnection::closesAfter(const Exchange &exchange) const
 {
     const bool isServerClosing = this->server.isClosing && this->unparsed.empty();
@@ -88,7 +87,8 @@
     this->exchange = nullptr;
     finished->connection = nullptr;
     --this->server.exchangeCount;
-    if (finished->isLast || this->closesAfter(*finished)) {
+    // The server may have begun to close since the head of the answer was sent.
+    if (finished->announcesClose || this->closesAfter(*finished)) {
         const auto self = this->shared_from_this();
         this->socket->closeGracefully(this->server.unsentMark);
         return this->server.remove(self);
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -184,7 +184,7 @@
     this->loop.onStopSignals([this](int signal) { this->onStopSignal(signal); });
     this->loop.onSignal(SIGHUP, [] { logEvent(LogLevel::Warning, "settings_not_reloaded"); });
     if (!this->start()) {
-        closeUnstarted(this->loop, this->callerServer.get());
+        answerAndClose(this->loop, this->callerServer.get());
         return 0;
     }
     this->loop.run();
--- a/src/router/listenerstart.cpp
+++ b/src/router/listenerstart.cpp
@@ -48,7 +48,7 @@
 }
 
 // Callers may have connected while the instance waited for another of its addresses.
-void closeUnstarted(http::Loop &loop, http::Server *server)
+void answerAndClose(http::Loop &loop, http::Server *server)
 {
     if (!server)
         return;
--- a/src/router/listenerstart.h
+++ b/src/router/listenerstart.h
@@ -15,8 +15,8 @@
 bool openWhenFree(http::Loop &loop, std::string_view listener, const std::function<void()> &open,
                   const std::function<bool()> &isStopped);
 
-/// Closes \a server of an instance that was stopped during its start, and runs the loop until the
-/// requests that callers have sent are answered. \a server may be nullptr.
-void closeUnstarted(http::Loop &loop, http::Server *server);
+/// Ends \a server, which may be nullptr, of an instance that is stopped during its start: runs the
+/// loop until the requests that callers have sent are answered, or for a short time.
+void answerAndClose(http::Loop &loop, http::Server *server);
 
 } // namespace lavenderhall
--- a/src/router/router_test.cpp
+++ b/src/router/router_test.cpp
@@ -1,33 +1,9 @@
 #include "router/routerfixture.h"
 
-#include <array>
-#include <atomic>
-#include <csignal>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
-
 using namespace lavenderhall;
 
 namespace {
 
-/// Returns whether \a answer has the events 1 to \a tokens in order, followed by the end mark.
-bool isWholeStream(const Answer &answer, int tokens)
-{
-    SseParser parser;
-    const auto parsed = toOutcome([&] { return parser.feed(answer.body); });
-    const auto &events = std::get<std::vector<SseEvent>>(parsed);
-    if (!answer.hasEnded || events.size() != static_cast<std::size_t>(tokens) + 1)
-        return false;
-    for (int number = 1; number <= tokens; ++number) {
-        const Json data = Json::parse(events[static_cast<std::size_t>(number) - 1].data);
-        if (data["choices"][0]["delta"]["content"] != "t" + std::to_string(number) + " ")
-            return false;
-    }
-    return events.back().data == StreamEndMark;
-}
-
 /// Returns whether the stream ended with the error \a code instead of the end mark.
 bool endsWithErrorEvent(const Answer &answer, const std::string &code)
 {
@@ -35,50 +11,6 @@
         && answer.body.rfind("\"code\":\"" + code + "\"") != std::string::npos;
 }
 
-/// What a connection that is opened for one request has seen.
-enum class Meeting { Answered, Refused, Lost };
-
-/// Sends a request to \a port on a new connection. Returns its descriptor, or -1 if the port is
-/// closed.
-int sendRequest(std::uint16_t port)
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const timeval patience{0, 300'000};
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
-        close(descriptor);
-        return -1;
-    }
-    const std::string request = "GET /v1/models HTTP/1.1\r\n\r\n";
-    send(descriptor, request.data(), request.size(), MSG_NOSIGNAL);
-    return descriptor;
-}
-
-/// Sends a request to \a port on a new connection, and waits for an answer or an end.
-Meeting meetPort(std::uint16_t port)
-{
-    const int descriptor = sendRequest(port);
-    if (descriptor < 0)
-        return Meeting::Refused;
-    char byte = 0;
-    const bool isAnswered = recv(descriptor, &byte, 1, 0) == 1;
-    close(descriptor);
-    return isAnswered ? Meeting::Answered : Meeting::Lost;
-}
-
-/// Calls \a step every few milliseconds for as long as the returned timer exists.
-void repeat(http::Loop &loop, http::Timer &timer, const std::function<void()> &step)
-{
-    timer = loop.after(Millis(2), [&loop, &timer, step] {
-        step();
-        repeat(loop, timer, step);
-    });
-}
-
 } // namespace
 
 // A caller may only repeat a request safely if the outcome header is right, so no refused request
@@ -368,95 +300,6 @@
     cr_assert(isWholeStream(*stream, 200));
 }
 
-// Guards against streams that are cut because the platform or an operator asks a second time.
-Test(router, a_repeated_sigterm_does_not_cut_an_open_stream)
-{
-    constexpr int Tokens = 200;
-    Fixture fixture;
-    Daemon stopping(fixture.loop, settingsOf(1));
-    AnswerPtr stream;
-    int signals = 0;
-    http::Timer timer;
-    const Json body{{"model", "review"},
-                    {"max_tokens", Tokens},
-                    {"stream", true},
-                    {"messages", {{{"role", "user"}, {"content", "hello"}}}}};
-    repeat(fixture.loop, timer, [&] {
-        if (!stream && stopping.configVersion() == fixture.root.version)
-            stream
-                = fixture.startAt(settingsOf(1).listen.port, http::Method::Post,
-                                  "/v1/chat/completions", fixture.millKey.secret, body.dump(), {});
-        if (!stream || stream->body.empty() || signals == 3)
-            return;
-        ++signals;
-        raise(SIGTERM);
-    });
-    const int exitCode = stopping.run();
-    cr_assert(signals == 3);
-    fixture.loop.runFor(Millis(100));
-    cr_assert(isWholeStream(*stream, Tokens), "%s", stream->body.c_str());
-    cr_assert(exitCode == 0);
-}
-
-// Guards against connections that wait, unread, at a listener that is open while the process ends.
-Test(router, no_request_is_lost_at_the_listener_of_an_instance_that_ends)
-{
-    Fixture fixture;
-    Daemon stopping(fixture.loop, settingsOf(1));
-    std::atomic<int> lost = 0;
-    std::atomic<int> answered = 0;
-    std::atomic<bool> isRefused = false;
-    std::atomic<bool> hasBegun = false;
-    std::atomic<bool> isOver = false;
-    std::thread caller([&] {
-        while (!hasBegun)
-            std::this_thread::sleep_for(Millis(1));
-        while (!isRefused && !isOver) {
-            const Meeting meeting = meetPort(settingsOf(1).listen.port);
-            lost += meeting == Meeting::Lost;
-            answered += meeting == Meeting::Answered;
-            isRefused = meeting == Meeting::Refused;
-            // A handshake that ends in the microseconds before the listener closes is reset.
-            std::this_thread::sleep_for(Millis(3));
-        }
-    });
-    const http::Timer signal = fixture.loop.after(Millis(300), [&] {
-        hasBegun = true;
-        raise(SIGTERM);
-    });
-    stopping.run();
-    // The process still exists for a while after its event loop, as when it frees much memory.
-    std::this_thread::sleep_for(Millis(400));
-    const bool wasRefused = isRefused;
-    isOver = true;
-    caller.join();
-    cr_assert(lost == 0, "%d", lost.load());
-    cr_assert(answered > 0);
-    cr_assert(wasRefused);
-}
-
-// Guards against requests that are reset, unread, when an instance is stopped while it waits for
-// the address of its peer link.
-Test(router, no_request_is_lost_when_an_instance_is_stopped_during_its_start)
-{
-    Fixture fixture;
-    const http::Server holder(fixture.loop, settingsOf(1).peer, {}, [](const auto &) {});
-    auto stopping = std::make_unique<Daemon>(fixture.loop, settingsOf(1));
-    std::array<int, 8> callers{};
-    const http::Timer stop = fixture.loop.after(Millis(150), [&] {
-        for (int &caller : callers)
-            caller = sendRequest(settingsOf(1).listen.port);
-        stopping->drain();
-    });
-    stopping->run();
-    stopping.reset();
-    for (const int caller : callers) {
-        char byte = 0;
-        cr_assert(recv(caller, &byte, 1, 0) == 1);
-        close(caller);
-    }
-}
-
 // Without backpressure, the router would buffer the whole stream of a million tokens.
 Test(router, the_backlog_of_a_caller_that_stops_reading_is_bounded_and_its_call_ends)
 {
--- a/src/router/routerfixture.h
+++ b/src/router/routerfixture.h
@@ -235,4 +235,20 @@
     }
 };
 
+/// Returns whether \a answer has the events 1 to \a tokens in order, followed by the end mark.
+inline bool isWholeStream(const Answer &answer, int tokens)
+{
+    SseParser parser;
+    const auto parsed = toOutcome([&] { return parser.feed(answer.body); });
+    const auto &events = std::get<std::vector<SseEvent>>(parsed);
+    if (!answer.hasEnded || events.size() != static_cast<std::size_t>(tokens) + 1)
+        return false;
+    for (int number = 1; number <= tokens; ++number) {
+        const Json data = Json::parse(events[static_cast<std::size_t>(number) - 1].data);
+        if (data["choices"][0]["delta"]["content"] != "t" + std::to_string(number) + " ")
+            return false;
+    }
+    return events.back().data == StreamEndMark;
+}
+
 } // namespace lavenderhall
