--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -286,21 +286,22 @@
 {
     this->context.metrics.countAttemptFailure(toString(outcome));
     const bool mayHaveCrashed = outcome == AttemptOutcome::Broken && !this->hasBegun;
-    logEvent(LogLevel::Info, "attempt_failed",
-             {{"request", this->request.id},
-              {"endpoint", this->choice.endpointId},
-              {"end", toString(outcome)},
-              {"reason", reason},
-              {"begun", this->hasBegun ? 1 : 0},
-              {"answer_id", toString(answerOwner(this->head, this->request.id))},
-              {"sealed", this->head.isSealed ? 1 : 0},
-              {"statement", toString(this->statement)},
-              {"not_run_text", excerpt(this->head.notRunText)},
-              {"repeated_header", this->head.repeatedHeader},
-              {"earlier_answers", this->earlierAnswers},
-              {"shared_parts", joined(this->signature.sharedParts())},
-              {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
-              {"table", this->table->version()}});
+    std::vector<LogField> fields{
+        {"request", this->request.id},
+        {"endpoint", this->choice.endpointId},
+        {"end", toString(outcome)},
+        {"reason", reason},
+        {"begun", this->hasBegun ? 1 : 0},
+        {"answer_id", toString(answerOwner(this->head, this->request.id))},
+        {"sealed", this->head.isSealed ? 1 : 0},
+        {"statement", toString(this->statement)},
+        {"not_run_text", excerpt(this->head.notRunText)},
+        {"repeated_header", this->head.repeatedHeader},
+        {"shared_parts", joined(this->signature.sharedParts())},
+        {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
+        {"table", this->table->version()}};
+    this->addConnection(fields);
+    logEvent(LogLevel::Info, "attempt_failed", fields);
 }
 
 void ForwardCall::endAttempt(AttemptOutcome outcome, const std::string &reason)
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -334,6 +334,7 @@
     const AttemptMetadata metadata = this->metadataFor(chosen);
     this->expectedWeights = metadata.weightsVersion;
     http::CallRequest outgoing = this->context.adapter.writeAttempt(this->request, metadata);
+    outgoing.requestId = this->request.id;
     outgoing.to = endpoint->address;
     outgoing.connectTimeout = ConnectTimeout;
     outgoing.headTimeout = std::max(
@@ -352,7 +353,7 @@
     handlers.onEnd = [self] { self->onAnswerEnd(); };
     handlers.onFailed = [self](const http::CallFailure &failure) { self->onCallFailed(failure); };
     this->call = this->context.client.start(std::move(outgoing), std::move(handlers));
-    this->earlierAnswers = this->call->earlierAnswers();
+    this->usedConnection = this->call->usedConnection();
     this->armStartLimit();
 }
 
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -307,6 +307,16 @@
     fields.push_back({"arrived_in_drain_ms", arrived.count()});
 }
 
+void ForwardCall::addConnection(std::vector<LogField> &fields) const
+{
+    if (this->usedConnection.number == 0)
+        return;
+    fields.insert(fields.end(),
+                  {{"connection", this->usedConnection.number},
+                   {"earlier_answers", this->usedConnection.earlierAnswers},
+                   {"id_carried_before", this->usedConnection.hasCarriedId ? 1 : 0}});
+}
+
 StopOutcome ForwardCall::stopOutcome(int status) const
 {
     if (status == 0)
@@ -349,6 +359,7 @@
         {"endpoint", this->triedEndpoints.empty() ? "" : this->triedEndpoints.back()},
         {"ms", elapsed.count()},
         {"table", this->table ? this->table->version() : 0}};
+    this->addConnection(fields);
     this->addDrain(fields);
     this->addAdmission(fields);
     this->logEnd(status, std::move(fields));
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -173,6 +173,8 @@
     void addDrain(std::vector<LogField> &fields) const;
     /// Returns how the stop of the instance has ended the request, with HTTP \a status or 0.
     StopOutcome stopOutcome(int status) const;
+    /// Adds the connection of the last attempt to a log line, and what it had carried before.
+    void addConnection(std::vector<LogField> &fields) const;
     /// Logs the end of the request, with HTTP \a status or 0.
     void logEnd(int status, std::vector<LogField> fields) const;
     /// Adds what admission control has decided to a log line.
@@ -268,7 +270,7 @@
     Address relayInstance; ///< that has it
     std::vector<Address> askedInstances; ///< that the request was sent to, one after the other
     http::CallPtr call;
-    int earlierAnswers = 0; ///< that the attempt's connection had carried before
+    http::UsedConnection usedConnection; ///< of the last attempt
     Choice choice;
     Incarnation incarnation; ///< of the endpoint that the attempt was sent to
     MonoTime sentAt{}; ///< when the attempt was sent
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -124,7 +124,10 @@
               {"status", result.head.status},
               {"answer_id", toString(answerOwner(result.head, this->request.id))},
               {"sealed", result.head.isSealed ? 1 : 0},
-              {"reason", result.reason}});
+              {"reason", result.reason},
+              {"connection", result.usedConnection.number},
+              {"earlier_answers", result.usedConnection.earlierAnswers},
+              {"id_carried_before", result.usedConnection.hasCarriedId ? 1 : 0}});
 }
 
 void ForwardCall::onRelayEnd(const RelayResult &result)
--- a/src/forward/relay.cpp
+++ b/src/forward/relay.cpp
@@ -35,6 +35,7 @@
     outgoing.to = instance;
     outgoing.connectTimeout = ConnectTimeout;
     outgoing.headTimeout = timeLeft + AnswerMargin;
+    outgoing.requestId = this->requestId;
     outgoing.reuse = http::Reuse::Recent;
     const auto self = this->shared_from_this();
     http::CallHandlers handlers;
@@ -44,6 +45,7 @@
     handlers.onEnd = [self] { self->onAnswerEnd(); };
     handlers.onFailed = [self](const http::CallFailure &failure) { self->onFailed(failure); };
     this->call = client.start(std::move(outgoing), std::move(handlers));
+    this->usedConnection = this->call->usedConnection();
 }
 
 void Relay::cancel()
@@ -106,14 +108,14 @@
         return this->onFailed({true, true, false, true, "closed by the other instance"});
     const bool isRefusal = this->statement == RunStatement::NotRun;
     if (!isRefusal && promisesNotRun(this->head.status))
-        return this->end({RelayResult::Kind::Unknown, this->head, "unstated_refusal"});
+        return this->end(RelayResult::Kind::Unknown, "unstated_refusal");
     if (isRefusal && (this->head.status == UnableStatus || this->mayHaveRun))
-        return this->end({RelayResult::Kind::NotRun, this->head, {}});
+        return this->end(RelayResult::Kind::NotRun, {});
     if (this->exchange->hasBegun())
         this->exchange->end();
     else
         this->exchange->respond({this->head.status, this->head.headers, std::move(this->body)});
-    this->end({RelayResult::Kind::Answered, this->head, {}});
+    this->end(RelayResult::Kind::Answered, {});
 }
 
 void Relay::onFailed(const http::CallFailure &failure)
@@ -124,18 +126,18 @@
         this->call->cancel();
     this->call = nullptr;
     if (!failure.mayHaveBeenSent)
-        return this->end({RelayResult::Kind::NotRun, this->head, failure.reason});
+        return this->end(RelayResult::Kind::NotRun, failure.reason);
     if (!this->exchange->hasBegun())
-        return this->end({RelayResult::Kind::Unknown, this->head, failure.reason});
+        return this->end(RelayResult::Kind::Unknown, failure.reason);
     this->exchange->abort();
-    this->end({RelayResult::Kind::Broken, this->head, failure.reason});
+    this->end(RelayResult::Kind::Broken, failure.reason);
 }
 
-void Relay::end(const RelayResult &result)
+void Relay::end(RelayResult::Kind kind, const std::string &reason)
 {
     const Handler handler = std::exchange(this->onEnd, nullptr);
     if (handler)
-        handler(result);
+        handler({kind, this->head, reason, this->usedConnection});
 }
 
 } // namespace lavenderhall
--- a/src/forward/relay.h
+++ b/src/forward/relay.h
@@ -27,6 +27,7 @@
     Kind kind = Kind::Unknown;
     AnswerHead head; ///< of the other instance's answer, if one has arrived
     std::string reason; ///< why it does not count, or why none has arrived
+    http::UsedConnection usedConnection; ///< to the other instance
 
     bool operator==(const RelayResult &) const = default;
 };
@@ -65,7 +66,7 @@
     void onData(std::string_view data);
     void onAnswerEnd();
     void onFailed(const http::CallFailure &failure);
-    void end(const RelayResult &result);
+    void end(RelayResult::Kind kind, const std::string &reason);
 
     const PlatformAdapter &adapter;
     http::ExchangePtr exchange;
@@ -73,6 +74,7 @@
     const bool mayHaveRun;
     Handler onEnd;
     http::CallPtr call;
+    http::UsedConnection usedConnection;
     AnswerHead head;
     RunStatement statement = RunStatement::None; ///< of the head
     std::string body;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -61,9 +61,10 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-    ClientConnection(Client &client, Address to)
+    ClientConnection(Client &client, Address to, std::uint64_t number)
         : client(client)
         , to(std::move(to))
+        , number(number)
         , parser(MessageKind::Response,
                  {[this](const MessageHead &head) { return this->onHead(head); },
                   [this](std::string_view data) { this->onBody(data); }})
@@ -83,7 +84,10 @@
     void begin(const CallPtr &next)
     {
         this->call = next;
-        this->call->earlierAnswerCount = this->answerCount;
+        const std::string &id = this->call->request.requestId;
+        this->call->connectionUse
+            = {this->number, this->answerCount, this->carriedIds.contains(id)};
+        this->carriedIds.add(id);
         if (this->isConnected)
             this->send();
     }
@@ -235,6 +239,8 @@
 
     Client &client;
     const Address to;
+    const std::uint64_t number;
+    CarriedIds carriedIds; ///< of all calls, also of those that have failed
     Parser parser;
     Socket::Ptr socket;
     CallPtr call;
@@ -299,7 +305,8 @@
         return call;
     }
     if (isNew) {
-        call->connection = std::make_shared<ClientConnection>(*this, call->request.to);
+        call->connection = std::make_shared<ClientConnection>(*this, call->request.to,
+                                                              ++this->lastConnectionNumber);
         this->openConnections[call->request.to].insert(call->connection);
         ++this->connectionCount;
         call->timer
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/address.h"
+#include "http/carriedids.h"
 #include "http/loop.h"
 #include "http/message.h"
 #include "http/parser.h"
 #include "http/socket.h"
 
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <map>
@@ -37,6 +39,7 @@
     std::string path; ///< with the query
     Headers headers; ///< names in lower case; without a "host", the address is sent as the host
     std::string body;
+    std::string requestId; ///< that the answer bears too; empty if it bears none
     Reuse reuse = Reuse::Allowed;
     Millis connectTimeout = std::chrono::milliseconds(500);
     Millis headTimeout = std::chrono::seconds(10); ///< from sending until the answer's head
@@ -44,6 +47,16 @@
     std::size_t maxBodyBytes = 0; ///< of the answer, beyond which the call fails; 0 for no limit
 };
 
+/// The connection of a call, and what it had carried before.
+struct UsedConnection
+{
+    std::uint64_t number = 0; ///< among all connections of the client; 0: none
+    int earlierAnswers = 0;
+    bool hasCarriedId = false; ///< a request with the same id
+
+    bool operator==(const UsedConnection &) const = default;
+};
+
 /// Why a call failed, and how far it had come.
 struct CallFailure
 {
@@ -81,8 +94,7 @@
     /// Returns whether the answer has ended with its connection, as it had neither a length nor
     /// chunks. A server that crashes may end an answer in this way, too.
     bool hasEndedByClose() const { return this->endedByClose; }
-    /// Returns how many calls the connection had completed before this one.
-    int earlierAnswers() const { return this->earlierAnswerCount; }
+    const UsedConnection &usedConnection() const { return this->connectionUse; }
 
 private:
     friend class Client;
@@ -96,7 +108,7 @@
     CallFailure progress; ///< passed to onFailed if the call fails
     bool finished = false;
     bool endedByClose = false;
-    int earlierAnswerCount = 0;
+    UsedConnection connectionUse;
 };
 
 using CallPtr = std::shared_ptr<Call>;
@@ -142,6 +154,7 @@
     std::set<CallPtr> calls;
     std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
     std::size_t connectionCount = 0; ///< in openConnections
+    std::uint64_t lastConnectionNumber = 0;
 };
 
 /// Receives the complete answer, or nullptr and the failure if the call failed.
