Known red: the copy of a refusal ends a request that is sent again

An endpoint refuses a request and repeats the refusal where the next answer is due; the caller sends the request again, under its id, and it takes the same connection.

No functional change

--- a/src/forward/forwarderfixture.h
+++ b/src/forward/forwarderfixture.h
@@ -221,19 +221,32 @@
                           {{"resumes", begun}, {"last-event-id", std::to_string(after)}});
     }
 
+    /// The caller sends its last request again, under the same id.
+    http::SyncResult callAgain(const std::string &routeName)
+    {
+        return this->sendLast(routeName, "a1:80,b2:20", {}, {});
+    }
+
     std::string lastRequestId() const { return "r" + std::to_string(this->requestCount); }
 
     http::SyncResult send(const std::string &routeName, const std::string &parts,
                           const std::string &body, const http::Headers &extraHeaders)
+    {
+        ++this->requestCount;
+        return this->sendLast(routeName, parts, body, extraHeaders);
+    }
+
+    /// Sends a request under the id of the last one.
+    http::SyncResult sendLast(const std::string &routeName, const std::string &parts,
+                              const std::string &body, const http::Headers &extraHeaders)
     {
         http::CallRequest request;
         request.to = RouterAddress;
         request.method = http::Method::Post;
         request.path = "/" + routeName + "/x";
         request.body = body;
-        request.headers = {{"host", "h.example"},
-                           {"request-id", "r" + std::to_string(++this->requestCount)},
-                           {"deadline-ms", "4000"}};
+        request.headers = {
+            {"host", "h.example"}, {"request-id", this->lastRequestId()}, {"deadline-ms", "4000"}};
         request.headers.insert(request.headers.end(), extraHeaders.begin(), extraHeaders.end());
         const bool isPrompt = routeName == "stream" || routeName == "once";
         if (isPrompt) {
