Http: a connection carries each request id once

Cause: an endpoint refuses request X and repeats the refusal later. X is sent again under its id and takes the connection that carried the refusal, as the pool gives the one that was used last. The endpoint runs X; the copy comes first, bears X's id, and ends the attempt as not run. An answer was identified by the id alone, which is unique only as long as a connection carries it once. Class: an identifier is taken for unique in a scope in which nothing keeps it unique. Change: a client does not give a request a connection that has carried its id. If only such connections are idle, one of them is closed and a new one opened, so that a request that is sent many times does not leave as many connections behind. It holds for endpoints and for other instances (relayed requests), for all answers and not for refusals only, and however late a copy comes. Considered: to close a connection after each refusal. It is simpler, but costs a new connection for each refusal of a full endpoint, and leaves copies of other answers.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -314,7 +314,7 @@
     fields.insert(fields.end(),
                   {{"connection", this->usedConnection.number},
                    {"earlier_answers", this->usedConnection.earlierAnswers},
-                   {"id_carried_before", this->usedConnection.hasCarriedId ? 1 : 0}});
+                   {"passed_over", this->usedConnection.passedOver}});
 }
 
 StopOutcome ForwardCall::stopOutcome(int status) const
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -127,7 +127,7 @@
               {"reason", result.reason},
               {"connection", result.usedConnection.number},
               {"earlier_answers", result.usedConnection.earlierAnswers},
-              {"id_carried_before", result.usedConnection.hasCarriedId ? 1 : 0}});
+              {"passed_over", result.usedConnection.passedOver}});
 }
 
 void ForwardCall::onRelayEnd(const RelayResult &result)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <ranges>
 
 namespace lavenderhall::http {
 
@@ -84,10 +85,9 @@
     void begin(const CallPtr &next)
     {
         this->call = next;
-        const std::string &id = this->call->request.requestId;
-        this->call->connectionUse
-            = {this->number, this->answerCount, this->carriedIds.contains(id)};
-        this->carriedIds.add(id);
+        this->call->connectionUse.number = this->number;
+        this->call->connectionUse.earlierAnswers = this->answerCount;
+        this->carriedIds.add(this->call->request.requestId);
         if (this->isConnected)
             this->send();
     }
@@ -114,6 +114,10 @@
     MonoTime lastAnswer() const { return this->lastAnswerAt; }
     bool isRecent(MonoTime now) const { return now - this->lastAnswerAt < RecentAnswerTime; }
     bool hasInput() const { return this->socket->hasInput(); }
+    bool hasCarried(const std::string &requestId) const
+    {
+        return this->carriedIds.contains(requestId);
+    }
     void setReading(bool on) { this->socket->setReading(on); }
     /// Sets the timer that closes the connection while it is idle; an empty one stops it.
     void setIdleTimer(Timer timer) { this->idleTimer = std::move(timer); }
@@ -199,8 +203,8 @@
     }
 
     // Completes the call with its answer. The connection is used again only if the server has read
-    // the whole request, as it would otherwise take the rest for the next request, and only if no
-    // bytes have followed the answer.
+    // the whole request, as it would otherwise take the rest for the next request, if no bytes have
+    // followed the answer, and if it can remember the id of a further request.
     void complete(bool isInputConsumed)
     {
         const CallPtr completed = std::move(this->call);
@@ -210,8 +214,8 @@
         ++this->answerCount;
         const auto self = this->shared_from_this();
         this->socket->setReading(true); // the call may have stopped it at the answer's last part
-        if (isInputConsumed && this->isReusable && this->socket->backlog() == 0
-            && !this->socket->isClosed())
+        if (isInputConsumed && this->isReusable && !this->carriedIds.isFull()
+            && this->socket->backlog() == 0 && !this->socket->isClosed())
             this->client.addIdle(self);
         else
             this->close();
@@ -295,7 +299,7 @@
     call->request = std::move(request);
     call->handlers = std::move(handlers);
     this->calls.insert(call);
-    call->connection = this->takeIdle(call->request.to, call->request.reuse);
+    call->connection = this->takeIdle(*call);
     const bool isNew = !call->connection;
     if (isNew && this->connectionCount >= this->maxConnections && !this->closeLongestIdle()) {
         this->loop.post([this, weak = std::weak_ptr(call)] {
@@ -330,25 +334,45 @@
     return found == this->openConnections.end() ? 0 : found->second.size();
 }
 
-Client::ConnectionPtr Client::takeIdle(const Address &to, Reuse reuse)
+// The server may have sent an answer twice, and the second copy may still be on its way. Only the
+// id tells it from the answer to a later request, so a request that comes again takes a connection
+// that has not carried it. One that has is closed instead of a further one being kept beside it: a
+// caller that sends a request many times would otherwise leave as many connections behind.
+Client::ConnectionPtr Client::takeIdle(Call &call)
 {
-    while (reuse != Reuse::Never) {
-        const auto found = this->idleConnections.find(to);
-        if (found == this->idleConnections.end() || found->second.empty())
-            return nullptr;
-        ConnectionPtr latest = found->second.back();
-        if (reuse == Reuse::Recent && !latest->isRecent(monoNow()))
-            return nullptr;
+    const CallRequest &request = call.request;
+    const auto found = this->idleConnections.find(request.to);
+    if (found == this->idleConnections.end() || request.reuse == Reuse::Never)
+        return nullptr;
+    const MonoTime now = monoNow();
+    std::vector<ConnectionPtr> unusable;
+    ConnectionPtr lastCarrier;
+    ConnectionPtr taken;
+    for (const ConnectionPtr &idle : std::views::reverse(found->second)) {
+        if (request.reuse == Reuse::Recent && !idle->isRecent(now))
+            break;
+        if (idle->hasCarried(request.requestId)) {
+            ++call.connectionUse.passedOver;
+            lastCarrier = lastCarrier ? lastCarrier : idle;
+            continue;
+        }
         // Its server has ended it, or has sent what would be taken for the answer to this call.
-        if (latest->hasInput()) {
-            latest->close();
+        if (idle->hasInput()) {
+            unusable.push_back(idle);
             continue;
         }
-        found->second.pop_back();
-        latest->setIdleTimer({});
-        return latest;
+        taken = idle;
+        break;
+    }
+    if (!taken && lastCarrier)
+        unusable.push_back(lastCarrier);
+    if (taken) {
+        std::erase(found->second, taken);
+        taken->setIdleTimer({});
     }
-    return nullptr;
+    for (const ConnectionPtr &connection : unusable)
+        connection->close();
+    return taken;
 }
 
 void Client::addIdle(const ConnectionPtr &connection)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -39,7 +39,9 @@
     std::string path; ///< with the query
     Headers headers; ///< names in lower case; without a "host", the address is sent as the host
     std::string body;
-    std::string requestId; ///< that the answer bears too; empty if it bears none
+    /// That the answer bears too; empty if it bears none. No connection carries two requests with
+    /// one id, also if they are different ones.
+    std::string requestId;
     Reuse reuse = Reuse::Allowed;
     Millis connectTimeout = std::chrono::milliseconds(500);
     Millis headTimeout = std::chrono::seconds(10); ///< from sending until the answer's head
@@ -52,7 +54,8 @@
 {
     std::uint64_t number = 0; ///< among all connections of the client; 0: none
     int earlierAnswers = 0;
-    bool hasCarriedId = false; ///< a request with the same id
+    /// Idle connections that were not used, as they had carried a request with the same id.
+    int passedOver = 0;
 
     bool operator==(const UsedConnection &) const = default;
 };
@@ -137,8 +140,9 @@
     friend class ClientConnection;
     using ConnectionPtr = std::shared_ptr<ClientConnection>;
 
-    /// Takes an idle connection out of the pool; returns nullptr if there is no suitable one.
-    ConnectionPtr takeIdle(const Address &to, Reuse reuse);
+    /// Takes an idle connection for \a call out of the pool; returns nullptr if there is no
+    /// suitable one.
+    ConnectionPtr takeIdle(Call &call);
     /// Puts a connection that has completed its call into the pool.
     void addIdle(const ConnectionPtr &connection);
     /// Closes the connection that has been idle for longest; false if none is idle.
