Reports: no connection is used on after a report was misdirected

Cause: the pool holds connections by address, and a report and its answer bear no id. The endpoint that has taken over an address refuses the report asked of its predecessor (421) and repeats the refusal; the copy counted as its answer to the first report of its own, and a sound endpoint was avoided for 10 s by all instances, or suspended by the rollout. Change: after such an answer, the idle connections to the address are closed. Ruled out by reading: the copy of an answer to a caller's request. Load monitor, rollout controller and requests have clients, and so connections, of their own. An answer with another status counts as malformed, which changes nothing.

--- a/src/forward/enginecalls.cpp
+++ b/src/forward/enginecalls.cpp
@@ -36,16 +36,22 @@
 
 } // namespace
 
+// The answer to a report bears no id. The endpoint that has taken over the address may repeat its
+// refusal, and the copy must not count as its answer to a report of its own.
 void requestReport(http::Client &client, const PlatformAdapter &adapter,
                    const RegisteredEndpoint &engine, EngineCallTimeouts timeouts,
                    const ReportHandler &onAnswer)
 {
-    const auto onResponse = [&adapter, engine, onAnswer](const http::Response *response,
-                                                         const http::CallFailure &failure) {
+    const auto onResponse = [&client, &adapter, engine, onAnswer](
+                                const http::Response *response, const http::CallFailure &failure) {
         if (!response)
             return onAnswer(failure.mayHaveBeenSent ? ReportFailure::NoAnswer
                                                     : ReportFailure::NotReached);
-        onAnswer(readReport(adapter, engine, *response));
+        const auto answer = readReport(adapter, engine, *response);
+        const auto *reportFailure = std::get_if<ReportFailure>(&answer);
+        if (reportFailure && *reportFailure == ReportFailure::OtherEndpoint)
+            client.closeIdleConnections(engine.address);
+        onAnswer(answer);
     };
     callEngine(client, adapter.writeReportCall(engine), engine, timeouts, onResponse);
 }
--- a/src/forward/enginecalls_test.cpp
+++ b/src/forward/enginecalls_test.cpp
@@ -1,8 +1,12 @@
 #include "forward/enginecalls.h"
 #include "forwarderfixture.h"
+#include "rawendpoint.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <map>
+#include <string>
+#include <utility>
 
 using namespace lavenderhall;
 
@@ -43,6 +47,51 @@
     }
 };
 
+/// An endpoint at the address of one that has ended. It refuses the calls that name the ended one,
+/// and repeats the refusal where the next answer on the connection is due.
+class ReplacingEndpoint
+{
+public:
+    ReplacingEndpoint(http::Loop &loop, std::uint16_t port)
+        : endpoint(loop, Address{TestHost, port},
+                   [this](const RawEndpoint::ConnectionPtr &to) { this->answer(to); })
+    { }
+
+    RegisteredEndpoint entry(const std::string &id) const
+    {
+        return this->endpoint.entry(id, "models", Zone);
+    }
+
+private:
+    void answer(const RawEndpoint::ConnectionPtr &connection)
+    {
+        std::string &copy = this->copies[connection.get()];
+        if (http::findHeader(connection->headers, "target-instance") != "current") {
+            copy = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+            connection->socket->write(copy);
+            return;
+        }
+        const std::string report = R"({"seq": 1, "models": []})";
+        connection->socket->write(std::exchange(copy, {}) + "HTTP/1.1 200 OK\r\nContent-Length: "
+                                  + std::to_string(report.size()) + "\r\n\r\n" + report);
+    }
+
+    std::map<const RawEndpoint::Connection *, std::string> copies;
+    RawEndpoint endpoint;
+};
+
+/// Returns whether \a engine answers with a report.
+bool isReported(http::Loop &loop, http::Client &client, const RegisteredEndpoint &engine)
+{
+    bool hasReport = false;
+    requestReport(client, platform::adapter(), engine, {}, [&](const auto &answer) {
+        hasReport = std::holds_alternative<EngineReport>(answer);
+        loop.stop();
+    });
+    loop.runFor(MaxTestTime);
+    return hasReport;
+}
+
 } // namespace
 
 // Guards against a second copy of a report's answer that counts as the answer to an order.
@@ -58,3 +107,14 @@
         cr_assert(called.client.connectionsTo(called.engine.address) == 1U + orders);
     }
 }
+
+// Guards against a sound endpoint that is taken out because of the second copy of a refusal, by
+// which it answered a report that its predecessor at the address was asked for.
+Test(enginecalls, the_copy_of_a_refused_report_counts_as_the_answer_to_the_next_one)
+{
+    http::Loop loop;
+    http::Client client{loop};
+    const ReplacingEndpoint endpoint(loop, 18163);
+    cr_assert(not(isReported(loop, client, endpoint.entry("ended"))));
+    cr_assert(isReported(loop, client, endpoint.entry("current")));
+}
