Orders: the connection of an order carries nothing else, before or after

Cause: an order took a connection of its own, but left it in the pool, where reports use it. Neither bears an id. A copy of the order's answer counted as a report: that of a 421 took a sound endpoint at the address out of the rollout. Change: once an order has been answered, the idle connections to its address are closed: its own, and that of the reports, which open a new one. Orders are rare, and the engine loads weights meanwhile. The test an_order_uses_no_connection_that_has_carried_another_call counted the connections left open, which are closed now. It is replaced by an_order_shares_a_connection_with_another_call, which traces what each connection carries: as before, no order on one that has carried a call, and also no call after an order.

--- a/src/forward/enginecalls.cpp
+++ b/src/forward/enginecalls.cpp
@@ -57,15 +57,17 @@
 }
 
 // An order and its answer bear no id that would tell the answer from another one. On a connection
-// that has carried a report, a second copy of the report's answer would count as the order's.
+// that has carried a report, a second copy of the report's answer would count as the order's, and
+// the other way round. So an order has a connection of its own, which is closed after it.
 void sendOrder(http::Client &client, const PlatformAdapter &adapter,
                const RegisteredEndpoint &engine, const WeightsOrder &order,
                EngineCallTimeouts timeouts, const OrderHandler &onAnswer)
 {
     http::CallRequest request = adapter.writeOrder(engine, order);
     request.reuse = http::Reuse::Never;
-    const auto onResponse = [&adapter, onAnswer](const http::Response *response,
-                                                 const http::CallFailure &failure) {
+    const auto onResponse = [&client, &adapter, to = engine.address, onAnswer](
+                                const http::Response *response, const http::CallFailure &failure) {
+        client.closeIdleConnections(to);
         if (response)
             return onAnswer(adapter.readOrderAnswer(*response), true);
         onAnswer(failure.mayHaveBeenSent ? OrderAnswer::Unknown : OrderAnswer::Conflict, false);
--- a/src/forward/enginecalls_test.cpp
+++ b/src/forward/enginecalls_test.cpp
@@ -17,34 +17,49 @@
 {
     http::Loop loop;
     http::Client client{this->loop};
-    TestEndpoint engine{this->loop, "engine", 18161};
+    std::map<const RawEndpoint::Connection *, std::string> calls; ///< 'r' for a report, 'o' order
     OrderAnswer lastAnswer = OrderAnswer::Unknown;
-
-    CalledEngine()
-    {
-        this->engine.onRequest = [](const http::ExchangePtr &exchange) {
-            if (exchange->request().path == "/v1/order")
-                return exchange->respond({202, {}, ""});
-            exchange->respond({200, {}, R"({"seq": 1, "models": []})"});
-        };
-    }
+    RawEndpoint engine{this->loop, Address{TestHost, 18161},
+                       [this](const RawEndpoint::ConnectionPtr &to) { this->answer(to); }};
 
     void report()
     {
-        requestReport(this->client, platform::adapter(), this->engine.entry("models", 1), {},
+        requestReport(this->client, platform::adapter(), this->entry(), {},
                       [this](const auto &) { this->loop.stop(); });
         this->loop.runFor(MaxTestTime);
     }
 
     void order()
     {
-        sendOrder(this->client, platform::adapter(), this->engine.entry("models", 1),
-                  {Model, 2, "node", 1, 1}, {}, [this](OrderAnswer answer, bool) {
+        sendOrder(this->client, platform::adapter(), this->entry(), {Model, 2, "node", 1, 1}, {},
+                  [this](OrderAnswer answer, bool) {
                       this->lastAnswer = answer;
                       this->loop.stop();
                   });
         this->loop.runFor(MaxTestTime);
     }
+
+    std::size_t connectionsWith(const std::string &carried) const
+    {
+        std::size_t count = 0;
+        for (const auto &[connection, carriedCalls] : this->calls)
+            count += carriedCalls == carried ? 1U : 0U;
+        return count;
+    }
+
+private:
+    RegisteredEndpoint entry() const { return this->engine.entry("engine", "models", Zone); }
+
+    void answer(const RawEndpoint::ConnectionPtr &connection)
+    {
+        // Only an order has a body.
+        const bool isOrder = !http::findHeader(connection->headers, "content-type").empty();
+        this->calls[connection.get()] += isOrder ? "o" : "r";
+        const std::string body = isOrder ? "" : R"({"seq": 1, "models": []})";
+        connection->socket->write(std::string("HTTP/1.1 ") + (isOrder ? "202" : "200")
+                                  + " OK\r\nContent-Length: " + std::to_string(body.size())
+                                  + "\r\n\r\n" + body);
+    }
 };
 
 /// An endpoint at the address of one that has ended. It refuses the calls that name the ended one,
@@ -94,17 +109,20 @@
 
 } // namespace
 
-// Guards against a second copy of a report's answer that counts as the answer to an order.
-Test(enginecalls, an_order_uses_no_connection_that_has_carried_another_call)
+// Guards against a second copy of a report's answer that counts as the answer to an order, and of
+// an order's that counts as the answer to a report or another order.
+Test(enginecalls, an_order_shares_a_connection_with_another_call)
 {
     CalledEngine called;
     called.report();
     called.report();
-    cr_assert(called.client.connectionsTo(called.engine.address) == 1U);
+    cr_assert(called.connectionsWith("rr") == 1U);
     for (std::size_t orders = 1; orders <= 3; ++orders) {
         called.order();
         cr_assert(called.lastAnswer == OrderAnswer::Accepted);
-        cr_assert(called.client.connectionsTo(called.engine.address) == 1U + orders);
+        cr_assert(called.connectionsWith("o") == orders);
+        called.report();
+        cr_assert(called.connectionsWith("o") == orders);
     }
 }
 
@@ -118,3 +136,21 @@
     cr_assert(not(isReported(loop, client, endpoint.entry("ended"))));
     cr_assert(isReported(loop, client, endpoint.entry("current")));
 }
+
+// Guards against a sound endpoint that is taken out because of the second copy of the answer to an
+// order.
+Test(enginecalls, the_copy_of_a_refused_order_counts_as_the_answer_to_a_report)
+{
+    http::Loop loop;
+    http::Client client{loop};
+    const ReplacingEndpoint endpoint(loop, 18164);
+    OrderAnswer ordered = OrderAnswer::Unknown;
+    sendOrder(client, platform::adapter(), endpoint.entry("ended"), {Model, 2, "node", 1, 1}, {},
+              [&](OrderAnswer answer, bool) {
+                  ordered = answer;
+                  loop.stop();
+              });
+    loop.runFor(MaxTestTime);
+    cr_assert(ordered == OrderAnswer::OtherEndpoint);
+    cr_assert(isReported(loop, client, endpoint.entry("current")));
+}
