Router: no connection carries two attempts of one request

Cause: calls of the OpenAI dialect did not tell the client their id, so an attempt could take the connection that had carried an earlier attempt of the same request. The copy of the engine's 429 bore its id and ended the second attempt, which ran; a third one ran too. Change: CallRequest::requestId is set for engines and services. Ruled out by reading: a request that its caller sends again. The gateway gives each arrival a random id, and a claim under an idempotency key compares the request's fingerprint and lives in the store; routes that may not be repeated use new connections. Services are not tried twice by one request, for them the id is a precaution.

--- a/src/router/foreignrefusals_test.cpp
+++ b/src/router/foreignrefusals_test.cpp
@@ -2,6 +2,8 @@
 #include "router/routerfixture.h"
 
 #include <map>
+#include <set>
+#include <utility>
 
 using namespace lavenderhall;
 
@@ -37,6 +39,57 @@
     RawEndpoint endpoint;
 };
 
+/// Refuses each request when it arrives for the first time and runs it when it comes again. On a
+/// connection that has carried a refusal, its copy comes where the answer to the run is due.
+class RefusingEngine
+{
+public:
+    RefusingEngine(http::Loop &loop, const Address &address)
+        : endpoint(loop, address,
+                   [this](const RawEndpoint::ConnectionPtr &to) { this->answer(to); })
+    { }
+
+    int runCount() const { return this->runs; }
+
+private:
+    static std::string answerBytes(const std::string &status, const std::string &id,
+                                   const Json &body)
+    {
+        const std::string text = body.dump();
+        return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n"
+            + (id.empty() ? "" : "X-Request-Id: " + id + "\r\n")
+            + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    }
+
+    void answer(const RawEndpoint::ConnectionPtr &connection)
+    {
+        const std::string id(http::findHeader(connection->headers, RequestIdHeader));
+        if (id.empty()) {
+            const Json load{{"incarnation", 1},
+                            {"running", 0},
+                            {"waiting", 0},
+                            {"cached_blocks", 0},
+                            {"loaded", {"loom@v1"}}};
+            connection->socket->write(answerBytes("200 OK", "", load));
+            return;
+        }
+        std::string &copy = this->copies[connection.get()];
+        if (this->arrived.insert(id).second) {
+            copy = answerBytes("429 Refused", id, {{"error", "full"}});
+            connection->socket->write(copy);
+            return;
+        }
+        ++this->runs;
+        connection->socket->write(std::exchange(copy, {})
+                                  + answerBytes("200 OK", id, {{"id", "chatcmpl-" + id}}));
+    }
+
+    std::set<std::string> arrived; ///< ids of requests
+    std::map<const RawEndpoint::Connection *, std::string> copies;
+    int runs = 0;
+    RawEndpoint endpoint;
+};
+
 } // namespace
 
 // Guards against a request that ran and was sent again, or was reported as not run, because its
@@ -105,3 +158,18 @@
     const Answer second = fixture.call(http::Method::Get, path, fixture.millKey.secret, "");
     cr_assert(second.body != first.body, "%s", second.body.c_str());
 }
+
+// Guards against a request that runs once more at an engine, because the copy of the engine's
+// refusal counted as the answer to its run.
+Test(foreignrefusals, the_copy_of_an_engines_refusal_ends_a_request_that_comes_again)
+{
+    Fixture fixture;
+    const Address address = localAddress(5);
+    const RefusingEngine engine(fixture.loop, address);
+    fixture.document["endpoints"][0]["port"] = address.port;
+    fixture.document["endpoints"].erase(1);
+    fixture.publishDocument();
+    const Answer answer = fixture.complete("review", 4, false);
+    cr_assert(answer.status == 200, "%d %s", answer.status, answer.body.c_str());
+    cr_assert(engine.runCount() == 1, "%d runs", engine.runCount());
+}
--- a/src/router/modelcall.cpp
+++ b/src/router/modelcall.cpp
@@ -215,6 +215,7 @@
 {
     http::CallRequest request;
     request.to = view.endpoint.address;
+    request.requestId = this->caller.id;
     request.method = http::Method::Post;
     request.path = this->modelRequest.path;
     request.headers = {{"content-type", "application/json"},
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -226,6 +226,7 @@
     const http::Request &received = this->caller.exchange->request();
     http::CallRequest request;
     request.to = view.endpoint.address;
+    request.requestId = this->caller.id;
     request.method = received.method;
     request.path = this->path;
     request.headers = {{"authorization", "Bearer " + this->context.settings.engineCredential},
