Router: an answer to a request is no load report

Cause: polls of the engines' loads travel on the connections of requests, and any JSON object counted as a report. The copy of an engine's refusal was read as a report of no loaded weights: the engine got no requests until the next poll, and its cached prompts were taken for lost. Change: a load report has status 200, no id of a request, and the engine's incarnation. Another answer changes nothing, and the idle connections to the engine are closed, as one of them is out of step. Considered: a client for polls alone. It needs descriptors of its own in the plan. Open: the copy of a load report with another status than 200 (it bears no id) may still count as the answer to a repeatable request.

--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -36,6 +36,14 @@
     return timings;
 }
 
+/// Returns whether \a response answers the request for a load report, and not that of a caller,
+/// which travels on the same connections.
+bool isLoadReport(const http::Response &response)
+{
+    return response.status == 200 && http::findHeader(response.headers, RequestIdHeader).empty()
+        && readJson(response.body).contains("incarnation");
+}
+
 LoadReport readLoadReport(const Json &json)
 {
     LoadReport report;
@@ -298,20 +306,19 @@
     request.path = "/v1/load";
     request.headTimeout = LoadTimeout;
     request.headers = {{"authorization", "Bearer " + this->settings.engineCredential}};
-    const auto body = std::make_shared<std::string>();
-    http::CallHandlers handlers;
-    handlers.onData = [body](std::string_view data) { body->append(data); };
-    handlers.onEnd = [this, name, body] {
+    const auto onAnswer = [this, name, address = view.endpoint.address](
+                              const http::Response *response, const http::CallFailure &) {
         this->pendingLoadPolls.erase(name);
-        const Json json = readJson(*body);
-        if (!json.is_object())
+        if (!response)
             return;
-        if (this->context.endpointTable.onLoadReport(name, readLoadReport(json), monoNow()))
+        // The copy of an earlier answer; the answers on its connection belong to other calls.
+        if (!isLoadReport(*response))
+            return this->endpointClient.closeIdleConnections(address);
+        const LoadReport report = readLoadReport(readJson(response->body));
+        if (this->context.endpointTable.onLoadReport(name, report, monoNow()))
             this->context.history.onCacheLost(name);
     };
-    handlers.onFailed
-        = [this, name](const http::CallFailure &) { this->pendingLoadPolls.erase(name); };
-    this->endpointClient.start(std::move(request), std::move(handlers));
+    http::startBuffered(this->endpointClient, std::move(request), onAnswer);
 }
 
 Json Daemon::status() const
--- a/src/router/foreignrefusals_test.cpp
+++ b/src/router/foreignrefusals_test.cpp
@@ -40,7 +40,7 @@
 };
 
 /// Refuses each request when it arrives for the first time and runs it when it comes again. On a
-/// connection that has carried a refusal, its copy comes where the answer to the run is due.
+/// connection that has carried a refusal, its copy comes where the next answer is due.
 class RefusingEngine
 {
 public:
@@ -50,6 +50,8 @@
     { }
 
     int runCount() const { return this->runs; }
+    /// Returns how many copies have come where a load report was due.
+    int copiesToPolls() const { return this->repeatedToPolls; }
 
 private:
     static std::string answerBytes(const std::string &status, const std::string &id,
@@ -64,16 +66,17 @@
     void answer(const RawEndpoint::ConnectionPtr &connection)
     {
         const std::string id(http::findHeader(connection->headers, RequestIdHeader));
+        std::string &copy = this->copies[connection.get()];
         if (id.empty()) {
             const Json load{{"incarnation", 1},
                             {"running", 0},
                             {"waiting", 0},
                             {"cached_blocks", 0},
                             {"loaded", {"loom@v1"}}};
-            connection->socket->write(answerBytes("200 OK", "", load));
+            this->repeatedToPolls += copy.empty() ? 0 : 1;
+            connection->socket->write(std::exchange(copy, {}) + answerBytes("200 OK", "", load));
             return;
         }
-        std::string &copy = this->copies[connection.get()];
         if (this->arrived.insert(id).second) {
             copy = answerBytes("429 Refused", id, {{"error", "full"}});
             connection->socket->write(copy);
@@ -87,6 +90,7 @@
     std::set<std::string> arrived; ///< ids of requests
     std::map<const RawEndpoint::Connection *, std::string> copies;
     int runs = 0;
+    int repeatedToPolls = 0;
     RawEndpoint endpoint;
 };
 
@@ -173,3 +177,20 @@
     cr_assert(answer.status == 200, "%d %s", answer.status, answer.body.c_str());
     cr_assert(engine.runCount() == 1, "%d runs", engine.runCount());
 }
+
+// Guards against an engine that gets no requests, because the copy of an answer to one counted as
+// its load report.
+Test(foreignrefusals, the_copy_of_a_refusal_counts_as_a_load_report)
+{
+    Fixture fixture;
+    const Address address = localAddress(6);
+    const RefusingEngine engine(fixture.loop, address);
+    fixture.document["endpoints"][0]["port"] = address.port;
+    fixture.document["endpoints"].erase(1);
+    fixture.publishDocument();
+    cr_assert(fixture.complete("once", 4, false).status == 502);
+    fixture.waitUntil([&] { return engine.copiesToPolls() == 1; });
+    fixture.loop.runFor(Millis(5));
+    const Answer answer = fixture.complete("review", 4, false);
+    cr_assert(answer.status == 200, "%d %s", answer.status, answer.body.c_str());
+}
