Store: an answer about another object does not count

The second copy of an earlier answer on a kept connection was read as another object's content, or as the confirmation of another object's write. Change: an answer about another object is passed on as Unknown, as if it had been lost (a write may have been applied), and the idle connections to the store are closed. Open: copies of answers that name no object (404, 429, 503), of lists and of watches, and of an earlier answer about the same object. Ruled out by reading for the lease, with a copy about itself: a write is confirmed only by a record with its own write number, which is never used twice, and each write is conditional on its revision.

--- a/src/store/objects.cpp
+++ b/src/store/objects.cpp
@@ -1,5 +1,7 @@
 #include "store/objects.h"
 
+#include "base/log.h"
+
 namespace lavenderhall {
 
 namespace {
@@ -56,11 +58,26 @@
                                     this->codec.readChanges, handler);
 }
 
+// Answers bear no id. The second copy of an earlier answer is recognised if it has another object.
+// A write whose answer was another one's may have been applied.
+void ObjectClient::startForObject(const http::CallRequest &request, const std::string &name,
+                                  const ReplyHandler &handler)
+{
+    const auto onReply = [this, name, handler](const ObjectReply &reply) {
+        if (!reply.object || reply.object->name == name)
+            return handler(reply);
+        logEvent(LogLevel::Warning, "store_answer_foreign",
+                 {{"object", name}, {"answered", reply.object->name}});
+        this->client.closeIdleConnections(this->address);
+        handler({});
+    };
+    this->startTyped<ObjectReply>(request, CallTimeout, this->codec.readReply, onReply);
+}
+
 void ObjectClient::read(const std::string &kind, const std::string &name,
                         const ReplyHandler &handler)
 {
-    this->startTyped<ObjectReply>(this->codec.read(kind, name), CallTimeout, this->codec.readReply,
-                                  handler);
+    this->startForObject(this->codec.read(kind, name), name, handler);
 }
 
 // Writes only reuse a connection that was used recently: if an idle one has been closed unnoticed,
@@ -70,7 +87,7 @@
 {
     http::CallRequest call = this->codec.create(kind, object);
     call.reuse = http::Reuse::Recent;
-    this->startTyped<ObjectReply>(call, CallTimeout, this->codec.readReply, handler);
+    this->startForObject(call, object.name, handler);
 }
 
 void ObjectClient::replace(const std::string &kind, const StoredObject &object,
@@ -78,7 +95,7 @@
 {
     http::CallRequest call = this->codec.replace(kind, object);
     call.reuse = http::Reuse::Recent;
-    this->startTyped<ObjectReply>(call, CallTimeout, this->codec.readReply, handler);
+    this->startForObject(call, object.name, handler);
 }
 
 void ObjectClient::replaceStatus(const std::string &kind, const StoredObject &object,
@@ -86,7 +103,7 @@
 {
     http::CallRequest call = this->codec.replaceStatus(kind, object);
     call.reuse = http::Reuse::Recent;
-    this->startTyped<ObjectReply>(call, CallTimeout, this->codec.readReply, handler);
+    this->startForObject(call, object.name, handler);
 }
 
 } // namespace lavenderhall
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -103,6 +103,10 @@
 
 private:
     void start(http::CallRequest request, Millis timeout, const http::ResponseHandler &handler);
+    /// Starts a call for the object \a name of a kind. The answer about another one is passed on as
+    /// StoreStatus::Unknown.
+    void startForObject(const http::CallRequest &request, const std::string &name,
+                        const ReplyHandler &handler);
     template <typename Reply>
     void startTyped(const http::CallRequest &request, Millis timeout,
                     Reply (*readAnswer)(const http::Response &response),
