Limits: an answer about another endpoint grants no permit

Cause: a process counts its requests for permits from 1, and an answer names only the number. A late answer to an earlier process of the instance could grant a permit that was issued for another endpoint. Change: the answer counts if it is about the endpoint that the permit was asked for. Ruled out by reading: a repeated answer. Its number is settled with the first one. A late answer about the same endpoint grants a permit that the issuer has counted and that the earlier process has not used, so the limit holds.

--- a/src/forward/limitmonitor.cpp
+++ b/src/forward/limitmonitor.cpp
@@ -161,9 +161,14 @@
     this->hooks.answer(from, answer);
 }
 
+// Each process counts its requests from 1, so a late answer to an earlier process of this instance
+// may bear the number of another request.
 void LimitMonitor::onPermitAnswer(const proto::PermitAnswer &answer, MonoTime now)
 {
     this->onTold(answer.limit(), now);
+    const auto found = this->pending.find(answer.number());
+    if (found == this->pending.end() || found->second.endpoint != endpointOf(answer.limit()))
+        return;
     const Millis wait(std::clamp<std::int64_t>(answer.wait_ms(), 0, MaxWait.count()));
     this->settle(answer.number(), answer.granted(), wait, now);
 }
--- a/src/forward/limitmonitor_test.cpp
+++ b/src/forward/limitmonitor_test.cpp
@@ -134,3 +134,26 @@
     for (std::size_t index = 0; index < 3; ++index)
         cr_assert(not(group.at(index).isLimited(Endpoint)));
 }
+
+// Guards against a permit of one endpoint that counts for another one, because an answer to an
+// earlier process of the instance came late and bore the same number.
+Test(limitmonitor, a_late_answer_about_another_endpoint_grants_no_permit)
+{
+    Group group;
+    group.at(1).onNamed(Endpoint, limitOf(10), group.now);
+    group.losesRequests = true;
+    std::vector<bool> answers;
+    group.at(1).requestPermit(
+        Endpoint, [&](bool isGranted) { answers.push_back(isGranted); }, group.now);
+    proto::PermitAnswer late;
+    late.set_number(1);
+    late.set_granted(true);
+    late.mutable_limit()->set_endpoint("other");
+    late.mutable_limit()->set_born_ms(1);
+    group.at(1).onPermitAnswer(late, group.now);
+    cr_assert(answers.empty());
+    late.mutable_limit()->set_endpoint(Endpoint.endpointId);
+    late.mutable_limit()->set_born_ms(Endpoint.startMillis);
+    group.at(1).onPermitAnswer(late, group.now);
+    cr_assert(answers == std::vector<bool>{true});
+}
