--- a/src/forward/forwarderrelay_test.cpp
+++ b/src/forward/forwarderrelay_test.cpp
@@ -1,7 +1,11 @@
 #include "forward/forwarderfixture.h"
+#include "forward/rawendpoint.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <map>
+#include <string>
+#include <utility>
 
 using namespace lavenderhall;
 
@@ -9,6 +13,7 @@
 
 const Address RelayAddress{TestHost, 18134};
 constexpr int UnreachableEndpoints = 5;
+constexpr Millis AvoidanceTime{1100}; ///< after which an instance that has refused is asked again
 
 /// An instance that reaches no endpoint, and another one that does.
 struct CutOffFixture : Fixture
@@ -207,3 +212,32 @@
     cr_assert(fixture.other.exchanges.size() == 2U, "%zu", fixture.other.exchanges.size());
     cr_assert(late.exchanges.size() == 2U, "%zu", late.exchanges.size());
 }
+
+// Another instance refuses a relayed request and repeats the refusal when the request comes again.
+// Guards against a booking that runs there and is reported as not run.
+Test(forwarderrelay, the_copy_of_an_instances_refusal_ends_a_booking_that_is_sent_again)
+{
+    CutOffFixture fixture;
+    const Address address{TestHost, 18137};
+    std::map<const RawEndpoint::Connection *, std::string> copies;
+    int arrivals = 0;
+    const auto answer = [&](const RawEndpoint::ConnectionPtr &connection) {
+        const std::string ids = "\r\nRequest-Id: " + connection->requestId();
+        const std::string refusal = "HTTP/1.1 " + std::to_string(UnableStatus)
+            + " Unable\r\nNot-Executed: 1" + ids + "\r\nContent-Length: 0\r\n\r\n";
+        const std::string done
+            = "HTTP/1.1 200 OK\r\nResponse-Seal: seal" + ids + "\r\nContent-Length: 4\r\n\r\ndone";
+        std::string &copy = copies[connection.get()];
+        if (++arrivals == 1)
+            return connection->socket->write(copy = refusal);
+        connection->socket->write(std::exchange(copy, {}) + done);
+    };
+    const RawEndpoint instance(fixture.loop, address, answer);
+    fixture.context.relayInstances = [address] { return std::vector<Address>{address}; };
+    cr_assert(fixture.call("book").response.status != 200);
+    cr_assert(arrivals == 1);
+    fixture.loop.runFor(AvoidanceTime);
+    const http::SyncResult served = fixture.callAgain("book");
+    cr_assert(arrivals == 2, "%d", arrivals);
+    cr_assert(served.response.status == 200, "%d", served.response.status);
+}
