Log: a class for each line, with a rate of its own

Cause: all lines but those of a stop shared 400 a second. A busy instance writes two for each request that it serves, and these displace attempt_failed, relay_ended and the ends of requests that failed. Change: a line has a class (routine, refusal, failure, stop), and each class has its own 400 a second. logStopEvent and its header are gone. Of the class failure are attempt_failed, request_relayed, relay_ended, stream_resumed, caller_resumes_stream, the choice of each attempt after the first, and request_done of a request that failed, took several attempts, was relayed, came from another instance, or had been sent before. Refusals of requests that were sent nowhere are a class apart, as thousands of them come at once under overload. event=log_lines_lost says how many of each class were lost. Not shown: that lost lines explain the record. The test on stops in base_test checks each class now, and that the reported losses are exact.

--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -1,7 +1,7 @@
 #include "base/address.h"
 #include "base/log.h"
+#include "base/logcapture.h"
 #include "base/logratelimiter.h"
-#include "base/stoplog.h"
 
 #include <array>
 #include <criterion/criterion.h>
@@ -59,36 +59,51 @@
     cr_assert(rest.find("event=after") != std::string::npos);
 }
 
-// A busy instance has used up the rate of its log when its stop ends hundreds of requests at once.
-// Guards against the loss of the lines that tell what became of them and why the process ended, and
-// of the number of ordinary lines that were dropped before.
-Test(log, lines_on_a_stop_are_written_when_the_rate_of_ordinary_lines_is_used_up)
+// A busy instance has used up the rate of its routine lines when a request fails, or when its stop
+// ends hundreds of requests at once. Guards against the loss of the lines that tell what became of
+// them, and of the number of lines that were dropped before.
+Test(log, lines_of_a_class_are_written_when_the_rates_of_all_others_are_used_up)
 {
-    FILE *output = tmpfile();
-    cr_assert(output != nullptr);
-    const int savedOutput = dup(STDOUT_FILENO);
-    dup2(fileno(output), STDOUT_FILENO);
-    openLog(LogLevel::Info, "one");
-    for (int line = 0; line < 3000; ++line)
-        logEvent(LogLevel::Info, "ordinary", {{"number", line}});
-    for (int line = 0; line < 500; ++line)
-        logStopEvent(LogLevel::Info, "request_done", {{"number", line}});
-    logStopEvent(LogLevel::Info, "stopped");
-    dup2(savedOutput, STDOUT_FILENO);
-    rewind(output);
-    std::array<char, 512> line{};
-    int ended = 0;
-    bool hasLoss = false;
-    std::string last;
-    while (fgets(line.data(), static_cast<int>(line.size()), output)) {
-        last = line.data();
-        ended += last.find("event=request_done") != std::string::npos ? 1 : 0;
-        hasLoss = hasLoss || last.find("event=log_lines_lost") != std::string::npos;
+    for (const LineClass lineClass : LineClasses) {
+        LogCapture log;
+        std::uint64_t lost = 0;
+        for (const LineClass other : LineClasses) {
+            if (other == lineClass)
+                continue;
+            const std::uint64_t lostBefore = lostLogLines(other);
+            useUpRate(other);
+            cr_assert(lostLogLines(other) > lostBefore);
+            lost += lostLogLines(other) - lostBefore;
+        }
+        for (int line = 0; line < 500; ++line)
+            logEvent(LogLevel::Info, lineClass, "request_done", {{"number", line}});
+        logEvent(LogLevel::Info, lineClass, "last");
+        const std::string text = log.text();
+        cr_assert(countOf(text, "event=request_done") == 500U, "%s", toString(lineClass));
+        cr_assert(countOf(text, "event=last") == 1U);
+        const std::string last = text.substr(text.rfind('\n', text.size() - 2) + 1);
+        cr_assert(last.find("event=last") != std::string::npos, "%s", last.c_str());
+        std::uint64_t reported = 0;
+        const std::string losses = "event=log_lines_lost lines=";
+        for (std::size_t at = 0; (at = text.find(losses, at)) != std::string::npos;) {
+            at += losses.size();
+            reported += std::stoull(text.substr(at));
+        }
+        cr_assert(reported == lost, "%s", toString(lineClass));
+        cr_assert(countOf(text, " " + std::string(toString(lineClass)) + "=0 ") > 0U);
     }
-    static_cast<void>(fclose(output));
-    cr_assert(ended == 500, "%d", ended);
-    cr_assert(hasLoss);
-    cr_assert(last.find("event=stopped") != std::string::npos, "%s", last.c_str());
+}
+
+// Guards against failures that fill a disk: no class is without a limit.
+Test(log, lines_of_each_class_are_limited)
+{
+    LogCapture log;
+    for (const LineClass lineClass : LineClasses)
+        useUpRate(lineClass);
+    constexpr std::size_t MaxLines = 2000; // of each class, also on a slow machine
+    cr_assert(countOf(log.text(), "event=filler") < MaxLines * LineClasses.size());
+    for (const LineClass lineClass : LineClasses)
+        cr_assert(lostLogLines(lineClass) > 0U, "%s", toString(lineClass));
 }
 
 // What passes the check can be connected to.
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,8 +2,9 @@
 
 #include "base/clock.h"
 #include "base/logratelimiter.h"
-#include "base/stoplog.h"
 
+#include <array>
+#include <atomic>
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -54,17 +55,27 @@
     return name;
 }
 
-// Whether the line that this thread writes is one of logStopEvent(). The logging library passes its
-// appender nothing but the level and the text.
-thread_local bool isStopLine = false;
+// Of the line that this thread writes. The logging library passes its appender nothing but the
+// level and the text.
+thread_local LineClass currentClass = LineClass::Routine;
 
+constexpr std::size_t indexOf(LineClass lineClass)
+{
+    return static_cast<std::size_t>(lineClass);
+}
+
+// Since the start, by class.
+std::array<std::atomic<std::uint64_t>, LineClasses.size()> lostLines{};
+
+// Of each class.
 constexpr double LinesPerSecond = 400;
 constexpr double BurstLines = 1000;
 // A pipe that poll() reports as writable accepts at least this many bytes without blocking.
 constexpr std::size_t MaxLineBytes = 4096;
 
 /// Writes lines to standard output without blocking. Lines that it cannot accept at once, or that
-/// exceed the rate, are dropped, and their number is logged with the next line that is written.
+/// exceed the rate of their class, are dropped, and their number is logged with the next line that
+/// is written.
 class BoundedAppender : public log4cxx::AppenderSkeleton
 {
 public:
@@ -79,17 +90,21 @@
 protected:
     void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
     {
-        LogRateLimiter &limiter = isStopLine ? this->stopLimiter : this->ordinaryLimiter;
-        if (!limiter.tryAcquire(monoNow()))
+        LogRateLimiter &limiter = this->limiters.at(indexOf(currentClass));
+        if (!limiter.tryAcquire(monoNow())) {
+            ++lostLines.at(indexOf(currentClass));
             return;
+        }
         log4cxx::LogString line;
         this->layout->format(line, event, pool);
         if (line.size() > MaxLineBytes) {
             line.resize(MaxLineBytes);
             line.back() = '\n';
         }
-        if (!isWritable())
+        if (!isWritable()) {
+            ++lostLines.at(indexOf(currentClass));
             return limiter.countDropped();
+        }
         this->reportDropped();
         writeLine(line);
     }
@@ -109,18 +124,25 @@
 
     void reportDropped()
     {
-        const std::uint64_t dropped
-            = this->ordinaryLimiter.takeDroppedCount() + this->stopLimiter.takeDroppedCount();
+        std::uint64_t dropped = 0;
+        std::vector<LogField> droppedByClass;
+        for (const LineClass lineClass : LineClasses) {
+            const std::uint64_t count = this->limiters.at(indexOf(lineClass)).takeDroppedCount();
+            dropped += count;
+            droppedByClass.emplace_back(toString(lineClass), count);
+        }
         if (dropped == 0)
             return;
         writeLine("level=WARN instance=" + quoteIfNeeded(instanceName())
-                  + " event=log_lines_lost lines=" + std::to_string(dropped)
-                  + " unix_ms=" + std::to_string(wallMillis()) + "\n");
+                  + " event=log_lines_lost lines=" + std::to_string(dropped) + " "
+                  + formatFields(droppedByClass) + " unix_ms=" + std::to_string(wallMillis())
+                  + "\n");
     }
 
     log4cxx::LayoutPtr layout;
-    LogRateLimiter ordinaryLimiter{LinesPerSecond, BurstLines};
-    LogRateLimiter stopLimiter{LinesPerSecond, BurstLines};
+    std::array<LogRateLimiter, LineClasses.size()> limiters{
+        LogRateLimiter{LinesPerSecond, BurstLines}, LogRateLimiter{LinesPerSecond, BurstLines},
+        LogRateLimiter{LinesPerSecond, BurstLines}, LogRateLimiter{LinesPerSecond, BurstLines}};
 };
 
 } // namespace
@@ -138,7 +160,23 @@
     root->setLevel(toLog4cxx(level));
 }
 
-void logEvent(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
+const char *toString(LineClass lineClass)
+{
+    switch (lineClass) {
+    case LineClass::Routine:
+        return "routine";
+    case LineClass::Refusal:
+        return "refusal";
+    case LineClass::Failure:
+        return "failure";
+    case LineClass::Stop:
+        return "stop";
+    }
+    return "";
+}
+
+void logEvent(LogLevel level, LineClass lineClass, std::string_view event,
+              const std::vector<LogField> &fields)
 {
     static const log4cxx::LoggerPtr Root = log4cxx::Logger::getRootLogger();
     const log4cxx::LevelPtr target = toLog4cxx(level);
@@ -147,14 +185,18 @@
     std::string line = "instance=" + quoteIfNeeded(instanceName()) + " event=" + std::string(event);
     if (!fields.empty())
         line += " " + formatFields(fields);
+    currentClass = lineClass;
     Root->forcedLog(target, line, LOG4CXX_LOCATION);
 }
 
-void logStopEvent(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
+void logEvent(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
+{
+    logEvent(level, LineClass::Routine, event, fields);
+}
+
+std::uint64_t lostLogLines(LineClass lineClass)
 {
-    isStopLine = true;
-    logEvent(level, event, fields);
-    isStopLine = false;
+    return lostLines.at(indexOf(lineClass));
 }
 
 std::string formatFields(const std::vector<LogField> &fields)
--- a/src/drain/gracefulstop.cpp
+++ b/src/drain/gracefulstop.cpp
@@ -1,6 +1,6 @@
 #include "drain/gracefulstop.h"
 
-#include "base/stoplog.h"
+#include "base/log.h"
 
 #include <algorithm>
 #include <csignal>
@@ -54,7 +54,7 @@
     line.push_back({"cause", cause});
     line.push_back({"accept_ms", timings.acceptTime.count()});
     line.push_back({"answer_ms", timings.answerTime.count()});
-    logStopEvent(LogLevel::Info, "drain_began", line);
+    logEvent(LogLevel::Info, LineClass::Stop, "drain_began", line);
     this->check();
 }
 
@@ -66,7 +66,7 @@
         return;
     std::vector<LogField> line = this->fields();
     line.push_back({"signal", http::stopSignalName(signal)});
-    logStopEvent(LogLevel::Info, "stop_signal_repeated", line);
+    logEvent(LogLevel::Info, LineClass::Stop, "stop_signal_repeated", line);
     if (signal != SIGINT)
         return;
     this->drain.hurry(monoNow());
@@ -96,7 +96,7 @@
     if (open == 0)
         return;
     if (!this->hasEndedRequests)
-        logStopEvent(LogLevel::Info, "drain_ends_requests", this->fields());
+        logEvent(LogLevel::Info, LineClass::Stop, "drain_ends_requests", this->fields());
     this->hasEndedRequests = true;
     this->hooks.endRequests();
     this->endedRequests += open - std::min(open, this->hooks.openRequests());
@@ -107,7 +107,8 @@
     if (phase == DrainPhase::Ended)
         return this->loop.stop();
     const bool isClosing = phase == DrainPhase::Closing;
-    logStopEvent(LogLevel::Info, isClosing ? "drain_closes" : "drain_refuses_new", this->fields());
+    logEvent(LogLevel::Info, LineClass::Stop, isClosing ? "drain_closes" : "drain_refuses_new",
+             this->fields());
     if (!isClosing)
         return;
     for (http::Server *server : this->servers)
@@ -129,7 +130,7 @@
     const bool isIdle = this->wasIdle && !this->hasEndedRequests;
     line.push_back({"cause", isIdle ? "idle" : "grace_over"});
     line.push_back({"ended_requests", this->endedRequests});
-    logStopEvent(LogLevel::Info, "stopped", line);
+    logEvent(LogLevel::Info, LineClass::Stop, "stopped", line);
 }
 
 } // namespace lavenderhall
--- a/src/drain/gracefulstop_test.cpp
+++ b/src/drain/gracefulstop_test.cpp
@@ -1,10 +1,9 @@
 #include "drain/gracefulstop.h"
 
-#include <array>
+#include "base/logcapture.h"
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
-#include <cstdio>
-#include <unistd.h>
 
 using namespace lavenderhall;
 
@@ -14,11 +13,7 @@
 /// after 100 ms.
 std::string logOfStop(std::size_t openRequests)
 {
-    FILE *output = tmpfile();
-    cr_assert(output != nullptr);
-    const int savedOutput = dup(STDOUT_FILENO);
-    dup2(fileno(output), STDOUT_FILENO);
-    openLog(LogLevel::Info, "one");
+    LogCapture log;
     http::Loop loop;
     Drain drain;
     StopHooks hooks;
@@ -30,12 +25,7 @@
     stop.begin({Millis(0), Millis(0), Millis(100), Millis(1000)}, "SIGTERM", monoNow());
     loop.runFor(Millis(2000));
     stop.logEnd();
-    dup2(savedOutput, STDOUT_FILENO);
-    rewind(output);
-    std::array<char, 4096> text{};
-    const std::size_t size = fread(text.data(), 1, text.size(), output);
-    static_cast<void>(fclose(output));
-    return {text.data(), size};
+    return log.text();
 }
 
 } // namespace
--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -301,7 +301,7 @@
         {"fingerprint", mayHaveCrashed ? this->signature.fingerprint() : std::string()},
         {"table", this->table->version()}};
     this->addConnection(fields);
-    logEvent(LogLevel::Info, "attempt_failed", fields);
+    logEvent(LogLevel::Info, LineClass::Failure, "attempt_failed", fields);
 }
 
 void ForwardCall::endAttempt(AttemptOutcome outcome, const std::string &reason)
@@ -348,7 +348,7 @@
     if (this->retryState.mayResume(this->retryConditions()) && !this->lastEventId.empty()) {
         this->context.budget.onRetry(this->service, monoNow());
         this->context.metrics.countResume();
-        logEvent(LogLevel::Info, "stream_resumed",
+        logEvent(LogLevel::Info, LineClass::Failure, "stream_resumed",
                  {{"request", this->request.id}, {"after", this->lastEventId}, {"reason", reason}});
         return this->startAttempt();
     }
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -109,7 +109,9 @@
         : std::string();
     const PromptChain::Link *shared = this->chain.lastSharedLink();
     const auto newsAge = this->choice.load.newsAge;
-    logEvent(LogLevel::Info, "endpoint_chosen",
+    // The line on the end names only the last attempt, and attempt_failed only those that failed.
+    const LineClass lineClass = this->isFirstAttempt() ? LineClass::Routine : LineClass::Failure;
+    logEvent(LogLevel::Info, lineClass, "endpoint_chosen",
              {{"request", this->request.id},
               {"endpoint", this->choice.endpointId},
               {"build", this->choice.build},
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 #include "base/outsidetext.h"
-#include "base/stoplog.h"
 
 #include <algorithm>
 #include <random>
@@ -22,6 +21,7 @@
 constexpr Millis NoEndpointRetryAfter{400};
 constexpr int RemainingTimeDivisor = 3;
 constexpr Millis MaxRetryAfter{1000};
+constexpr int FirstRedirection = 300; ///< HTTP status after those of success
 
 } // namespace
 
@@ -112,7 +112,7 @@
 // its caller is not told to come back.
 void ForwardCall::onOrigin(const StreamOrigin &origin)
 {
-    logEvent(LogLevel::Info, "caller_resumes_stream",
+    logEvent(LogLevel::Info, LineClass::Failure, "caller_resumes_stream",
              {{"request", this->request.id},
               {"resumes_request", this->request.resumedRequest},
               {"after", this->request.lastEventId},
@@ -324,14 +324,34 @@
     return promisesNotRun(status) ? StopOutcome::NotBegun : StopOutcome::Unknown;
 }
 
-void ForwardCall::logEnd(int status, std::vector<LogField> fields) const
+bool ForwardCall::isFirstAttempt() const
+{
+    return this->isFromCaller() && this->retryState.attempts() == 0 && this->askedInstances.empty();
+}
+
+// The requests that are served at once are the bulk of the log, and a refusal of a request that was
+// sent nowhere can't be the cause of a second run. Neither must displace the lines that name the
+// attempts of a request that was sent more than once.
+LineClass ForwardCall::endLineClass(int status, const std::string &outcome) const
+{
+    const int attempts = this->retryState.attempts();
+    if (attempts == 0 && this->askedInstances.empty())
+        return LineClass::Refusal;
+    const bool isServedAtOnce = this->isFromCaller() && this->askedInstances.empty()
+        && attempts == 1 && outcome == "ran" && status < FirstRedirection;
+    const bool wasSentBefore = this->usedConnection.passedOver > 0;
+    return isServedAtOnce && !wasSentBefore ? LineClass::Routine : LineClass::Failure;
+}
+
+void ForwardCall::logEnd(int status, const std::string &outcome, std::vector<LogField> fields) const
 {
     if (!this->isStopped)
-        return logEvent(LogLevel::Info, "request_done", fields);
+        return logEvent(LogLevel::Info, this->endLineClass(status, outcome), "request_done",
+                        fields);
     const StopOutcome stopped = this->stopOutcome(status);
     this->context.metrics.countStopped(stopped);
     fields.push_back({"ended_by_stop", toString(stopped)});
-    logStopEvent(LogLevel::Info, "request_done", fields);
+    logEvent(LogLevel::Info, LineClass::Stop, "request_done", fields);
 }
 
 void ForwardCall::finish(int status, const std::string &outcome)
@@ -362,7 +382,7 @@
     this->addConnection(fields);
     this->addDrain(fields);
     this->addAdmission(fields);
-    this->logEnd(status, std::move(fields));
+    this->logEnd(status, outcome, std::move(fields));
     const auto self = this->shared_from_this();
     this->onDone(*this);
 }
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -175,8 +175,12 @@
     StopOutcome stopOutcome(int status) const;
     /// Adds the connection of the last attempt to a log line, and what it had carried before.
     void addConnection(std::vector<LogField> &fields) const;
+    /// Whether the request has been sent nowhere so far, and comes from its caller.
+    bool isFirstAttempt() const;
+    /// Returns the class of the log line on the end of the request, with HTTP \a status or 0.
+    LineClass endLineClass(int status, const std::string &outcome) const;
     /// Logs the end of the request, with HTTP \a status or 0.
-    void logEnd(int status, std::vector<LogField> fields) const;
+    void logEnd(int status, const std::string &outcome, std::vector<LogField> fields) const;
     /// Adds what admission control has decided to a log line.
     void addAdmission(std::vector<LogField> &fields) const;
     /// Asks for a permit to send the request to \a endpoint, which has named a limit, and goes on
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -272,7 +272,7 @@
     this->metrics.countRefusal("http_" + std::to_string(refusal.status));
     if (!this->rejectionLines.tryAcquire(monoNow()))
         return;
-    logEvent(LogLevel::Info, "request_rejected",
+    logEvent(LogLevel::Info, LineClass::Refusal, "request_rejected",
              {{"request", requestId},
               {"status", refusal.status},
               {"reason", refusal.reason},
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -53,7 +53,7 @@
     const int status = source == RequestSource::Caller ? UnavailableStatus : UnableStatus;
     const auto arrived
         = std::chrono::duration_cast<Millis>(now - this->context.drain.beganAt().value_or(now));
-    logEvent(LogLevel::Info, "request_done",
+    logEvent(LogLevel::Info, LineClass::Refusal, "request_done",
              {{"request", id},
               {"status", status},
               {"outcome", "stopping"},
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -75,7 +75,7 @@
     this->releaseTokens();
     this->forgetUnbegunStream();
     this->askedInstances.push_back(*instance);
-    logEvent(LogLevel::Info, "request_relayed",
+    logEvent(LogLevel::Info, LineClass::Failure, "request_relayed",
              {{"request", this->request.id},
               {"service", this->service},
               {"to", instance->toString()},
@@ -117,7 +117,7 @@
 
 void ForwardCall::logRelayEnd(const RelayResult &result) const
 {
-    logEvent(LogLevel::Info, "relay_ended",
+    logEvent(LogLevel::Info, LineClass::Failure, "relay_ended",
              {{"request", this->request.id},
               {"to", this->relayInstance.toString()},
               {"end", toString(result.kind)},
--- a/src/router/attempts.cpp
+++ b/src/router/attempts.cpp
@@ -89,7 +89,7 @@
 
 void CallAttempts::reportFailure(const std::string &reason) const
 {
-    logEvent(LogLevel::Warning, "attempt_failed",
+    logEvent(LogLevel::Warning, LineClass::Failure, "attempt_failed",
              {{"request", this->caller.id},
               {"route", this->caller.route.name},
               {"endpoint", this->currentEndpoint},
