Metrics: answers that do not count, and lost log lines

Change: lavenderhall_discarded_answers_total by reason (foreign, contradictory), of endpoints and of other instances, counted from zero; lavenderhall_log_lines_lost by class, as of the scrape. Measured: metrics 4 of 4, forwarderlog 5 of 5 (an answer of an endpoint to another request, and one that contradicts itself), forwarderrelay 10, forwarder 15 pass. No test makes another instance send such an answer and reads the metric.

No functional change

--- a/src/forward/forwardanswer.cpp
+++ b/src/forward/forwardanswer.cpp
@@ -56,6 +56,7 @@
     this->head = this->context.adapter.readAnswerHead(status, headers);
     this->context.reach.onHeard(this->service, this->choice.endpointId, monoNow());
     this->statement = endpointStatement(this->head, this->request.id);
+    this->countDiscarded(this->statement);
     if (this->statement == RunStatement::None)
         return this->giveUpAttempt("foreign_answer");
     if (this->statement == RunStatement::Contradictory)
@@ -69,6 +70,14 @@
         this->context.crashMonitor.onEndpointAlive(this->incarnation, monoNow());
 }
 
+void ForwardCall::countDiscarded(RunStatement made) const
+{
+    if (made == RunStatement::None)
+        this->context.metrics.countDiscardedAnswer(DiscardReason::Foreign);
+    else if (made == RunStatement::Contradictory)
+        this->context.metrics.countDiscardedAnswer(DiscardReason::Contradictory);
+}
+
 // Answers state which weights were used. An engine that refuses because of its weights runs a
 // version other than the recorded one, which stays unknown until the engine reports it.
 void ForwardCall::recordWeights()
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -178,6 +178,8 @@
         if (this->relayServer)
             this->metrics.setRefusedConnections("relays", this->relayServer->refusedConnections());
         this->processWatch.updateMetrics();
+        for (const LineClass lineClass : LineClasses)
+            this->metrics.setLostLogLines(lineClass, static_cast<double>(lostLogLines(lineClass)));
     };
     return hooks;
 }
--- a/src/forward/forwarderlog_test.cpp
+++ b/src/forward/forwarderlog_test.cpp
@@ -140,3 +140,29 @@
         cr_assert(fixture.call("book").response.status == 200);
     cr_assert(lostLogLines(LineClass::Failure) == lostBefore);
 }
+
+// Guards against answers of other requests that no alert shows.
+Test(forwarderlog, answers_that_do_not_count_are_counted_by_reason)
+{
+    Fixture fixture;
+    fixture.join(fixture.first, "desk");
+    fixture.join(fixture.second, "desk");
+    const auto answerOther = [](const http::ExchangePtr &exchange) {
+        exchange->respond({200, {{"request-id", "other"}, {"response-seal", "seal"}}, "x"});
+    };
+    fixture.first.onRequest = answerOther;
+    fixture.second.onRequest = answerOther;
+    cr_assert(fixture.call("book").response.status == 502);
+    const auto answerTwice = [](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"not-executed", "1"});
+        exchange->respond({200, headers, "x"});
+    };
+    fixture.first.onRequest = answerTwice;
+    fixture.second.onRequest = answerTwice;
+    cr_assert(fixture.call("book").response.status == 502);
+    const std::string text = fixture.metrics.toText();
+    const std::string name = "lavenderhall_discarded_answers_total{reason=";
+    cr_assert(countOf(text, name + "\"foreign\"} 1\n") == 1U, "%s", text.c_str());
+    cr_assert(countOf(text, name + "\"contradictory\"} 1\n") == 1U, "%s", text.c_str());
+}
--- a/src/forward/forwardrelay.cpp
+++ b/src/forward/forwardrelay.cpp
@@ -133,6 +133,8 @@
 void ForwardCall::onRelayEnd(const RelayResult &result)
 {
     this->logRelayEnd(result);
+    if (answerOwner(result.head, this->request.id) != AnswerOwner::NoAnswer)
+        this->countDiscarded(instanceStatement(result.head, this->request.id));
     this->activeRelay.reset();
     this->context.relayTargets.onEnded(this->relayInstance);
     if (this->isFinished)
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+const char *toString(DiscardReason reason)
+{
+    switch (reason) {
+    case DiscardReason::Foreign:
+        return "foreign";
+    case DiscardReason::Contradictory:
+        return "contradictory";
+    }
+    return "";
+}
+
 Metrics::Metrics()
     : registry(std::make_shared<Registry>())
     , answers(counterFamily(*this->registry, "lavenderhall_answers_total",
@@ -53,6 +64,11 @@
                           "Requests that wait for an endpoint to open, by service and rank"))
     , attemptFailures(counterFamily(*this->registry, "lavenderhall_attempt_failures_total",
                                     "Attempts at an endpoint that failed"))
+    , discardedAnswers(counterFamily(*this->registry, "lavenderhall_discarded_answers_total",
+                                     "Answers that did not count, by reason: of another request "
+                                     "(foreign), put together from several (contradictory)"))
+    , lostLogLines(gaugeFamily(*this->registry, "lavenderhall_log_lines_lost",
+                               "Lines that the log has dropped so far, by class"))
     , resumes(counterFamily(*this->registry, "lavenderhall_stream_resumes_total",
                             "Streams resumed after a cut or a gap")
                   .Add({}))
@@ -99,6 +115,8 @@
     // A series that begins with its first count would hide that count from a rate.
     for (const StopOutcome outcome : StopOutcomes)
         this->stopped.Add({{"outcome", toString(outcome)}});
+    for (const DiscardReason reason : DiscardReasons)
+        this->discardedAnswers.Add({{"reason", toString(reason)}});
 }
 
 void Metrics::countAnswer(const std::string &kind, const std::string &outcome, int status)
@@ -144,6 +162,16 @@
     this->attemptFailures.Add({{"endpoint", endpoint}}).Increment();
 }
 
+void Metrics::countDiscardedAnswer(DiscardReason reason)
+{
+    this->discardedAnswers.Add({{"reason", toString(reason)}}).Increment();
+}
+
+void Metrics::setLostLogLines(LineClass lineClass, double total)
+{
+    this->lostLogLines.Add({{"class", toString(lineClass)}}).Set(total);
+}
+
 void Metrics::countResume()
 {
     this->resumes.Increment();
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/log.h"
 #include "base/processstate.h"
 #include "drain/drain.h"
 #include "http/server.h"
 #include "membership/peerlink.h"
 
+#include <array>
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -16,6 +18,17 @@
 /// Prometheus metrics of one process.
 namespace lavenderhall {
 
+/// Why an answer that arrived for a request does not count.
+enum class DiscardReason {
+    Foreign, ///< it belongs to another request
+    Contradictory, ///< it is put together from several answers
+};
+
+inline constexpr std::array DiscardReasons{DiscardReason::Foreign, DiscardReason::Contradictory};
+
+/// Returns the name in metrics.
+const char *toString(DiscardReason reason);
+
 /// Registers the metrics and updates them. The functions count... add to counters, observe... to
 /// histograms, and set... replace the value of gauges.
 class Metrics
@@ -38,6 +51,10 @@
     void setWaiting(const std::string &service, int rank, double count);
     /// Counts a failed attempt by endpoint.
     void countAttemptFailure(const std::string &endpoint);
+    /// Counts an answer of an endpoint or of another instance that does not count.
+    void countDiscardedAnswer(DiscardReason reason);
+    /// \a total is the number of lines of \a lineClass that the log has dropped since the start.
+    void setLostLogLines(LineClass lineClass, double total);
     /// Counts a stream that another endpoint resumes.
     void countResume();
     /// \a seconds is the time from the arrival of a request to its first token.
@@ -75,6 +92,8 @@
     prometheus::Histogram &admissionWait;
     prometheus::Family<prometheus::Gauge> &waiting;
     prometheus::Family<prometheus::Counter> &attemptFailures;
+    prometheus::Family<prometheus::Counter> &discardedAnswers;
+    prometheus::Family<prometheus::Gauge> &lostLogLines;
     prometheus::Counter &resumes;
     prometheus::Histogram &firstToken;
     prometheus::Gauge &configVersion;
--- a/src/router/metrics_test.cpp
+++ b/src/router/metrics_test.cpp
@@ -33,3 +33,28 @@
          {"\"refused\"} 0", "\"not_begun\"} 0", "\"unknown\"} 0", "\"cut\"} 1"})
         cr_assert(text.find(name + series) != std::string::npos, "%s", series);
 }
+
+// Guards against an alert on the first answer of another request that never fires.
+Test(metrics, answers_that_do_not_count_are_counted_from_zero)
+{
+    Metrics metrics;
+    metrics.countDiscardedAnswer(DiscardReason::Foreign);
+    const std::string text = metrics.toText();
+    const std::string name = "lavenderhall_discarded_answers_total{reason=";
+    for (const char *series : {"\"foreign\"} 1", "\"contradictory\"} 0"})
+        cr_assert(text.find(name + series) != std::string::npos, "%s", series);
+}
+
+// Guards against a record with gaps that is taken for a whole one.
+Test(metrics, lost_log_lines_are_told_by_class)
+{
+    Metrics metrics;
+    for (const LineClass lineClass : LineClasses)
+        metrics.setLostLogLines(lineClass, 3);
+    const std::string text = metrics.toText();
+    for (const LineClass lineClass : LineClasses) {
+        const std::string series
+            = std::string("lavenderhall_log_lines_lost{class=\"") + toString(lineClass) + "\"} 3";
+        cr_assert(text.find(series) != std::string::npos, "%s", series.c_str());
+    }
+}
