--- a/src/forward/forwarderlog_test.cpp
+++ b/src/forward/forwarderlog_test.cpp
@@ -23,7 +23,7 @@
     std::size_t begin = 0;
     while (begin < log.size()) {
         const std::size_t end = std::min(log.find('\n', begin), log.size());
-        const std::string line = log.substr(begin, end - begin) + " ";
+        std::string line = log.substr(begin, end - begin) + " ";
         begin = end + 1;
         const bool isOfRequest = line.find(" event=" + event + " ") != std::string::npos
             && line.find(" request=" + requestId + " ") != std::string::npos;
