--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -178,6 +178,8 @@
         if (this->relayServer)
             this->metrics.setRefusedConnections("relays", this->relayServer->refusedConnections());
         this->processWatch.updateMetrics();
+        for (const LineClass lineClass : LineClasses)
+            this->metrics.setLostLogLines(lineClass, static_cast<double>(lostLogLines(lineClass)));
     };
     return hooks;
 }
@@ -272,7 +274,7 @@
     this->metrics.countRefusal("http_" + std::to_string(refusal.status));
     if (!this->rejectionLines.tryAcquire(monoNow()))
         return;
-    logEvent(LogLevel::Info, "request_rejected",
+    logEvent(LogLevel::Info, LineClass::Refusal, "request_rejected",
              {{"request", requestId},
               {"status", refusal.status},
               {"reason", refusal.reason},
