--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 SOAK ?= --seed 1 --seconds 8
 soak: build
 	python3 platform/soak/losses_test.py
+	python3 platform/soak/resends_test.py
 	python3 platform/soak/soak.py --build $(BUILD) $(SOAK)
 
 # Starts and stops real processes while something passing stands in the way.
