--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -339,7 +339,7 @@
         return LineClass::Refusal;
     const bool isServedAtOnce = this->isFromCaller() && this->askedInstances.empty()
         && attempts == 1 && outcome == "ran" && status < FirstRedirection;
-    const bool wasSentBefore = this->usedConnection.passedOver > 0;
+    const bool wasSentBefore = this->usedConnection.skippedConnections > 0;
     return isServedAtOnce && !wasSentBefore ? LineClass::Routine : LineClass::Failure;
 }
 
