Router: a service may number requests itself

Change: an answer is the copy of an earlier one only if its connection has carried a request with that id.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -269,6 +269,12 @@
         usedConnection->close();
 }
 
+bool Call::hasCarriedBefore(const std::string &requestId) const
+{
+    return this->connection && requestId != this->request.requestId
+        && this->connection->hasCarried(requestId);
+}
+
 void Call::setReading(bool on)
 {
     if (this->connection && !this->finished)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -98,6 +98,9 @@
     /// chunks. A server that crashes may end an answer in this way, too.
     bool hasEndedByClose() const { return this->endedByClose; }
     const UsedConnection &usedConnection() const { return this->connectionUse; }
+    /// Returns whether the connection of this unfinished call has carried an earlier request with
+    /// \a requestId.
+    bool hasCarriedBefore(const std::string &requestId) const;
 
 private:
     friend class Client;
--- a/src/router/foreignrefusals_test.cpp
+++ b/src/router/foreignrefusals_test.cpp
@@ -14,6 +14,24 @@
     return fixture.firstEngine.requestCount() + fixture.secondEngine.requestCount();
 }
 
+/// Returns the bytes of an answer; \a id may be "" for none.
+std::string answerBytes(const std::string &status, const std::string &id, const Json &body)
+{
+    const std::string text = body.dump();
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n"
+        + (id.empty() ? "" : "X-Request-Id: " + id + "\r\n")
+        + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+}
+
+Json loadReport()
+{
+    return {{"incarnation", 1},
+            {"running", 0},
+            {"waiting", 0},
+            {"cached_blocks", 0},
+            {"loaded", {"loom@v1"}}};
+}
+
 /// Answers each request with its id. On a connection that has carried an answer, a second copy of
 /// it comes where the next one is due.
 class RepeatingService
@@ -54,27 +72,14 @@
     int copiesToPolls() const { return this->repeatedToPolls; }
 
 private:
-    static std::string answerBytes(const std::string &status, const std::string &id,
-                                   const Json &body)
-    {
-        const std::string text = body.dump();
-        return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n"
-            + (id.empty() ? "" : "X-Request-Id: " + id + "\r\n")
-            + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
-    }
-
     void answer(const RawEndpoint::ConnectionPtr &connection)
     {
         const std::string id(http::findHeader(connection->headers, RequestIdHeader));
         std::string &copy = this->copies[connection.get()];
         if (id.empty()) {
-            const Json load{{"incarnation", 1},
-                            {"running", 0},
-                            {"waiting", 0},
-                            {"cached_blocks", 0},
-                            {"loaded", {"loom@v1"}}};
             this->repeatedToPolls += copy.empty() ? 0 : 1;
-            connection->socket->write(std::exchange(copy, {}) + answerBytes("200 OK", "", load));
+            connection->socket->write(std::exchange(copy, {})
+                                      + answerBytes("200 OK", "", loadReport()));
             return;
         }
         if (this->arrived.insert(id).second) {
@@ -194,3 +199,48 @@
     const Answer answer = fixture.complete("review", 4, false);
     cr_assert(answer.status == 200, "%d %s", answer.status, answer.body.c_str());
 }
+
+// Guards against a service that numbers requests itself and whose callers get no answer.
+Test(foreignrefusals, a_service_with_ids_of_its_own_is_not_heard)
+{
+    Fixture fixture;
+    const Address address = localAddress(7);
+    int answers = 0;
+    const RawEndpoint service(fixture.loop, address, [&](const auto &connection) {
+        const std::string ownId = "service-" + std::to_string(++answers);
+        connection->socket->write(answerBytes("200 OK", ownId, {{"level", 3}}));
+    });
+    fixture.document["endpoints"][2]["port"] = address.port;
+    fixture.publishDocument();
+    const std::string &key = fixture.millKey.secret;
+    for (int count = 0; count < 3; ++count)
+        cr_assert(fixture.call(http::Method::Get, "/svc/stock/level", key, "").status == 200);
+    cr_assert(fixture.call(http::Method::Post, "/svc/orders/new", key, "{}").status == 200);
+}
+
+// Guards against connections that are closed once a second because an engine rejects polls.
+Test(foreignrefusals, an_engine_that_rejects_polls_gets_new_connections)
+{
+    Fixture fixture;
+    const Address address = localAddress(8);
+    std::set<const RawEndpoint::Connection *> connections;
+    int polls = 0;
+    const RawEndpoint engine(fixture.loop, address, [&](const auto &connection) {
+        connections.insert(connection.get());
+        const std::string id(http::findHeader(connection->headers, RequestIdHeader));
+        if (!id.empty())
+            return connection->socket->write(answerBytes("200 OK", id, {{"id", "chatcmpl-" + id}}));
+        const bool isRejected = ++polls > 1;
+        connection->socket->write(isRejected ? answerBytes("503 Busy", "", "busy")
+                                             : answerBytes("200 OK", "", loadReport()));
+    });
+    fixture.document["endpoints"][0]["port"] = address.port;
+    fixture.document["endpoints"].erase(1);
+    fixture.publishDocument();
+    constexpr int MinPolls = 4;
+    while (polls < MinPolls) {
+        cr_assert(fixture.complete("review", 4, false).status == 200);
+        fixture.loop.runFor(Millis(45));
+    }
+    cr_assert(connections.size() <= 2U, "%zu", connections.size());
+}
--- a/src/router/servicecall.cpp
+++ b/src/router/servicecall.cpp
@@ -244,12 +244,12 @@
     return request;
 }
 
-// An answer that names another request may be the second copy of an earlier answer. Services may
-// leave the id out.
+// The second copy of an earlier answer on the connection bears the id of that request. Services may
+// leave the id out, or number requests themselves.
 void ServiceCall::onHead(int code, const http::Headers &headers)
 {
-    const std::string_view answeredId = http::findHeader(headers, RequestIdHeader);
-    if (!answeredId.empty() && answeredId != this->caller.id)
+    const std::string answeredId(http::findHeader(headers, RequestIdHeader));
+    if (this->call && this->call->hasCarriedBefore(answeredId))
         return this->onAttemptFailed(
             {true, true, false, false, "an answer to another request arrived"});
     this->answer.status = code;
