Router: a rejected load poll does not close connections

Change: only an answer that bears a request's id closes them, as the connection is out of step then. Measured: foreignrefusals an_engine_that_rejects_polls_gets_new_connections.

--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -36,12 +36,10 @@
     return timings;
 }
 
-/// Returns whether \a response answers the request for a load report, and not that of a caller,
-/// which travels on the same connections.
+/// Returns whether \a response, which is no answer to a request of a caller, is a load report.
 bool isLoadReport(const http::Response &response)
 {
-    return response.status == 200 && http::findHeader(response.headers, RequestIdHeader).empty()
-        && readJson(response.body).contains("incarnation");
+    return response.status == 200 && readJson(response.body).contains("incarnation");
 }
 
 LoadReport readLoadReport(const Json &json)
@@ -311,9 +309,11 @@
         this->pendingLoadPolls.erase(name);
         if (!response)
             return;
-        // The copy of an earlier answer; the answers on its connection belong to other calls.
-        if (!isLoadReport(*response))
+        // The copy of an answer to a request; the answers on its connection belong to other calls.
+        if (!http::findHeader(response->headers, RequestIdHeader).empty())
             return this->endpointClient.closeIdleConnections(address);
+        if (!isLoadReport(*response))
+            return;
         const LoadReport report = readLoadReport(readJson(response->body));
         if (this->context.endpointTable.onLoadReport(name, report, monoNow()))
             this->context.history.onCacheLost(name);
