--- a/src/forward/repeatedrefusals_test.cpp
+++ b/src/forward/repeatedrefusals_test.cpp
@@ -276,6 +276,47 @@
     }
 }
 
+// Guards against a request that runs twice after one arrival: the address of an endpoint belongs to
+// its successor, to which the request is sent next, on the connection that carried the 421.
+Test(repeatedrefusals, a_request_that_goes_to_the_successor_at_an_address_runs_twice)
+{
+    constexpr int RequestCount = 30;
+    Fixture fixture;
+    Runs runs;
+    std::map<const RawEndpoint::Connection *, std::string> copies;
+    std::vector<std::string> targets; ///< of one request, in the order of its attempts
+    const RawEndpoint shared(fixture.loop, Address{TestHost, 18135}, [&](const auto &connection) {
+        const std::string id = connection->requestId();
+        std::string &copy = copies[connection.get()];
+        targets.emplace_back(http::findHeader(connection->headers, "target-instance"));
+        if (targets.back() != "successor") {
+            copy = refusalBytes(421, id);
+            connection->socket->write(copy);
+            return;
+        }
+        ++runs[id];
+        connection->socket->write(std::exchange(copy, {}) + answerBytes(id, false));
+    });
+    const RawEndpoint other(fixture.loop, Address{TestHost, 18136}, [&](const auto &connection) {
+        ++runs[connection->requestId()];
+        connection->socket->write(answerBytes(connection->requestId(), false));
+    });
+    for (const char *id : {"stale", "successor"})
+        fixture.selector.onChange({EndpointChange::Kind::Joined, shared.entry(id, "desk", Zone)});
+    fixture.selector.onChange({EndpointChange::Kind::Joined, other.entry("other", "desk", Zone)});
+    int sentToBoth = 0;
+    for (int count = 0; count < RequestCount; ++count) {
+        targets.clear();
+        const http::SyncResult result = fixture.call("book");
+        const std::string id = fixture.lastRequestId();
+        sentToBoth += targets == std::vector<std::string>{"stale", "successor"} ? 1 : 0;
+        cr_assert(runs[id] == 1, "%s ran %d times", id.c_str(), runs[id]);
+        cr_assert(result.response.status == 200, "%s ran and was answered %d", id.c_str(),
+                  result.response.status);
+    }
+    cr_assert(sentToBoth > 0);
+}
+
 // The same with any mix of refusals, copies and delays.
 Test(repeatedrefusals, requests_that_are_sent_again_run_twice_or_are_refused_at_random)
 {
