--- a/src/forward/repeatedrefusals_test.cpp
+++ b/src/forward/repeatedrefusals_test.cpp
@@ -301,15 +301,15 @@
         ++runs[connection->requestId()];
         connection->socket->write(answerBytes(connection->requestId(), false));
     });
-    for (const char *id : {"stale", "successor"})
+    for (const char *id : {"old", "successor"})
         fixture.selector.onChange({EndpointChange::Kind::Joined, shared.entry(id, "desk", Zone)});
-    fixture.selector.onChange({EndpointChange::Kind::Joined, other.entry("other", "desk", Zone)});
+    fixture.selector.onChange({EndpointChange::Kind::Joined, other.entry("third", "desk", Zone)});
     int sentToBoth = 0;
     for (int count = 0; count < RequestCount; ++count) {
         targets.clear();
         const http::SyncResult result = fixture.call("book");
         const std::string id = fixture.lastRequestId();
-        sentToBoth += targets == std::vector<std::string>{"stale", "successor"} ? 1 : 0;
+        sentToBoth += targets == std::vector<std::string>{"old", "successor"} ? 1 : 0;
         cr_assert(runs[id] == 1, "%s ran %d times", id.c_str(), runs[id]);
         cr_assert(result.response.status == 200, "%s ran and was answered %d", id.c_str(),
                   result.response.status);
