--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <ranges>
 
 namespace lavenderhall::http {
 
@@ -354,7 +353,8 @@
     std::vector<ConnectionPtr> unusable;
     ConnectionPtr lastCarrier;
     ConnectionPtr taken;
-    for (const ConnectionPtr &idle : std::views::reverse(found->second)) {
+    for (auto position = found->second.rbegin(); position != found->second.rend(); ++position) {
+        const ConnectionPtr &idle = *position;
         if (request.reuse == Reuse::Recent && !idle->isRecent(now))
             break;
         if (idle->hasCarried(request.requestId)) {
