Forward: the scope of cached prompts is a type, whose salts no two owners share

Cause: the salt began with the organisation's name where it is isolated and with the word "shared" where it is not, and nothing told the two apart. Class: texts that others choose, and words of our own, are joined with a separator that may be part of them. The same key had two more pairs: organisation "a" with model "b/c" and "a/b" with "c" (both isolated), and a model "m/request" at version 5 beside a request "5" for "m" at an engine whose weights are not known. Change: CacheScope (placement/) holds who shares parts, by joinFields() of base/, which puts each field's length in front of it, as RequestSignature already did for itself. The salts are digests, so that a name can't bring characters into a header.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -292,7 +292,7 @@
         query.newestWeights = 1;
         query.randomDraw = static_cast<double>(index % 100) / 100;
         query.chain = buildPromptChain(
-            "salt",
+            hash64("salt"),
             {{"part-" + std::to_string(index % 50), 6000}, {"own-" + std::to_string(index), 6000}});
         selector.choose(query, now);
     });
--- a/src/balance/evenload_test.cpp
+++ b/src/balance/evenload_test.cpp
@@ -1,4 +1,5 @@
 #include "balance/backlogexchange.h"
+#include "base/digest.h"
 #include "forward/endpointselector.h"
 
 #include <algorithm>
@@ -214,8 +215,8 @@
         const std::string part = "part-" + std::to_string(this->random(40));
         const std::string own = "own-" + std::to_string(++this->requestCount);
         request->chain = request->isShort
-            ? buildPromptChain("s", {{part + "-short", 600}, {own, 1800}})
-            : buildPromptChain("s", {{part, 6000}, {own, 6000}});
+            ? buildPromptChain(hash64("s"), {{part + "-short", 600}, {own, 1800}})
+            : buildPromptChain(hash64("s"), {{part, 6000}, {own, 6000}});
         ChoiceQuery query;
         query.service = "models";
         query.model = "loom";
--- a/src/forward/endpointselector_test.cpp
+++ b/src/forward/endpointselector_test.cpp
@@ -1,3 +1,4 @@
+#include "base/digest.h"
 #include "forward/endpointselector.h"
 
 #include <array>
@@ -49,7 +50,8 @@
         query.service = "models";
         query.model = "loom";
         query.newestWeights = 1;
-        query.chain = buildPromptChain("wall", {{sharedPart, 5000}, {sharedPart + "-own", 1000}});
+        query.chain
+            = buildPromptChain(hash64("wall"), {{sharedPart, 5000}, {sharedPart + "-own", 1000}});
         return query;
     }
 
--- a/src/forward/forward_test.cpp
+++ b/src/forward/forward_test.cpp
@@ -1,3 +1,4 @@
+#include "base/digest.h"
 #include "forward/prefixcacheestimate.h"
 #include "forward/reportschedule.h"
 
@@ -16,21 +17,21 @@
 {
     PrefixCacheEstimate estimate(10'000);
     const PromptChain chain
-        = buildPromptChain("w", {{"system", 500}, {"document", 3000}, {"own", 200}});
+        = buildPromptChain(hash64("w"), {{"system", 500}, {"document", 3000}, {"own", 200}});
     estimate.onSent(chain, Start);
     cr_assert(estimate.cachedTokens(chain, Start) == 3700);
     const PromptChain other
-        = buildPromptChain("w", {{"system", 500}, {"another", 3000}, {"own", 200}});
+        = buildPromptChain(hash64("w"), {{"system", 500}, {"another", 3000}, {"own", 200}});
     cr_assert(estimate.cachedTokens(other, Start) == 500);
-    cr_assert(estimate.cachedTokens(buildPromptChain("v", {{"system", 500}}), Start) == 0);
+    cr_assert(estimate.cachedTokens(buildPromptChain(hash64("v"), {{"system", 500}}), Start) == 0);
     cr_assert(estimate.cachedTokens(chain, Start + Millis(60'000)) == 0);
 }
 
 Test(prefixcacheestimate, evicts_the_least_recently_used_parts_first)
 {
     PrefixCacheEstimate estimate(5000);
-    const PromptChain first = buildPromptChain("w", {{"one", 3000}});
-    const PromptChain second = buildPromptChain("w", {{"two", 3000}});
+    const PromptChain first = buildPromptChain(hash64("w"), {{"one", 3000}});
+    const PromptChain second = buildPromptChain(hash64("w"), {{"two", 3000}});
     estimate.onSent(first, Start);
     estimate.onSent(second, Start);
     cr_assert(estimate.cachedTokens(first, Start) == 0);
--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -89,11 +89,11 @@
         ? this->streamWeights.value_or(chosen.requiredWeights)
         : chosen.requiredWeights;
     if (version == 0) {
-        metadata.cacheSalt = this->cacheScope + "/request/" + this->request.id;
+        metadata.cacheSalt = this->cacheScope.saltForRequest(this->request.id);
         return metadata;
     }
     metadata.weightsVersion = version;
-    metadata.cacheSalt = this->cacheScope + "/" + std::to_string(version);
+    metadata.cacheSalt = this->cacheScope.saltFor(version);
     metadata.cacheSource = chosen.source;
     metadata.cacheTarget = chosen.target;
     return metadata;
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -61,11 +61,10 @@
     this->service = chooseService(*this->route, this->context.random());
     if (this->isFromCaller())
         this->context.budget.onRequest(this->service, this->arrivedAt);
-    const std::string cacheOwner = this->organisation && this->organisation->isIsolated
-        ? this->organisation->name
-        : "shared";
-    this->cacheScope = cacheOwner + "/" + this->request.model;
-    this->chain = buildPromptChain(this->cacheScope, this->request.parts);
+    this->cacheScope = this->organisation && this->organisation->isIsolated
+        ? CacheScope::isolated(this->organisation->name, this->request.model)
+        : CacheScope::shared(this->request.model);
+    this->chain = buildPromptChain(this->cacheScope.hash(), this->request.parts);
     // Before the request costs tokens here.
     if (this->shouldRelay() && this->relay())
         return;
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -10,6 +10,7 @@
 #include "forward/relay.h"
 #include "forward/requestsignature.h"
 #include "http/server.h"
+#include "placement/cachescope.h"
 #include "router/metrics.h"
 #include "routing/endpointreach.h"
 #include "routing/relaytargets.h"
@@ -260,7 +261,7 @@
     const ForwardRoute *route = nullptr;
     const OrganisationSpec *organisation = nullptr;
     std::string service;
-    std::string cacheScope; ///< start of the cache salt: who shares cached parts, and the model
+    CacheScope cacheScope; ///< of the prompt
     PromptChain chain;
     RequestSignature signature;
     RetryState retryState{false, 1}; ///< replaced in start()
--- /dev/null
+++ b/src/forward/isolation_test.cpp
@@ -0,0 +1,65 @@
+#include "forward/forwarderfixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <set>
+
+using namespace lavenderhall;
+
+namespace {
+
+/// An organisation of the configuration, whose key is "key-" and its name.
+OrganisationSpec organisation(const std::string &name, bool isIsolated)
+{
+    OrganisationSpec made;
+    made.name = name;
+    made.keys = {"key-" + name};
+    made.isIsolated = isIsolated;
+    return made;
+}
+
+/// One engine that answers each request, in front of organisations.
+struct IsolationFixture : Fixture
+{
+    IsolationFixture()
+    {
+        this->first.onRequest = answerStream;
+        this->join(this->first, "models", 2);
+    }
+
+    void configure(std::vector<OrganisationSpec> organisations)
+    {
+        TableContent content = this->context.table->content();
+        ++content.version;
+        content.organisations = std::move(organisations);
+        this->context.table = std::make_shared<const RoutingTable>(std::move(content));
+    }
+
+    /// Sends a request of \a organisation, and returns the salt under which the engine caches its
+    /// prompt.
+    std::string saltOf(const std::string &organisation)
+    {
+        const auto result = this->send("stream", "a1:80,b2:20", {},
+                                       {{"authorization", "Bearer key-" + organisation}});
+        cr_assert(result.response.status == 200, "%d", result.response.status);
+        const http::Headers &headers = this->first.exchanges.back()->request().headers;
+        return std::string(http::findHeader(headers, "cache-salt"));
+    }
+};
+
+} // namespace
+
+// Guards against an isolated organisation whose name is a word of our own (review/8).
+Test(isolation, an_isolated_organisation_of_any_name_shares_no_salt)
+{
+    IsolationFixture fixture;
+    const std::vector<std::string> names{"shared", "isolated", "request", "/", "shared/loom", "0"};
+    std::vector<OrganisationSpec> organisations{organisation("open", false)};
+    for (const std::string &name : names)
+        organisations.push_back(organisation(name, true));
+    fixture.configure(std::move(organisations));
+    std::set<std::string> salts{fixture.saltOf("open")};
+    for (const std::string &name : names)
+        salts.insert(fixture.saltOf(name));
+    cr_assert(salts.size() == names.size() + 1, "%zu", salts.size());
+}
--- a/src/forward/prefixcacheestimate.h
+++ b/src/forward/prefixcacheestimate.h
@@ -13,7 +13,7 @@
 /// instance has sent to it.
 namespace lavenderhall {
 
-/// A prompt as a chain of hashes. Each hash covers the cache salt and all parts of the prompt up
+/// A prompt as a chain of hashes. Each hash covers the cache scope and all parts of the prompt up
 /// to and including its own.
 struct PromptChain
 {
@@ -34,8 +34,8 @@
     const Link *lastSharedLink() const;
 };
 
-/// Hashes \a parts in order, starting from \a cacheSalt.
-PromptChain buildPromptChain(const std::string &cacheSalt, const std::vector<PromptPart> &parts);
+/// Hashes \a parts in order, starting from \a scopeHash, see CacheScope::hash().
+PromptChain buildPromptChain(std::uint64_t scopeHash, const std::vector<PromptPart> &parts);
 
 /// Estimated contents of one endpoint's prefix cache; evicts the least recently used entries when
 /// their tokens exceed the capacity.
--- a/src/forward/requestsignature.cpp
+++ b/src/forward/requestsignature.cpp
@@ -1,6 +1,7 @@
 #include "forward/requestsignature.h"
 
 #include "base/digest.h"
+#include "base/joinfields.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,14 +21,6 @@
     return ids;
 }
 
-/// Appends \a field with its length, so that no two lists of fields give the same text.
-void appendField(std::string &text, std::string_view field)
-{
-    text += std::to_string(field.size());
-    text += ':';
-    text += field;
-}
-
 } // namespace
 
 RequestSignature::RequestSignature(const ForwardRequest &request, std::string caller)
@@ -42,13 +35,9 @@
 {
     if (!this->knownFingerprint.empty() || !this->request)
         return this->knownFingerprint;
-    std::string text;
-    appendField(text, http::toString(this->request->method));
-    appendField(text, this->request->host);
-    appendField(text, this->request->path);
-    appendField(text, this->caller);
-    appendField(text, this->request->body);
-    this->knownFingerprint = blake2bHex(text);
+    this->knownFingerprint
+        = blake2bHex(joinFields({http::toString(this->request->method), this->request->host,
+                                 this->request->path, this->caller, this->request->body}));
     return this->knownFingerprint;
 }
 
--- /dev/null
+++ b/src/placement/cachescope.cpp
@@ -0,0 +1,34 @@
+#include "placement/cachescope.h"
+
+#include "base/digest.h"
+#include "base/joinfields.h"
+
+namespace lavenderhall {
+
+CacheScope CacheScope::isolated(std::string_view organisation, std::string_view model)
+{
+    return CacheScope(joinFields({"isolated", organisation, model}));
+}
+
+CacheScope CacheScope::shared(std::string_view model)
+{
+    return CacheScope(joinFields({"shared", model}));
+}
+
+// The salts are digests, as the names in them may have characters that a header can't carry.
+std::string CacheScope::saltFor(std::int64_t weights) const
+{
+    return blake2bHex(joinFields({this->key, "weights", std::to_string(weights)}));
+}
+
+std::string CacheScope::saltForRequest(std::string_view request) const
+{
+    return blake2bHex(joinFields({this->key, "request", request}));
+}
+
+std::uint64_t CacheScope::hash() const
+{
+    return hash64(this->key);
+}
+
+} // namespace lavenderhall
--- /dev/null
+++ b/src/placement/cachescope.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Which requests may use the same cached parts of prompts in the forward dialect.
+namespace lavenderhall {
+
+/// The requests that share cached parts: those of one isolated organisation, or of all others, for
+/// one model. Engines find cached parts under the same salt only, and the salts of two scopes
+/// differ whatever the names of organisations and models are.
+class CacheScope
+{
+public:
+    CacheScope() = default;
+    /// The requests of \a organisation alone.
+    static CacheScope isolated(std::string_view organisation, std::string_view model);
+    /// The requests of all organisations that are not isolated, and of callers without one.
+    static CacheScope shared(std::string_view model);
+
+    /// Returns the salt for attempts at engines with the version \a weights.
+    std::string saltFor(std::int64_t weights) const;
+    /// Returns the salt for an attempt of \a request at an engine whose weights are not known,
+    /// which shares cached parts with no other request.
+    std::string saltForRequest(std::string_view request) const;
+    /// Returns the hash that the chains of the scope's prompts start from.
+    std::uint64_t hash() const;
+
+    auto operator<=>(const CacheScope &) const = default;
+
+private:
+    explicit CacheScope(std::string key)
+        : key(std::move(key))
+    { }
+
+    std::string key; ///< tells the scope from all others
+};
+
+} // namespace lavenderhall
