Forward: an organisation that becomes isolated leaves its cached parts to nobody

Cause: the scope of the organisations that are not isolated stayed the same when their set changed, and engines keep parts for as long as they have room. Change: the shared scope contains a digest of the names of all isolated organisations. It follows from the configuration in force alone, so that instances need no messages and no memory for it, and a restart changes nothing; a number of the change (a generation) would need both. Cost: whenever the set of isolated organisations changes, the parts of all others are read once more. Where an organisation is new and isolated from the start that would not be needed; a configuration does not tell the two apart.

--- a/src/forward/isolation_test.cpp
+++ b/src/forward/isolation_test.cpp
@@ -63,3 +63,29 @@
         salts.insert(fixture.saltOf(name));
     cr_assert(salts.size() == names.size() + 1, "%zu", salts.size());
 }
+
+// Guards against the parts that an organisation has made before it became isolated.
+Test(isolation, an_organisation_that_becomes_isolated_leaves_its_cached_parts_to_nobody)
+{
+    IsolationFixture fixture;
+    fixture.configure({organisation("mill", false), organisation("loft", false)});
+    const std::string common = fixture.saltOf("mill");
+    cr_assert(fixture.saltOf("loft") == common);
+    fixture.configure({organisation("mill", true), organisation("loft", false)});
+    const std::set<std::string> salts{common, fixture.saltOf("mill"), fixture.saltOf("loft")};
+    cr_assert(salts.size() == 3U);
+}
+
+// All instances must choose the same salts, whatever configurations they have missed.
+Test(isolation, the_salt_depends_on_the_configuration_in_force_only)
+{
+    const std::vector<OrganisationSpec> organisations{
+        organisation("loft", false), organisation("mill", true), organisation("quay", true)};
+    IsolationFixture fixture;
+    fixture.configure(organisations);
+    const std::string salt = fixture.saltOf("loft");
+    fixture.configure({organisation("loft", false), organisation("mill", true)});
+    cr_assert(fixture.saltOf("loft") != salt);
+    fixture.configure({organisations.rbegin(), organisations.rend()});
+    cr_assert(fixture.saltOf("loft") == salt);
+}
--- a/src/placement/cachescope.cpp
+++ b/src/placement/cachescope.cpp
@@ -10,9 +10,12 @@
     return CacheScope(joinFields({"isolated", organisation, model}));
 }
 
-CacheScope CacheScope::shared(std::string_view model)
+// An organisation may have made parts before it became isolated, and engines keep them. So there is
+// a new scope whenever other organisations are isolated, and what it holds was made by
+// organisations that are not. All instances get the same scope from the configuration alone.
+CacheScope CacheScope::shared(std::string_view isolatedDigest, std::string_view model)
 {
-    return CacheScope(joinFields({"shared", model}));
+    return CacheScope(joinFields({"shared", isolatedDigest, model}));
 }
 
 // The salts are digests, as the names in them may have characters that a header can't carry.
--- a/src/placement/cachescope.h
+++ b/src/placement/cachescope.h
@@ -17,7 +17,8 @@
     /// The requests of \a organisation alone.
     static CacheScope isolated(std::string_view organisation, std::string_view model);
     /// The requests of all organisations that are not isolated, and of callers without one.
-    static CacheScope shared(std::string_view model);
+    /// \a isolatedDigest tells which organisations are isolated, see RoutingTable.
+    static CacheScope shared(std::string_view isolatedDigest, std::string_view model);
 
     /// Returns the salt for attempts at engines with the version \a weights.
     std::string saltFor(std::int64_t weights) const;
--- a/src/placement/cachescope_test.cpp
+++ b/src/placement/cachescope_test.cpp
@@ -45,7 +45,8 @@
             salts.insert(scope.saltForRequest("7"));
         };
         for (const std::string &model : names) {
-            addScope(CacheScope::shared(model));
+            addScope(CacheScope::shared("", model));
+            addScope(CacheScope::shared("isolated", model));
             for (const std::string &organisation : names)
                 addScope(CacheScope::isolated(organisation, model));
         }
@@ -57,8 +58,8 @@
 // Guards against a chain that begins alike in two scopes: their prompts would get one home.
 Test(cachescope, scopes_have_hashes_of_their_own)
 {
-    const std::set<std::uint64_t> hashes{CacheScope::shared("loom").hash(),
-                                         CacheScope::isolated("shared", "loom").hash(),
-                                         CacheScope::isolated("", "loom").hash()};
-    cr_assert(hashes.size() == 3U);
+    const std::set<std::uint64_t> hashes{
+        CacheScope::shared("", "loom").hash(), CacheScope::shared("shared", "loom").hash(),
+        CacheScope::isolated("shared", "loom").hash(), CacheScope::isolated("", "loom").hash()};
+    cr_assert(hashes.size() == 4U);
 }
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -1,6 +1,11 @@
 #include "routing/table.h"
 
+#include "base/digest.h"
+#include "base/joinfields.h"
+
 #include <algorithm>
+#include <numeric>
+#include <set>
 
 namespace lavenderhall {
 
@@ -13,6 +18,17 @@
     return found == map.end() ? nullptr : found->second;
 }
 
+// The order of the organisations makes no difference.
+std::string digestOfIsolated(const std::vector<OrganisationSpec> &organisations)
+{
+    std::set<std::string> names;
+    for (const OrganisationSpec &organisation : organisations) {
+        if (organisation.isIsolated)
+            names.insert(joinFields({organisation.name}));
+    }
+    return blake2bHex(std::accumulate(names.begin(), names.end(), std::string()));
+}
+
 } // namespace
 
 const char *toString(RequestKind kind)
@@ -30,6 +46,7 @@
 
 RoutingTable::RoutingTable(TableContent content)
     : tableContent(std::move(content))
+    , isolatedNamesDigest(digestOfIsolated(this->tableContent.organisations))
 {
     for (const ForwardRoute &route : this->tableContent.routes)
         this->byHost[route.host].push_back(&route);
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -153,6 +153,8 @@
     const OrganisationSpec *findOrganisation(std::string_view name) const;
     /// Returns the organisation that owns \a key; nullptr if the key is unknown.
     const OrganisationSpec *findByKey(std::string_view key) const;
+    /// Returns a digest of the names of all isolated organisations.
+    const std::string &isolatedDigest() const { return this->isolatedNamesDigest; }
     /// Whether callers need keys, unless their route is public.
     bool needsKeys() const
     {
@@ -165,6 +167,7 @@
     std::unordered_map<std::string, const ServiceSpec *> services;
     std::unordered_map<std::string, const OrganisationSpec *> organisations;
     std::unordered_map<std::string, const OrganisationSpec *> byKey;
+    const std::string isolatedNamesDigest;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
