Log: when weights were named, as far as an instance knows, and from whom

Change: weights_named has age_ms and assumed; weights_time_told is logged when another instance's time replaces one, with its sender.

--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -132,7 +132,9 @@
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
         this->loadMonitor.onWeightsNotice(notice, monoNow());
     };
-    engineUpdates.onLoadNews = [this](const proto::LoadNews &news) { this->applyLoadNews(news); };
+    engineUpdates.onLoadNews = [this](const proto::ProcessId &from, const proto::LoadNews &news) {
+        this->applyLoadNews(from, news);
+    };
     engineUpdates.onCrashNews
         = [this](const proto::CrashNews &news) { this->crashMonitor.onNews(news, monoNow()); };
     engineUpdates.onWorkNews = [this](const proto::ProcessId &from, const proto::WorkNews &news) {
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -68,7 +68,7 @@
     /// Applies the builds that no request should go to yet.
     void applyUnregisteredBuilds();
     /// Handles loads that other instances have requested, and what comes with them.
-    void applyLoadNews(const proto::LoadNews &news);
+    void applyLoadNews(const proto::ProcessId &from, const proto::LoadNews &news);
     void applyEvent(ObjectKind kind, const ObjectEvent &event);
     void applyTable(const Json &content, std::int64_t revision);
     void applyEndpoint(const StoredObject &object);
@@ -83,7 +83,7 @@
     /// The same for rollouts of services.
     Millis serviceTakeoverDelay() const;
     /// Applies what another instance tells about when weights were named.
-    void applyNamedTimes(const proto::LoadNews &news);
+    void applyNamedTimes(const proto::ProcessId &from, const proto::LoadNews &news);
     /// Tells the other instances when weights were named lately, if it is this instance's task.
     void tellNamedTimes(MonoTime now);
     /// Writes the answer to a request that a server refuses by itself.
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -167,18 +167,20 @@
     const bool isInitial = !this->storeReplica.hasList(ObjectKind::Weights);
     const Millis initialAge
         = std::max(Millis(0), this->settings.bounds.oldWeightsTimeout - InitialOldWeightsTime);
-    if (!history.onNamed(weights->version, monoNow(), isInitial ? initialAge : Millis(0),
-                         isInitial))
+    const Millis age = isInitial ? initialAge : Millis(0);
+    if (!history.onNamed(weights->version, monoNow(), age, isInitial))
         return;
     logEvent(LogLevel::Info, "weights_named",
              {{"model", weights->model},
               {"version", weights->version},
+              {"age_ms", age.count()},
+              {"assumed", isInitial ? 1 : 0},
               {"revision", counterOf(object.revision)}});
     this->rollout.setNamedWeights(this->context.namedWeights);
     this->forwarder.onWeightsNamed();
 }
 
-void ForwardDaemon::applyLoadNews(const proto::LoadNews &news)
+void ForwardDaemon::applyLoadNews(const proto::ProcessId &from, const proto::LoadNews &news)
 {
     const MonoTime now = monoNow();
     this->loadMonitor.onLoadNews(news, now);
@@ -188,18 +190,25 @@
         if (load.avoid_ms() == 0)
             this->crashMonitor.onEndpointAlive({load.endpoint(), load.born_ms()}, now);
     }
-    this->applyNamedTimes(news);
+    this->applyNamedTimes(from, news);
 }
 
-void ForwardDaemon::applyNamedTimes(const proto::LoadNews &news)
+void ForwardDaemon::applyNamedTimes(const proto::ProcessId &from, const proto::LoadNews &news)
 {
     if (news.named().empty())
         return;
     for (const proto::NamedWeights &named : news.named()) {
         const auto history = this->context.namedWeights.find(named.model());
-        if (history != this->context.namedWeights.end() && named.age_ms() >= 0)
-            history->second.onTimeKnown(named.version(),
-                                        monoNow() - std::min(Millis(named.age_ms()), MaxNamedAge));
+        if (history == this->context.namedWeights.end() || named.age_ms() < 0)
+            continue;
+        const Millis age = std::min(Millis(named.age_ms()), MaxNamedAge);
+        if (!history->second.onTimeKnown(named.version(), monoNow() - age))
+            continue;
+        logEvent(LogLevel::Info, "weights_time_told",
+                 {{"model", named.model()},
+                  {"version", named.version()},
+                  {"age_ms", age.count()},
+                  {"from", from.name()}});
     }
     this->rollout.setNamedWeights(this->context.namedWeights);
     this->forwarder.onWeightsNamed();
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -40,7 +40,7 @@
 struct EngineUpdateHandlers
 {
     std::function<void(const proto::WeightsNotice &notice)> onWeightsNotice;
-    std::function<void(const proto::LoadNews &news)> onLoadNews;
+    std::function<void(const proto::ProcessId &from, const proto::LoadNews &news)> onLoadNews;
     std::function<void(const proto::CrashNews &news)> onCrashNews;
     std::function<void(const proto::ProcessId &from, const proto::WorkNews &news)> onWorkNews{};
 };
--- a/src/router/fleetmessages.cpp
+++ b/src/router/fleetmessages.cpp
@@ -74,7 +74,7 @@
         return;
     case proto::Envelope::kLoadNews:
         if (this->engineUpdateHandlers.onLoadNews)
-            this->engineUpdateHandlers.onLoadNews(message.load_news());
+            this->engineUpdateHandlers.onLoadNews(message.from(), message.load_news());
         return;
     case proto::Envelope::kCrashNews:
         if (this->engineUpdateHandlers.onCrashNews)
--- a/src/routing/weightsversionhistory.cpp
+++ b/src/routing/weightsversionhistory.cpp
@@ -28,19 +28,21 @@
     return true;
 }
 
-void WeightsVersionHistory::onTimeKnown(std::int64_t version, MonoTime namedAt)
+bool WeightsVersionHistory::onTimeKnown(std::int64_t version, MonoTime namedAt)
 {
     if (version <= 0 || version > this->newest() || this->versions.size() > MaxVersions)
-        return;
+        return false;
     const auto found
         = std::find_if(this->versions.begin(), this->versions.end(),
                        [version](const NamedVersion &named) { return named.version >= version; });
     if (found->version != version) {
         this->versions.insert(found, {version, namedAt, false});
-        return;
+        return true;
     }
-    if (found->isAssumed || namedAt < found->namedAt)
-        *found = {version, namedAt, false};
+    if (!found->isAssumed && namedAt >= found->namedAt)
+        return false;
+    *found = {version, namedAt, false};
+    return true;
 }
 
 std::vector<WeightsVersionHistory::NamedVersion> WeightsVersionHistory::namedAtKnownTimes() const
--- a/src/routing/weightsversionhistory.h
+++ b/src/routing/weightsversionhistory.h
@@ -52,8 +52,9 @@
     bool onNamed(std::int64_t version, MonoTime now, Millis age = Millis(0),
                  bool isAssumed = false);
     /// Another instance knows that \a version was named at \a namedAt. Replaces an assumed or a
-    /// later time. Ignores a version that is newer than all recorded ones.
-    void onTimeKnown(std::int64_t version, MonoTime namedAt);
+    /// later time. Ignores a version that is newer than all recorded ones. Returns whether that
+    /// was news.
+    bool onTimeKnown(std::int64_t version, MonoTime namedAt);
     /// Returns the newest version; 0 if none was named.
     std::int64_t newest() const
     {
