Weights: names that an instance has missed are never taken for none

Cause: a process that starts knows the newest name alone, with an assumed early time, which bounds all older versions. When another instance tells the newest name's time, that replaced the assumed one, and the names between, which it does not know, bounded nothing any more. The same for names between two lists, and between two versions that another instance passes on. Class: the absence of an entry was taken for knowledge that there is none. Change: each name records the one right before it, where that is known: from the events of the own watch, one by one, or from another instance that knows. Where it is not known, what is older keeps the assumed limit (after a start), that of the last known name, or the time in which an instance in touch learns of names (1 s). Told times carry the previous name. The history moves from routing/ to weights/, with NameTracker, which was part of ForwardDaemon.

--- a/src/forward/daemonhooks.cpp
+++ b/src/forward/daemonhooks.cpp
@@ -128,6 +128,14 @@
     };
     handlers.onStoreChange
         = [this](ObjectKind kind) { this->fleet.publishObjects(static_cast<std::size_t>(kind)); };
+    handlers.onOwnList = [this](ObjectKind kind, const std::vector<StoredObject> &objects) {
+        if (kind == ObjectKind::Weights)
+            this->weightsNames.onOwnList(objects);
+    };
+    handlers.onOwnEvents = [this](ObjectKind kind, const std::vector<ObjectEvent> &events) {
+        if (kind == ObjectKind::Weights && this->weightsNames.onOwnEvents(events, monoNow()))
+            this->applyNamedWeights();
+    };
     handlers.onBatchEnd = [this] { this->applyDirectoryChanges(); };
     return handlers;
 }
--- a/src/forward/endpointselector.h
+++ b/src/forward/endpointselector.h
@@ -10,7 +10,7 @@
 #include "routing/endpointlimits.h"
 #include "routing/endpointnotices.h"
 #include "routing/table.h"
-#include "routing/weightsversionhistory.h"
+#include "weights/versionhistory.h"
 
 #include <map>
 #include <optional>
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -17,8 +17,8 @@
 #include "routing/retrybudget.h"
 #include "routing/retrystate.h"
 #include "routing/streamorigins.h"
-#include "routing/weightsversionhistory.h"
 #include "streams/eventsplitter.h"
+#include "weights/versionhistory.h"
 
 #include <functional>
 #include <map>
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -100,6 +100,7 @@
           [this](const std::string &endpoint) { this->loadMonitor.onEndpointReplaced(endpoint); },
           [this](const std::string &endpoint) { this->loadMonitor.onEndpointLeaving(endpoint); },
           [this] { return this->relayInstances(); }}
+    , weightsNames(adapter, this->context.namedWeights)
     , forwarder(this->context)
     , rollout(loop, adapter, this->store, this->selector, this->context.reach,
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -16,6 +16,7 @@
 #include "router/processwatch.h"
 #include "router/settings.h"
 #include "timeline/ring.h"
+#include "weights/nametracker.h"
 
 #include <memory>
 #include <string>
@@ -74,6 +75,8 @@
     void applyEndpoint(const StoredObject &object);
     void applyDirectoryChanges();
     void applyWeights(const StoredObject &object);
+    /// It has become known that weights were named, or when.
+    void applyNamedWeights();
     void applyServiceOrder(const ObjectEvent &event);
     /// Connects requests and instances with the rollouts of services, if there are any.
     void startServiceRollouts();
@@ -117,6 +120,7 @@
     OriginLookup originLookup;
     AdmissionControl admissionControl; ///< used where the platform's features call for it
     ForwardContext context;
+    NameTracker weightsNames;
     Forwarder forwarder;
     RolloutController rollout;
     StoreReplica storeReplica;
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Weights in the first list after the start may have been named any time before. Unless another
-// instance tells when, requests may begin on older ones for this long.
-constexpr Millis InitialOldWeightsTime{4000};
 // One instance of each region tells the others when weights were named, this often.
 constexpr const char *NamedWeightsTask = "tell when weights were named";
 constexpr Millis NamedWeightsInterval{1000};
@@ -156,26 +153,16 @@
 
 void ForwardDaemon::applyWeights(const StoredObject &object)
 {
-    const auto read = toOutcome([&] { return this->adapter.readWeights(object.content); });
-    const auto *weights = std::get_if<NamedWeights>(&read);
-    if (!weights) {
-        logEvent(LogLevel::Warning, "weights_malformed",
-                 {{"name", object.name}, {"detail", std::get<Error>(read).detail}});
-        return;
-    }
-    WeightsVersionHistory &history = this->context.namedWeights[weights->model];
-    const bool isInitial = !this->storeReplica.hasList(ObjectKind::Weights);
-    const Millis initialAge
-        = std::max(Millis(0), this->settings.bounds.oldWeightsTimeout - InitialOldWeightsTime);
-    const Millis age = isInitial ? initialAge : Millis(0);
-    if (!history.onNamed(weights->version, monoNow(), age, isInitial))
-        return;
-    logEvent(LogLevel::Info, "weights_named",
-             {{"model", weights->model},
-              {"version", weights->version},
-              {"age_ms", age.count()},
-              {"assumed", isInitial ? 1 : 0},
-              {"revision", counterOf(object.revision)}});
+    const NameSource source = this->storeReplica.hasList(ObjectKind::Weights)
+        ? NameSource::Change
+        : NameSource::FirstList;
+    if (this->weightsNames.onObject(object, source, this->settings.bounds.oldWeightsTimeout,
+                                    monoNow()))
+        this->applyNamedWeights();
+}
+
+void ForwardDaemon::applyNamedWeights()
+{
     this->rollout.setNamedWeights(this->context.namedWeights);
     this->forwarder.onWeightsNamed();
 }
@@ -202,7 +189,10 @@
         if (history == this->context.namedWeights.end() || named.age_ms() < 0)
             continue;
         const Millis age = std::min(Millis(named.age_ms()), MaxNamedAge);
-        if (!history->second.onTimeKnown(named.version(), monoNow() - age))
+        NamedVersion told{named.version(), monoNow() - age, false, std::nullopt, {}};
+        if (named.has_previous())
+            told.previous = named.previous();
+        if (!history->second.onTold(told))
             continue;
         logEvent(LogLevel::Info, "weights_time_told",
                  {{"model", named.model()},
@@ -210,8 +200,7 @@
                   {"age_ms", age.count()},
                   {"from", from.name()}});
     }
-    this->rollout.setNamedWeights(this->context.namedWeights);
-    this->forwarder.onWeightsNamed();
+    this->applyNamedWeights();
 }
 
 void ForwardDaemon::tellNamedTimes(MonoTime now)
@@ -230,6 +219,8 @@
             told.set_model(model);
             told.set_version(named.version);
             told.set_age_ms(std::chrono::duration_cast<Millis>(now - named.namedAt).count());
+            if (named.previous)
+                told.set_previous(*named.previous);
         }
     }
     if (!news.named().empty())
--- a/src/forward/storereplica.cpp
+++ b/src/forward/storereplica.cpp
@@ -8,7 +8,7 @@
 
 StoreReplica::StoreReplica(http::Loop &loop, ObjectClient &store, const ObjectKinds &kinds,
                            bool hasRollouts, StoreReplicaHandlers handlers, std::uint64_t seed)
-    : onStoreChange(handlers.onStoreChange)
+    : handlers(handlers)
     , kindCount(hasRollouts ? ObjectKindCount : ObjectKindCount - 1)
     , replica({kinds.configuration, kinds.endpoints, kinds.weights, kinds.rollouts},
               std::move(handlers))
@@ -37,12 +37,14 @@
     ObjectWatchHandlers watchHandlers;
     watchHandlers.onListed = [this, kind](const std::vector<StoredObject> &objects,
                                           std::int64_t revision, bool wasUnreachable) {
+        this->handlers.onOwnList(kind, objects);
         this->replica.applyList(kind, objects, revision, wasUnreachable, monoNow());
-        this->onStoreChange(kind);
+        this->handlers.onStoreChange(kind);
     };
     watchHandlers.onEvents = [this, kind](const std::vector<ObjectEvent> &events) {
+        this->handlers.onOwnEvents(kind, events);
         this->replica.applyEvents(kind, events);
-        this->onStoreChange(kind);
+        this->handlers.onStoreChange(kind);
     };
     return watchHandlers;
 }
--- a/src/forward/storereplica.h
+++ b/src/forward/storereplica.h
@@ -21,6 +21,12 @@
 {
     /// Changes have been received from the store itself, not from another instance.
     std::function<void(ObjectKind kind)> onStoreChange;
+    /// This instance's own watch goes on from the complete list \a objects. Called before the
+    /// objects that are news are reported.
+    std::function<void(ObjectKind kind, const std::vector<StoredObject> &objects)> onOwnList;
+    /// The own watch has returned \a events, each change one by one, whether they are news or not.
+    /// Called before those that are news are reported.
+    std::function<void(ObjectKind kind, const std::vector<ObjectEvent> &events)> onOwnEvents;
 };
 
 /// Connects the copies of the objects with the watch of the store and with the fleet.
@@ -50,7 +56,7 @@
     void updateWatch(bool isAssigned);
     StoreContact storeContact() const;
 
-    std::function<void(ObjectKind kind)> onStoreChange;
+    const StoreReplicaHandlers handlers;
     const std::size_t kindCount; ///< of the kinds that are replicated, the first ones
     ObjectReplica replica;
     std::vector<std::unique_ptr<ObjectWatcher>> watchers; ///< one for each kind
--- a/src/rollout/planner.h
+++ b/src/rollout/planner.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "rollout/order.h"
 #include "routing/endpointdirectory.h"
-#include "routing/weightsversionhistory.h"
+#include "weights/versionhistory.h"
 
 #include <map>
 #include <optional>
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -1,6 +1,6 @@
 #include "routing/endpointdirectory.h"
 #include "routing/table.h"
-#include "routing/weightsversionhistory.h"
+#include "weights/versionhistory.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
