Weights: instances ask each other when versions were named

Cause: the age in a pushed message counted from its arrival, and messages wait in the sender's queue while the receiver is down or starts. One instance of each region told, chosen by its name, whatever it knew. Class: a duration that is passed on without the time at which it was true. Change: HistoryExchange (weights/). An instance that may still begin on old versions asks one other of its region four times a second, and one of the fleet while names are missing. It knows how long an answer can have been under way, and ignores one after 0.25 s. Draining instances ask and are asked. Numbers of requests start at random, as an answer that waited for the process before fitted a request of the next one. The periodic telling in LoadNews goes. Cost: 8 small messages a second for each instance in the 10 s after a name, to its region as a rule.

--- a/src/forward/daemonhooks.cpp
+++ b/src/forward/daemonhooks.cpp
@@ -69,6 +69,33 @@
     return handlers;
 }
 
+HistoryExchangeHooks ForwardDaemon::historyExchangeHooks()
+{
+    HistoryExchangeHooks hooks;
+    hooks.othersInRegion = [this] { return this->fleet.others(TaskScope::Region); };
+    hooks.othersInFleet = [this] { return this->fleet.others(TaskScope::Fleet); };
+    hooks.ask = [this](const proto::ProcessId &to, const proto::WeightsHistoryRequest &request) {
+        this->fleet.send(to, request);
+    };
+    hooks.onChange = [this] { this->applyNamedWeights(); };
+    return hooks;
+}
+
+WeightsHistoryHandlers ForwardDaemon::weightsHistoryHandlers()
+{
+    WeightsHistoryHandlers handlers;
+    handlers.onRequest
+        = [this](const proto::ProcessId &from, const proto::WeightsHistoryRequest &request) {
+              this->fleet.send(from,
+                               this->historyExchange.answer(
+                                   request, this->settings.bounds.oldWeightsTimeout, monoNow()));
+          };
+    handlers.onAnswer = [this](const proto::ProcessId &from, const proto::WeightsHistory &answer) {
+        this->historyExchange.onAnswer(from, answer, monoNow());
+    };
+    return handlers;
+}
+
 StreamOriginHooks ForwardDaemon::streamOriginHooks()
 {
     StreamOriginHooks hooks;
--- a/src/forward/forwarddaemon.cpp
+++ b/src/forward/forwarddaemon.cpp
@@ -101,6 +101,7 @@
           [this](const std::string &endpoint) { this->loadMonitor.onEndpointLeaving(endpoint); },
           [this] { return this->relayInstances(); }}
     , weightsNames(adapter, this->context.namedWeights)
+    , historyExchange(this->context.namedWeights, this->historyExchangeHooks(), randomSeed())
     , forwarder(this->context)
     , rollout(loop, adapter, this->store, this->selector, this->context.reach,
               Lease(this->settings.instance, newIncarnation(wallMillis(), randomSeed()),
@@ -133,9 +134,7 @@
     engineUpdates.onWeightsNotice = [this](const proto::WeightsNotice &notice) {
         this->loadMonitor.onWeightsNotice(notice, monoNow());
     };
-    engineUpdates.onLoadNews = [this](const proto::ProcessId &from, const proto::LoadNews &news) {
-        this->applyLoadNews(from, news);
-    };
+    engineUpdates.onLoadNews = [this](const proto::LoadNews &news) { this->applyLoadNews(news); };
     engineUpdates.onCrashNews
         = [this](const proto::CrashNews &news) { this->crashMonitor.onNews(news, monoNow()); };
     engineUpdates.onWorkNews = [this](const proto::ProcessId &from, const proto::WorkNews &news) {
@@ -144,6 +143,7 @@
     };
     this->fleet.replicateObjects(this->storeReplica.replicatedObjects(), std::move(engineUpdates));
     this->fleet.handleLimits(this->limitMessageHandlers());
+    this->fleet.handleWeightsHistories(this->weightsHistoryHandlers());
     this->context.admission = this->rateLimiter.admission();
     const std::vector<std::string> &features = this->settings.features;
     if (std::find(features.begin(), features.end(), adapter.features.overload) != features.end())
@@ -388,7 +388,7 @@
 void ForwardDaemon::tick()
 {
     const MonoTime now = monoNow();
-    this->tellNamedTimes(now);
+    this->historyExchange.onTick(this->settings.bounds.oldWeightsTimeout, now);
     this->crashMonitor.onTick(now);
     this->limitMonitor.onTick(now);
     this->directory.onTick(now);
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -16,6 +16,7 @@
 #include "router/processwatch.h"
 #include "router/settings.h"
 #include "timeline/ring.h"
+#include "weights/historyexchange.h"
 #include "weights/nametracker.h"
 
 #include <memory>
@@ -69,7 +70,7 @@
     /// Applies the builds that no request should go to yet.
     void applyUnregisteredBuilds();
     /// Handles loads that other instances have requested, and what comes with them.
-    void applyLoadNews(const proto::ProcessId &from, const proto::LoadNews &news);
+    void applyLoadNews(const proto::LoadNews &news);
     void applyEvent(ObjectKind kind, const ObjectEvent &event);
     void applyTable(const Json &content, std::int64_t revision);
     void applyEndpoint(const StoredObject &object);
@@ -77,6 +78,8 @@
     void applyWeights(const StoredObject &object);
     /// It has become known that weights were named, or when.
     void applyNamedWeights();
+    HistoryExchangeHooks historyExchangeHooks();
+    WeightsHistoryHandlers weightsHistoryHandlers();
     void applyServiceOrder(const ObjectEvent &event);
     /// Connects requests and instances with the rollouts of services, if there are any.
     void startServiceRollouts();
@@ -85,10 +88,6 @@
     Millis rolloutTakeoverDelay() const;
     /// The same for rollouts of services.
     Millis serviceTakeoverDelay() const;
-    /// Applies what another instance tells about when weights were named.
-    void applyNamedTimes(const proto::ProcessId &from, const proto::LoadNews &news);
-    /// Tells the other instances when weights were named lately, if it is this instance's task.
-    void tellNamedTimes(MonoTime now);
     /// Writes the answer to a request that a server refuses by itself.
     http::Response writeServerRefusal(int status, std::string_view reason,
                                       const http::Request &received);
@@ -121,6 +120,7 @@
     AdmissionControl admissionControl; ///< used where the platform's features call for it
     ForwardContext context;
     NameTracker weightsNames;
+    HistoryExchange historyExchange;
     Forwarder forwarder;
     RolloutController rollout;
     StoreReplica storeReplica;
@@ -142,7 +142,6 @@
     std::int64_t tableRevision = 0;
     http::Timer tickTimer;
     http::Timer metricsTimer;
-    MonoTime nextNamedTimes{}; ///< next call of tellNamedTimes() that tells something
     http::Timer settingsTimer;
     Millis takeoverJitter{0}; ///< random part of the takeover delay of the rollout
     std::size_t fleetSize = 0; ///< upper bound on the instances among which budgets are divided
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -7,15 +7,6 @@
 /// engines.
 namespace lavenderhall {
 
-namespace {
-
-// One instance of each region tells the others when weights were named, this often.
-constexpr const char *NamedWeightsTask = "tell when weights were named";
-constexpr Millis NamedWeightsInterval{1000};
-constexpr Millis MaxNamedAge = std::chrono::hours(24); ///< older names make no difference
-
-} // namespace
-
 void ForwardDaemon::applyEvent(ObjectKind kind, const ObjectEvent &event)
 {
     const StoredObject &object = event.object;
@@ -167,7 +158,7 @@
     this->forwarder.onWeightsNamed();
 }
 
-void ForwardDaemon::applyLoadNews(const proto::ProcessId &from, const proto::LoadNews &news)
+void ForwardDaemon::applyLoadNews(const proto::LoadNews &news)
 {
     const MonoTime now = monoNow();
     this->loadMonitor.onLoadNews(news, now);
@@ -177,54 +168,6 @@
         if (load.avoid_ms() == 0)
             this->crashMonitor.onEndpointAlive({load.endpoint(), load.born_ms()}, now);
     }
-    this->applyNamedTimes(from, news);
-}
-
-void ForwardDaemon::applyNamedTimes(const proto::ProcessId &from, const proto::LoadNews &news)
-{
-    if (news.named().empty())
-        return;
-    for (const proto::NamedWeights &named : news.named()) {
-        const auto history = this->context.namedWeights.find(named.model());
-        if (history == this->context.namedWeights.end() || named.age_ms() < 0)
-            continue;
-        const Millis age = std::min(Millis(named.age_ms()), MaxNamedAge);
-        NamedVersion told{named.version(), monoNow() - age, false, std::nullopt, {}};
-        if (named.has_previous())
-            told.previous = named.previous();
-        if (!history->second.onTold(told))
-            continue;
-        logEvent(LogLevel::Info, "weights_time_told",
-                 {{"model", named.model()},
-                  {"version", named.version()},
-                  {"age_ms", age.count()},
-                  {"from", from.name()}});
-    }
-    this->applyNamedWeights();
-}
-
-void ForwardDaemon::tellNamedTimes(MonoTime now)
-{
-    if (now < this->nextNamedTimes || !this->fleet.isAssigned(NamedWeightsTask, 1))
-        return;
-    this->nextNamedTimes = now + NamedWeightsInterval;
-    proto::LoadNews news;
-    const Millis allowedTime = this->settings.bounds.oldWeightsTimeout;
-    for (const auto &[model, history] : this->context.namedWeights) {
-        // Once the newest version alone is allowed, the times no longer matter.
-        if (history.oldestAllowed(now, allowedTime) == history.newest())
-            continue;
-        for (const auto &named : history.namedAtKnownTimes()) {
-            proto::NamedWeights &told = *news.add_named();
-            told.set_model(model);
-            told.set_version(named.version);
-            told.set_age_ms(std::chrono::duration_cast<Millis>(now - named.namedAt).count());
-            if (named.previous)
-                told.set_previous(*named.previous);
-        }
-    }
-    if (!news.named().empty())
-        this->fleet.broadcast(news);
 }
 
 } // namespace lavenderhall
--- a/src/router/fleet.cpp
+++ b/src/router/fleet.cpp
@@ -260,20 +260,20 @@
     hooks.send = [this](const proto::ProcessId &to, const proto::Envelope &message) {
         this->send(to, message);
     };
-    hooks.othersInRegion = [this] { return this->othersInRegion(); };
+    hooks.othersInRegion = [this] { return this->others(TaskScope::Region); };
     hooks.isAssigned = [this] { return this->isAssigned(StoreTask, StoreWatchers); };
     this->replicator.emplace(std::move(objects), std::move(hooks));
     this->engineUpdateHandlers = std::move(handlers);
 }
 
-std::vector<proto::ProcessId> Fleet::othersInRegion() const
+std::vector<proto::ProcessId> Fleet::others(TaskScope scope) const
 {
-    std::vector<proto::ProcessId> others;
+    std::vector<proto::ProcessId> found;
     for (const proto::Member &member : this->members->alive()) {
-        if (member.region() == this->settings.region)
-            others.push_back(member.id());
+        if (scope == TaskScope::Fleet || member.region() == this->settings.region)
+            found.push_back(member.id());
     }
-    return others;
+    return found;
 }
 
 bool Fleet::isAssigned(std::string_view task, std::size_t count, TaskScope scope) const
--- a/src/router/fleet.h
+++ b/src/router/fleet.h
@@ -40,7 +40,7 @@
 struct EngineUpdateHandlers
 {
     std::function<void(const proto::WeightsNotice &notice)> onWeightsNotice;
-    std::function<void(const proto::ProcessId &from, const proto::LoadNews &news)> onLoadNews;
+    std::function<void(const proto::LoadNews &news)> onLoadNews;
     std::function<void(const proto::CrashNews &news)> onCrashNews;
     std::function<void(const proto::ProcessId &from, const proto::WorkNews &news)> onWorkNews{};
 };
@@ -54,6 +54,14 @@
     std::function<void(const proto::PermitAnswer &answer)> onPermitAnswer;
 };
 
+/// Handlers of the messages about when versions of weights were named.
+struct WeightsHistoryHandlers
+{
+    std::function<void(const proto::ProcessId &from, const proto::WeightsHistoryRequest &request)>
+        onRequest;
+    std::function<void(const proto::ProcessId &from, const proto::WeightsHistory &answer)> onAnswer;
+};
+
 /// Access to the stored seat records. A seat is the right to decide on a part of the limits.
 struct SeatStore
 {
@@ -68,7 +76,7 @@
 /// Called with the answer to a request for tokens.
 using TokenRequestHandler = std::function<void(const BorrowResult &result)>;
 
-/// The instances among which a task is assigned.
+/// The instances among which a task is assigned, or that are asked.
 enum class TaskScope { Region, Fleet };
 
 /// Connects the protocol logic of membership and limits, which does no I/O, with the
@@ -118,6 +126,15 @@
     const proto::ProcessId &ownProcess() const { return this->self; }
     /// Sets the handlers of messages about limits.
     void handleLimits(LimitMessageHandlers handlers) { this->limitHandlers = std::move(handlers); }
+    /// Sets the handlers of messages about when versions of weights were named.
+    void handleWeightsHistories(WeightsHistoryHandlers handlers)
+    {
+        this->historyHandlers = std::move(handlers);
+    }
+    void send(const proto::ProcessId &to, const proto::WeightsHistoryRequest &request);
+    void send(const proto::ProcessId &to, const proto::WeightsHistory &answer);
+    /// Returns the other live instances in \a scope, with those that are leaving.
+    std::vector<proto::ProcessId> others(TaskScope scope) const;
     /// Sends the request to the one instance of the fleet that does \a task, possibly this one.
     void sendToAssigned(std::string_view task, const proto::PermitRequest &request);
     void send(const proto::ProcessId &to, const proto::PermitAnswer &answer);
@@ -171,9 +188,9 @@
     void applySeatChanges();
     void requestSeatRecords();
     void requestNewerConfig();
-    std::vector<proto::ProcessId> othersInRegion() const;
     void broadcast(const proto::Envelope &message);
     void receiveLimits(const proto::Envelope &message);
+    void receiveWeightsHistory(const proto::Envelope &message);
     void receiveObjects(const proto::Envelope &message);
 
     http::Loop &loop;
@@ -183,6 +200,7 @@
     std::optional<ObjectReplicator> replicator; ///< only in the forward dialect
     EngineUpdateHandlers engineUpdateHandlers;
     LimitMessageHandlers limitHandlers;
+    WeightsHistoryHandlers historyHandlers;
     std::function<void(const proto::ProcessId &from, const proto::RolloutNews &news)> onRolloutNews;
     TimelineRing &timeline;
     Metrics &metrics;
--- a/src/router/fleetmessages.cpp
+++ b/src/router/fleetmessages.cpp
@@ -74,7 +74,7 @@
         return;
     case proto::Envelope::kLoadNews:
         if (this->engineUpdateHandlers.onLoadNews)
-            this->engineUpdateHandlers.onLoadNews(message.from(), message.load_news());
+            this->engineUpdateHandlers.onLoadNews(message.load_news());
         return;
     case proto::Envelope::kCrashNews:
         if (this->engineUpdateHandlers.onCrashNews)
@@ -88,6 +88,9 @@
     case proto::Envelope::kPermitRequest:
     case proto::Envelope::kPermitAnswer:
         return this->receiveLimits(message);
+    case proto::Envelope::kWeightsHistoryRequest:
+    case proto::Envelope::kWeightsHistory:
+        return this->receiveWeightsHistory(message);
     case proto::Envelope::kRolloutNews:
         if (this->onRolloutNews)
             this->onRolloutNews(message.from(), message.rollout_news());
@@ -268,6 +271,29 @@
     this->limitHandlers.onNews(message.limit_news());
 }
 
+void Fleet::send(const proto::ProcessId &to, const proto::WeightsHistoryRequest &request)
+{
+    proto::Envelope message;
+    *message.mutable_weights_history_request() = request;
+    this->send(to, std::move(message));
+}
+
+void Fleet::send(const proto::ProcessId &to, const proto::WeightsHistory &answer)
+{
+    proto::Envelope message;
+    *message.mutable_weights_history() = answer;
+    this->send(to, std::move(message));
+}
+
+void Fleet::receiveWeightsHistory(const proto::Envelope &message)
+{
+    if (!this->historyHandlers.onRequest)
+        return;
+    if (message.has_weights_history_request())
+        return this->historyHandlers.onRequest(message.from(), message.weights_history_request());
+    this->historyHandlers.onAnswer(message.from(), message.weights_history());
+}
+
 void Fleet::broadcast(const proto::Envelope &message)
 {
     for (const proto::Member &member : this->members->alive())
