Forward: a caller without an organisation is not taken for the one that its key names

What callers could see: a request of an organisation is refused as crashing_request because the same request crashed endpoints for a caller on a public route whose key is the organisation's name. Cause: the signature of a request took the name of the organisation, or the key where there is none, as one text. Change: the signature takes the organisation, if there is one, and says which of the two it has.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -43,8 +43,8 @@
         return this->refuse({503, "no_configuration", NoConfigurationRetryAfter});
     if (!this->findRoute() || !this->authenticate())
         return;
-    this->signature = RequestSignature(
-        this->request, this->organisation ? this->organisation->name : this->request.key);
+    this->signature = this->organisation ? RequestSignature(this->request, this->organisation->name)
+                                         : RequestSignature(this->request, std::nullopt);
     if (this->refuseBlocked())
         return;
     const Millis callerTimeout = this->request.callerTimeout.value_or(DefaultCallerTimeout);
--- a/src/forward/requestsignature.cpp
+++ b/src/forward/requestsignature.cpp
@@ -23,9 +23,10 @@
 
 } // namespace
 
-RequestSignature::RequestSignature(const ForwardRequest &request, std::string caller)
+RequestSignature::RequestSignature(const ForwardRequest &request,
+                                   std::optional<std::string> organisation)
     : request(&request)
-    , caller(std::move(caller))
+    , organisation(std::move(organisation))
 {
     if (!request.model.empty())
         this->parts = sharedPartIds(request.parts);
@@ -35,9 +36,12 @@
 {
     if (!this->knownFingerprint.empty() || !this->request)
         return this->knownFingerprint;
+    const std::string caller = this->organisation
+        ? joinFields({"organisation", *this->organisation})
+        : joinFields({"key", this->request->key});
     this->knownFingerprint
         = blake2bHex(joinFields({http::toString(this->request->method), this->request->host,
-                                 this->request->path, this->caller, this->request->body}));
+                                 this->request->path, caller, this->request->body}));
     return this->knownFingerprint;
 }
 
--- a/src/forward/requestsignature.h
+++ b/src/forward/requestsignature.h
@@ -3,6 +3,7 @@
 #include "forward/request.h"
 #include "routing/crashattribution.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,9 +15,9 @@
 {
 public:
     RequestSignature() = default;
-    /// \a request must live longer than this. \a caller is its organisation, or its key if it
-    /// belongs to none.
-    RequestSignature(const ForwardRequest &request, std::string caller);
+    /// \a request must live longer than this. \a organisation is that of its caller, who is known
+    /// by the key alone without one.
+    RequestSignature(const ForwardRequest &request, std::optional<std::string> organisation);
 
     const std::vector<PartId> &sharedParts() const { return this->parts; }
     /// Returns the fingerprint. The first call reads the whole body.
@@ -24,7 +25,7 @@
 
 private:
     const ForwardRequest *request = nullptr;
-    std::string caller;
+    std::optional<std::string> organisation;
     std::vector<PartId> parts;
     mutable RequestFingerprint knownFingerprint; ///< "" until it is needed
 };
--- a/src/forward/requestsignature_test.cpp
+++ b/src/forward/requestsignature_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <optional>
 
 using namespace lavenderhall;
 
@@ -19,9 +20,10 @@
     return request;
 }
 
-std::string fingerprintOf(const ForwardRequest &request, const std::string &caller = "org")
+std::string fingerprintOf(const ForwardRequest &request,
+                          const std::optional<std::string> &organisation = "org")
 {
-    return RequestSignature(request, caller).fingerprint();
+    return RequestSignature(request, organisation).fingerprint();
 }
 
 } // namespace
@@ -49,6 +51,19 @@
     cr_assert(fingerprintOf(someRequest(), "another") != fingerprint);
 }
 
+// Guards against a caller without an organisation, whose key is the name of one: the crashes of its
+// requests would count against the organisation's.
+Test(requestsignature, a_key_and_the_name_of_an_organisation_are_told_apart)
+{
+    ForwardRequest request = someRequest();
+    request.key = "org";
+    cr_assert(fingerprintOf(request, std::nullopt) != fingerprintOf(request, "org"));
+    ForwardRequest other = request;
+    other.key = "another";
+    cr_assert(fingerprintOf(other, std::nullopt) != fingerprintOf(request, std::nullopt));
+    cr_assert(fingerprintOf(other, "org") == fingerprintOf(request, "org"));
+}
+
 Test(requestsignature, the_last_part_of_a_prompt_is_not_shared)
 {
     ForwardRequest request = someRequest();
