Forward: an attempt at unknown weights shares its cached parts with no other attempt

What callers could see (STALE): a request that is refused or breaks off at an engine whose weights are not known, and is sent again under its id, went on from parts that the engine had made with the weights before. Cause: the salt where weights are not known was that of the request's id, which was taken for unique; a caller may use an id again, and attempts of one request share it. Change: each such attempt has a random salt.

--- a/src/forward/forwardattempt.cpp
+++ b/src/forward/forwardattempt.cpp
@@ -89,7 +89,7 @@
         ? this->streamWeights.value_or(chosen.requiredWeights)
         : chosen.requiredWeights;
     if (version == 0) {
-        metadata.cacheSalt = this->cacheScope.saltForRequest(this->request.id);
+        metadata.cacheSalt = CacheScope::uniqueSalt();
         return metadata;
     }
     metadata.weightsVersion = version;
--- a/src/forward/isolation_test.cpp
+++ b/src/forward/isolation_test.cpp
@@ -89,3 +89,25 @@
     fixture.configure({organisations.rbegin(), organisations.rend()});
     cr_assert(fixture.saltOf("loft") == salt);
 }
+
+// A caller sends a request again under its id, and the engine has loaded other weights meanwhile.
+// Guards against cached parts that its first attempt has made.
+Test(isolation, an_attempt_at_unknown_weights_has_a_salt_of_its_own)
+{
+    Fixture fixture;
+    fixture.first.onRequest = [](const http::ExchangePtr &exchange) {
+        http::Headers headers = sealedHeaders(exchange);
+        headers.push_back({"content-type", "text/event-stream"});
+        exchange->respond({200, headers, "id: 1\ndata: x\n\n"});
+    };
+    fixture.join(fixture.first, "models", 0);
+    cr_assert(fixture.call("stream").response.status == 200);
+    cr_assert(fixture.callAgain("stream").response.status == 200);
+    const auto saltOf = [](const http::ExchangePtr &exchange) {
+        return std::string(http::findHeader(exchange->request().headers, "cache-salt"));
+    };
+    const auto &exchanges = fixture.first.exchanges;
+    cr_assert(exchanges.size() == 2U);
+    cr_assert(saltOf(exchanges[0]) != saltOf(exchanges[1]));
+    cr_assert(not(saltOf(exchanges[0]).empty()));
+}
--- a/src/placement/cachescope.cpp
+++ b/src/placement/cachescope.cpp
@@ -5,6 +5,12 @@
 
 namespace lavenderhall {
 
+namespace {
+
+constexpr std::size_t UniqueSaltBytes = 16;
+
+} // namespace
+
 CacheScope CacheScope::isolated(std::string_view organisation, std::string_view model)
 {
     return CacheScope(joinFields({"isolated", organisation, model}));
@@ -21,12 +27,12 @@
 // The salts are digests, as the names in them may have characters that a header can't carry.
 std::string CacheScope::saltFor(std::int64_t weights) const
 {
-    return blake2bHex(joinFields({this->key, "weights", std::to_string(weights)}));
+    return blake2bHex(joinFields({this->key, std::to_string(weights)}));
 }
 
-std::string CacheScope::saltForRequest(std::string_view request) const
+std::string CacheScope::uniqueSalt()
 {
-    return blake2bHex(joinFields({this->key, "request", request}));
+    return randomHex(UniqueSaltBytes);
 }
 
 std::uint64_t CacheScope::hash() const
--- a/src/placement/cachescope.h
+++ b/src/placement/cachescope.h
@@ -22,9 +22,9 @@
 
     /// Returns the salt for attempts at engines with the version \a weights.
     std::string saltFor(std::int64_t weights) const;
-    /// Returns the salt for an attempt of \a request at an engine whose weights are not known,
-    /// which shares cached parts with no other request.
-    std::string saltForRequest(std::string_view request) const;
+    /// Returns a new salt for an attempt at an engine whose weights are not known, which shares
+    /// cached parts with no other attempt.
+    static std::string uniqueSalt();
     /// Returns the hash that the chains of the scope's prompts start from.
     std::uint64_t hash() const;
 
--- a/src/placement/cachescope_test.cpp
+++ b/src/placement/cachescope_test.cpp
@@ -41,8 +41,7 @@
             ++scopes;
             salts.insert(scope.saltFor(1));
             salts.insert(scope.saltFor(7));
-            salts.insert(scope.saltForRequest("1"));
-            salts.insert(scope.saltForRequest("7"));
+            salts.insert(CacheScope::uniqueSalt());
         };
         for (const std::string &model : names) {
             addScope(CacheScope::shared("", model));
@@ -50,7 +49,7 @@
             for (const std::string &organisation : names)
                 addScope(CacheScope::isolated(organisation, model));
         }
-        cr_assert(salts.size() == 4 * scopes, "seed %d: %zu salts of %zu scopes", seed,
+        cr_assert(salts.size() == 3 * scopes, "seed %d: %zu salts of %zu scopes", seed,
                   salts.size(), scopes);
     }
 }
