Store: an entry that cannot be read costs no other entry of its list

Cause: an answer of the store was parsed as a whole, so that one value which the library refuses discarded it, for lists and watches, for as long as the entry is there. Class: a unit of failure that is larger than the unit of trust.

--- a/src/forward/daemonhooks.cpp
+++ b/src/forward/daemonhooks.cpp
@@ -163,6 +163,9 @@
         if (kind == ObjectKind::Weights && this->weightsNames.onOwnEvents(events, monoNow()))
             this->applyNamedWeights();
     };
+    handlers.onUnreadable = [this](const std::string &kind, std::size_t count) {
+        this->metrics.countUnreadableObjects(kind, count);
+    };
     handlers.onBatchEnd = [this] { this->applyDirectoryChanges(); };
     return handlers;
 }
--- a/src/forward/storereplica.h
+++ b/src/forward/storereplica.h
@@ -27,6 +27,8 @@
     /// The own watch has returned \a events, each change one by one, whether they are news or not.
     /// Called before those that are news are reported.
     std::function<void(ObjectKind kind, const std::vector<ObjectEvent> &events)> onOwnEvents;
+    /// An answer of the store had objects of the kind \a name that could not be read.
+    std::function<void(const std::string &name, std::size_t count)> onUnreadable;
 };
 
 /// Connects the copies of the objects with the watch of the store and with the fleet.
--- a/src/router/metrics.cpp
+++ b/src/router/metrics.cpp
@@ -50,6 +50,9 @@
                             "Answers to callers by kind of route, outcome and status"))
     , refusals(counterFamily(*this->registry, "lavenderhall_refusals_total",
                              "Requests refused before they ran, by reason"))
+    , unreadableObjects(counterFamily(*this->registry, "lavenderhall_unreadable_objects_total",
+                                      "Objects in answers of the store that could not be read and "
+                                      "were left out, by kind"))
     , stopped(counterFamily(*this->registry, "lavenderhall_drain_ended_requests_total",
                             "Requests that the stop of this instance ended, by outcome: refused at "
                             "arrival, not begun after waiting, unknown (504), cut (broken off)"))
@@ -130,6 +133,11 @@
     this->refusals.Add({{"reason", reason}}).Increment();
 }
 
+void Metrics::countUnreadableObjects(const std::string &kind, std::size_t count)
+{
+    this->unreadableObjects.Add({{"kind", kind}}).Increment(static_cast<double>(count));
+}
+
 void Metrics::countStopped(StopOutcome outcome)
 {
     this->stopped.Add({{"outcome", toString(outcome)}}).Increment();
--- a/src/router/metrics.h
+++ b/src/router/metrics.h
@@ -41,6 +41,9 @@
     void countAnswer(const std::string &kind, const std::string &outcome, int status);
     /// Counts a refused request by \a reason, the code of the error.
     void countRefusal(const std::string &reason);
+    /// Counts \a count objects of \a kind that an answer of the store had and that could not be
+    /// read.
+    void countUnreadableObjects(const std::string &kind, std::size_t count);
     /// Counts a request that the stop of this instance has ended.
     void countStopped(StopOutcome outcome);
     /// Counts a decision of admission control on a request of \a rank to \a service.
@@ -87,6 +90,7 @@
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &refusals;
+    prometheus::Family<prometheus::Counter> &unreadableObjects;
     prometheus::Family<prometheus::Counter> &stopped;
     prometheus::Family<prometheus::Counter> &admissions;
     prometheus::Histogram &admissionWait;
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -34,6 +34,15 @@
     bool operator==(const ObjectEvent &) const = default;
 };
 
+/// The objects of an answer that could not be read.
+struct UnreadableObjects
+{
+    std::size_t count = 0;
+    std::string first; ///< the beginning of the first one, as UTF-8
+
+    bool operator==(const UnreadableObjects &) const = default;
+};
+
 /// One page of a list of the objects of a kind.
 struct ObjectPage
 {
@@ -41,6 +50,7 @@
     std::vector<StoredObject> objects;
     bool hasMore = false; ///< the next page starts after the last name
     std::int64_t revision = 0; ///< store revision of the whole store
+    UnreadableObjects unreadable; ///< left out
 };
 
 /// Answer to a watch: the objects of a kind that have changed.
@@ -50,6 +60,7 @@
     std::vector<ObjectEvent> events;
     std::int64_t revision = 0; ///< store revision to continue the watch from
     std::int64_t era = 0; ///< of the store, also in an answer without a revision; 0 if not known
+    UnreadableObjects unreadable; ///< left out
 };
 
 /// Answer to a call for one object. On Conflict, \a object is the current one.
--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -83,6 +83,7 @@
 {
     if (page.status != StoreStatus::Ok)
         return this->onFailure("list", page.status);
+    this->reportUnreadable(page.unreadable);
     if (this->pending.empty())
         this->pendingRevision = page.revision;
     this->pending.insert(this->pending.end(), page.objects.begin(), page.objects.end());
@@ -135,6 +136,7 @@
     }
     if (changes.status != StoreStatus::Ok)
         return this->onFailure("watch", changes.status);
+    this->reportUnreadable(changes.unreadable);
     this->lastConfirmedAt = this->callStartedAt;
     this->revision = std::max(this->revision, changes.revision);
     if (!changes.events.empty())
@@ -147,6 +149,16 @@
     this->timer = this->loop.after(remaining, [this] { this->watch(); });
 }
 
+void ObjectWatcher::reportUnreadable(const UnreadableObjects &unreadable) const
+{
+    if (unreadable.count == 0)
+        return;
+    logEvent(LogLevel::Warning, "objects_unreadable",
+             {{"kind", this->kind}, {"count", unreadable.count}, {"first", unreadable.first}});
+    if (this->handlers.onUnreadable)
+        this->handlers.onUnreadable(unreadable);
+}
+
 // Exponential backoff with jitter, so that the instances of a fleet do not retry all at once.
 void ObjectWatcher::onFailure(const char *step, StoreStatus status)
 {
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -21,6 +21,8 @@
         onListed;
     /// Changes that a watch returned; never empty.
     std::function<void(const std::vector<ObjectEvent> &events)> onEvents;
+    /// An answer had objects that could not be read. May be empty.
+    std::function<void(const UnreadableObjects &unreadable)> onUnreadable{};
 };
 
 /// Reads a complete list of the objects, then watches for changes from its revision on. Lists
@@ -54,6 +56,7 @@
     void watch();
     void onChanges(const ObjectChanges &changes);
     void onFailure(const char *step, StoreStatus status);
+    void reportUnreadable(const UnreadableObjects &unreadable) const;
 
     http::Loop &loop;
     ObjectClient &client;
