--- a/src/base/jsonlist.cpp
+++ b/src/base/jsonlist.cpp
@@ -97,24 +97,24 @@
     return std::nullopt;
 }
 
-/// Takes the events of the library's parser, and keeps its error.
-class ErrorCatcher
+/// Takes the parser's events, and keeps its first error.
+class ErrorCatcher : public nlohmann::json_sax<Json>
 {
 public:
-    bool null() { return true; }
-    bool boolean(bool) { return true; }
-    bool number_integer(std::int64_t) { return true; }
-    bool number_unsigned(std::uint64_t) { return true; }
-    bool number_float(double, const std::string &) { return true; }
-    bool string(std::string &) { return true; }
-    bool binary(Json::binary_t &) { return true; }
-    bool start_object(std::size_t) { return true; }
-    bool key(std::string &) { return true; }
-    bool end_object() { return true; }
-    bool start_array(std::size_t) { return true; }
-    bool end_array() { return true; }
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(std::int64_t) override { return true; }
+    bool number_unsigned(std::uint64_t) override { return true; }
+    bool number_float(double, const std::string &) override { return true; }
+    bool string(std::string &) override { return true; }
+    bool binary(Json::binary_t &) override { return true; }
+    bool start_object(std::size_t) override { return true; }
+    bool key(std::string &) override { return true; }
+    bool end_object() override { return true; }
+    bool start_array(std::size_t) override { return true; }
+    bool end_array() override { return true; }
     bool parse_error(std::size_t position, const std::string &token,
-                     const nlohmann::detail::exception &error)
+                     const nlohmann::detail::exception &error) override
     {
         this->isNumberOutOfRange = error.id == NumberOutOfRange;
         this->tokenEnd = position;
