Forward: prompts keep the homes that they had before the cache scope was a type

Cause: homes are drawn by the hash that a prompt's chain starts from, and that became the hash of the scope's new key, for isolated organisations too. An upgrade moved all prompts, and so would any change of the isolated organisations. Change: the seed of the homes is what it was. It needs not tell scopes apart: it decides about homes and estimates alone, the salt about cached parts. That no two scopes share a salt is unchanged.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -64,7 +64,7 @@
     this->cacheScope = this->organisation && this->organisation->isIsolated
         ? CacheScope::isolated(this->organisation->name, this->request.model)
         : CacheScope::shared(this->table->isolatedDigest(), this->request.model);
-    this->chain = buildPromptChain(this->cacheScope.hash(), this->request.parts);
+    this->chain = buildPromptChain(this->cacheScope.homeSeed(), this->request.parts);
     // Before the request costs tokens here.
     if (this->shouldRelay() && this->relay())
         return;
--- a/src/forward/prefixcacheestimate.cpp
+++ b/src/forward/prefixcacheestimate.cpp
@@ -25,10 +25,10 @@
     return this->links.size() < 2 ? nullptr : &this->links[this->links.size() - 2];
 }
 
-PromptChain buildPromptChain(std::uint64_t scopeHash, const std::vector<PromptPart> &parts)
+PromptChain buildPromptChain(std::uint64_t homeSeed, const std::vector<PromptPart> &parts)
 {
     PromptChain chain;
-    std::uint64_t hash = scopeHash;
+    std::uint64_t hash = homeSeed;
     for (const PromptPart &part : parts) {
         hash = hash64(part.id, hash);
         chain.links.push_back({hash, part.tokens});
--- a/src/forward/prefixcacheestimate.h
+++ b/src/forward/prefixcacheestimate.h
@@ -34,8 +34,8 @@
     const Link *lastSharedLink() const;
 };
 
-/// Hashes \a parts in order, starting from \a scopeHash, see CacheScope::hash().
-PromptChain buildPromptChain(std::uint64_t scopeHash, const std::vector<PromptPart> &parts);
+/// Hashes \a parts in order, starting from \a homeSeed, see CacheScope.
+PromptChain buildPromptChain(std::uint64_t homeSeed, const std::vector<PromptPart> &parts);
 
 /// Estimated contents of one endpoint's prefix cache; evicts the least recently used entries when
 /// their tokens exceed the capacity.
--- a/src/placement/cachescope.h
+++ b/src/placement/cachescope.h
@@ -25,17 +25,20 @@
     /// Returns a new salt for an attempt at an engine whose weights are not known, which shares
     /// cached parts with no other attempt.
     static std::string uniqueSalt();
-    /// Returns the hash that the chains of the scope's prompts start from.
-    std::uint64_t hash() const;
+    /// Returns the hash that the chains of the scope's prompts start from, which decides about
+    /// their homes. It is no key: two scopes may have the same one.
+    std::uint64_t homeSeed() const { return this->seed; }
 
     auto operator<=>(const CacheScope &) const = default;
 
 private:
-    explicit CacheScope(std::string key)
+    CacheScope(std::string key, std::uint64_t seed)
         : key(std::move(key))
+        , seed(seed)
     { }
 
     std::string key; ///< tells the scope from all others
+    std::uint64_t seed = 0;
 };
 
 } // namespace lavenderhall
