--- a/src/weights/historyexchange.cpp
+++ b/src/weights/historyexchange.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Millis RequestInterval{250};
-// The time of a version counts as later by the time that the answer was under way, and may be
-// passed on several times.
+// A version counts as named later than it was by the time that the answer was under way. These
+// delays add up when a time is passed on from one instance to the next.
 constexpr Millis MaxRoundTrip{250};
 constexpr Millis MaxNamedAge = std::chrono::hours(24); ///< older names make no difference
 
--- a/src/weights/historyexchange.h
+++ b/src/weights/historyexchange.h
@@ -12,9 +12,9 @@
 
 /// How instances tell each other when versions of weights were named.
 ///
-/// An instance asks for what it lacks, rather than being told: a message may wait in a queue for
-/// any time, and the age in it counts from then on. The asker knows how long an answer can have
-/// been under way, and ignores one that was for long.
+/// An instance asks for what it lacks, rather than being told. A message has the age of a version,
+/// which is out of date once the message has waited in a queue. Who has asked knows how long the
+/// answer can have been under way at most, and ignores one that took too long.
 namespace lavenderhall {
 
 /// What the exchange needs from the fleet.
--- a/src/weights/historyexchange_test.cpp
+++ b/src/weights/historyexchange_test.cpp
@@ -348,8 +348,9 @@
     for (int seed = 1; seed <= Seeds; ++seed) {
         SimulatedFleet fleet(static_cast<std::uint64_t>(seed));
         fleet.run();
-        cr_assert(fleet.late.empty(), "seed %d: %s, and %zu more", seed, fleet.late.front().c_str(),
-                  fleet.late.size() - 1);
+        const std::string first = fleet.late.empty() ? std::string() : fleet.late.front();
+        cr_assert(fleet.late.empty(), "seed %d: %zu times, first: %s", seed, fleet.late.size(),
+                  first.c_str());
         early += fleet.earlyTime;
         shared += fleet.sharedTime;
     }
--- a/src/weights/versionhistory.cpp
+++ b/src/weights/versionhistory.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t MaxVersions = 64;
-// An instance in touch with the store or with others that are learns of a version within this
-// time. So names that it has missed before one that it finds are no older.
+// An instance that can reach the store, or another one that can, learns of a version within this
+// time. So the names that it missed before a version which it finds are no older than that.
 constexpr Millis MaxLearningTime{1000};
 // Answers of other instances differ by the time that each was under way.
 constexpr Millis MinCorrection{5};
@@ -141,8 +141,8 @@
     return std::max(next->missingSince, std::prev(next)->namedAt);
 }
 
-// A version that was named although an earlier one is missing limits only the versions from that
-// one on. What is older may have been replaced by the missing name.
+// The time of a version limits the versions from the one before it on. If that one is not recorded,
+// older versions were replaced by it, at a time that is not known, so they get an early limit.
 OldWeightsLimits WeightsVersionHistory::limits(Millis allowedTime) const
 {
     std::map<std::int64_t, MonoTime> byNewerVersion;
@@ -154,8 +154,8 @@
             byNewerVersion.emplace(previous, earliest + allowedTime);
         byNewerVersion.emplace(named->version, named->namedAt + allowedTime);
     }
-    // What was named by a time limits all that is older, also if this instance learnt late of a
-    // version between.
+    // Once a version is named, all older ones are replaced. So none may be allowed for longer than
+    // a newer one, even if this instance learnt late of a version between the two.
     for (auto limit = byNewerVersion.rbegin(); limit != byNewerVersion.rend(); ++limit) {
         if (limit != byNewerVersion.rbegin())
             limit->second = std::min(limit->second, std::prev(limit)->second);
--- a/src/weights/versionhistory.h
+++ b/src/weights/versionhistory.h
@@ -95,13 +95,17 @@
 private:
     using Position = std::vector<NamedVersion>::const_iterator;
 
+    /// Adds \a named as the newest version.
     void append(const NamedVersion &named, MonoTime now);
+    /// Adds \a named before \a next. Returns false if there is no room.
     bool insert(NamedVersion named, Position next);
+    /// Takes over into \a known what \a told knows better. Returns whether that was anything.
     bool update(NamedVersion &known, const NamedVersion &told);
+    /// Returns an early enough time for names that are missing right before \a next.
     MonoTime missingSince(Position next) const;
 
     std::vector<NamedVersion> versions; ///< oldest first
-    MonoTime learntAt{};
+    MonoTime learntAt{}; ///< when the newest version was recorded
 };
 
 /// By model.
