Store: a name is encoded where it becomes a part of a path or a query

Cause: the name of the last entry of a page was written into "after" as it is. The store then refused the call, for ever, or went on at another place, and a list without the endpoints between counted as whole. Change: http::percentEncoded() encodes names in lists, reads and writes of both dialects; queryValue() decodes, also the filters of the time line, which the command line encoded and the instance did not decode. The HTTP client sends no request whose path or headers would break its lines: such a call fails as not sent. The store's stand-ins of the other tests do not page and read names as they were sent, which hid the fault.

--- a/fakes/store.cpp
+++ b/fakes/store.cpp
@@ -85,7 +85,7 @@
         return this->serveList(exchange);
     if (!request.path.starts_with(ObjectPath))
         return exchange->respond(textResponse(404));
-    const std::string name = request.path.substr(ObjectPath.size());
+    const std::string name = http::percentDecoded(request.path.substr(ObjectPath.size()));
     if (isRead)
         return this->serveRead(exchange, name);
     this->serveWrite(exchange, name);
--- a/src/client/instancecommands.cpp
+++ b/src/client/instancecommands.cpp
@@ -87,20 +87,6 @@
     }
 }
 
-/// Percent-encodes \a text for use in a query.
-std::string escapeQuery(const std::string &text)
-{
-    std::ostringstream escaped;
-    for (const char c : text) {
-        if (std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.')
-            escaped << c;
-        else
-            escaped << '%' << std::uppercase << std::hex << std::setw(2) << std::setfill('0')
-                    << static_cast<int>(static_cast<unsigned char>(c));
-    }
-    return escaped.str();
-}
-
 void printEvent(const Json &event)
 {
     std::cout << "wall_ms=" << event.value("wall_ms", std::int64_t{0})
@@ -159,9 +145,9 @@
 
 Result<int> runTimeline(const Arguments &arguments)
 {
-    const std::string path = "/timeline?request=" + escapeQuery(arguments.requestId)
-        + "&organisation=" + escapeQuery(arguments.organisation)
-        + "&kind=" + escapeQuery(arguments.eventKind);
+    const std::string path = "/timeline?request=" + http::percentEncoded(arguments.requestId)
+        + "&organisation=" + http::percentEncoded(arguments.organisation)
+        + "&kind=" + http::percentEncoded(arguments.eventKind);
     BOOST_LEAF_AUTO(answers, callAll(arguments, http::Method::Get, path));
     std::vector<Json> events;
     for (const AdminAnswer &answer : answers) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -39,6 +39,22 @@
     return std::min<Millis>(DefaultIdleTimeout, std::chrono::seconds(seconds) - IdleTimeoutMargin);
 }
 
+/// Whether \a text ends a line of a message, or may be read as its end.
+bool hasLineEnd(std::string_view text)
+{
+    return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
+}
+
+/// Whether serialize() makes one request with these headers of \a request, rather than another one.
+bool isWellFormed(const CallRequest &request)
+{
+    if (hasLineEnd(request.path) || request.path.find(' ') != std::string::npos)
+        return false;
+    return std::none_of(request.headers.begin(), request.headers.end(), [](const Header &header) {
+        return hasLineEnd(header.name) || hasLineEnd(header.value);
+    });
+}
+
 /// Returns the bytes of \a request on the wire.
 std::string serialize(const CallRequest &request)
 {
@@ -304,13 +320,14 @@
     call->request = std::move(request);
     call->handlers = std::move(handlers);
     this->calls.insert(call);
+    if (!isWellFormed(call->request)) {
+        this->failLater(call, "the request is malformed");
+        return call;
+    }
     call->connection = this->takeIdle(*call);
     const bool isNew = !call->connection;
     if (isNew && this->connectionCount >= this->maxConnections && !this->closeLongestIdle()) {
-        this->loop.post([this, weak = std::weak_ptr(call)] {
-            if (const CallPtr started = weak.lock())
-                this->failCall(started, "all connections are in use");
-        });
+        this->failLater(call, "all connections are in use");
         return call;
     }
     if (isNew) {
@@ -443,6 +460,14 @@
     this->loop.post([oldHandlers, finishedCall] {});
 }
 
+void Client::failLater(const CallPtr &call, const char *reason)
+{
+    this->loop.post([this, weak = std::weak_ptr(call), reason] {
+        if (const CallPtr started = weak.lock())
+            this->failCall(started, reason);
+    });
+}
+
 void Client::failCall(const CallPtr &call, std::string reason)
 {
     if (call->finished)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -36,7 +36,7 @@
 {
     Address to;
     Method method = Method::Get;
-    std::string path; ///< with the query
+    std::string path; ///< with the query; texts from outside are to be encoded by percentEncoded()
     Headers headers; ///< names in lower case; without a "host", the address is sent as the host
     std::string body;
     /// That the answer bears too; empty if it bears none. No connection carries two requests with
@@ -128,7 +128,8 @@
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
-    /// Starts a call. The handlers are called later from the loop, also if the call cannot start.
+    /// Starts a call. The handlers are called later from the loop, also if the call cannot start: a
+    /// request whose path or headers would break its lines fails without having been sent.
     CallPtr start(CallRequest request, CallHandlers handlers);
     /// Bounds the connections. For a further one, the one that has been idle for longest is closed;
     /// if none is idle, the call fails without having been sent.
@@ -154,6 +155,8 @@
     void remove(const ConnectionPtr &connection);
     void finish(Call &call);
     void failCall(const CallPtr &call, std::string reason);
+    /// Fails a call that has not been sent, from the loop.
+    void failLater(const CallPtr &call, const char *reason);
 
     Loop &loop;
     std::map<Address, std::vector<ConnectionPtr>> idleConnections; ///< most recently used last
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -587,6 +587,42 @@
     cr_assert(percentDecoded("%zz%+1%41") == "%zz%+1A");
 }
 
+Test(http, any_text_is_one_segment_of_a_path_and_one_value_of_a_query)
+{
+    std::string bytes;
+    for (int byte = 0; byte < 256; ++byte)
+        bytes += static_cast<char>(byte);
+    const std::string encoded = percentEncoded(bytes);
+    cr_assert(percentDecoded(encoded) == bytes);
+    cr_assert(encoded.find_first_of(" /?&=+#\r\n\x7F") == std::string::npos);
+    cr_assert(queryValue("a=1&name=" + encoded + "&b=2", "name") == bytes);
+    cr_assert(percentEncoded("i-7f3a.91_c2~") == "i-7f3a.91_c2~");
+    cr_assert(percentEncodedPath("claims/a b/%41") == "claims/a%20b/%2541");
+}
+
+// Guards against a name that becomes another request, or a line of a message.
+Test(http, a_request_whose_lines_would_break_is_not_sent)
+{
+    Fixture fixture;
+    const std::string nul(1, '\0');
+    std::vector<CallRequest> broken;
+    for (const std::string &path :
+         {std::string("/a b"), std::string("/a\r\nx: y"), std::string("/a\n"), "/a" + nul})
+        broken.push_back(request(Method::Get, path));
+    for (const std::string &text : {std::string("a\r\nx: y"), std::string("a\n"), "a" + nul}) {
+        broken.push_back(request(Method::Get, "/echo"));
+        broken.back().headers.push_back({"x", text});
+        broken.push_back(request(Method::Get, "/echo"));
+        broken.back().headers.push_back({text, "x"});
+    }
+    for (const CallRequest &call : broken) {
+        const SyncResult result = fixture.call(call);
+        cr_assert(not(result.ok), "%s", call.path.c_str());
+        cr_assert(not(result.failure.mayHaveBeenSent));
+        cr_assert(result.failure.reason == "the request is malformed");
+    }
+}
+
 Test(http, a_connection_over_the_limit_is_closed_and_the_others_are_served)
 {
     Fixture fixture;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -4,6 +4,32 @@
 
 namespace lavenderhall::http {
 
+namespace {
+
+constexpr std::string_view PathCharacters
+    = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+constexpr std::string_view Unreserved = PathCharacters.substr(0, PathCharacters.size() - 1);
+
+/// Appends \a text to \a encoded, with escapes for all but the \a plain characters.
+void appendEncoded(std::string &encoded, std::string_view text, std::string_view plain)
+{
+    constexpr std::string_view HexDigits = "0123456789ABCDEF";
+    constexpr unsigned BitsPerDigit = 4;
+    constexpr unsigned DigitMask = 0xF;
+    for (const char c : text) {
+        if (plain.find(c) != std::string_view::npos) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += HexDigits[byte >> BitsPerDigit];
+        encoded += HexDigits[byte & DigitMask];
+    }
+}
+
+} // namespace
+
 const char *toString(Method method)
 {
     switch (method) {
@@ -45,11 +71,25 @@
         const std::size_t equals = pair.find('=');
         if (pair.substr(0, equals) != name)
             continue;
-        return equals == std::string_view::npos ? "" : std::string(pair.substr(equals + 1));
+        return equals == std::string_view::npos ? "" : percentDecoded(pair.substr(equals + 1));
     }
     return {};
 }
 
+std::string percentEncoded(std::string_view text)
+{
+    std::string encoded;
+    appendEncoded(encoded, text, Unreserved);
+    return encoded;
+}
+
+std::string percentEncodedPath(std::string_view path)
+{
+    std::string encoded;
+    appendEncoded(encoded, path, PathCharacters);
+    return encoded;
+}
+
 std::string percentDecoded(std::string_view text)
 {
     constexpr std::size_t EscapeLength = 3;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -39,10 +39,17 @@
     std::string body;
 };
 
-/// Returns the value of the first parameter \a name in a query string such as "a=1&b=2", without
-/// decoding it, or "" if there is none.
+/// Returns the decoded value of the first parameter \a name in a query string such as "a=1&b=2", or
+/// "" if there is none.
 std::string queryValue(std::string_view query, std::string_view name);
 
+/// Returns \a text as one segment of a path or one value in a query: each byte that is not an
+/// unreserved character of RFC 3986 becomes "%XX". percentDecoded() undoes it.
+std::string percentEncoded(std::string_view text);
+
+/// Returns \a path with each of its segments encoded; the slashes between them stay.
+std::string percentEncodedPath(std::string_view path);
+
 /// Returns \a text with each valid "%XX" replaced by its byte; other bytes stay as they are.
 std::string percentDecoded(std::string_view text);
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -41,7 +41,7 @@
 {
     http::CallRequest call;
     call.to = this->address;
-    call.path = ObjectPath + name;
+    call.path = ObjectPath + http::percentEncodedPath(name);
     call.headTimeout = this->timeout;
     call.headers = {{"connection", "close"}};
     call.reuse = http::Reuse::Never;
@@ -81,7 +81,7 @@
 http::CallRequest StoreRequestBuilder::list(const std::string &prefix) const
 {
     http::CallRequest call = this->read("");
-    call.path = "/v1/list?prefix=" + prefix;
+    call.path = "/v1/list?prefix=" + http::percentEncoded(prefix);
     return call;
 }
 
