Store: a list goes on behind entries that cannot be read, and ends where it makes no progress

Cause: the next page began after the last object that could be read, and a page without one counted as the last page. Nothing ensured progress: a page that came again was asked for again at once, and its objects were kept each time. One failed page cost all before it. Change: PagedList decides for watchers, grouped reads and records of streams, where the same lines stood three times. The next page begins after the last name that is known; JsonList::lastId takes names also from entries that are otherwise damaged, as long as their brackets match. A page that names nothing, or the same place again, ends the attempt: list_incomplete, and a retry after the growing delay. What an incomplete list has brought is used by the instance that read it, and nothing counts as gone; it is offered to no other instance, which would take it for all changes. Grouped reads of an incomplete list are made one by one. The revision of a list is that of its first page also if that page has no readable object.

--- a/src/base/jsonlist.cpp
+++ b/src/base/jsonlist.cpp
@@ -66,8 +66,8 @@
     return std::nullopt;
 }
 
-/// Returns the index behind the bracket that opens the list \a name of the object \a text.
-std::optional<std::size_t> startOfList(std::string_view text, std::string_view name)
+/// Returns the index of the bracket \a opening that begins the field \a name of the object \a text.
+std::optional<std::size_t> startOfField(std::string_view text, std::string_view name, char opening)
 {
     std::size_t index = skipSpace(text, 0);
     if (index == text.size() || text[index] != '{')
@@ -91,12 +91,34 @@
             || index == text.size() || text[index] != ':')
             continue;
         index = skipSpace(text, index + 1);
-        if (index < text.size() && text[index] == '[')
-            return index + 1;
+        if (index < text.size() && text[index] == opening)
+            return index;
     }
     return std::nullopt;
 }
 
+/// Returns the id of an entry that can be read; "" if it has none.
+std::string idIn(const Json &entry, const JsonListShape &shape)
+{
+    return findText(findObject(entry, std::string(shape.member)), std::string(shape.id));
+}
+
+/// Returns the id of the entry that \a text begins with, of which the rest may be damaged; "" if
+/// the id is damaged too.
+std::string idInDamaged(std::string_view text, const JsonListShape &shape)
+{
+    const auto start = startOfField(text, shape.member, '{');
+    const auto end = start ? endOfBrackets(text, *start) : std::nullopt;
+    if (!end)
+        return {};
+    const std::string_view member = text.substr(*start, *end - *start);
+    const std::string id(shape.id);
+    const Json plain = readJson(member, DeepJson::LeftOut);
+    if (plain.is_object())
+        return findText(plain, id);
+    return fromUtf8(findText(readJson(toUtf8(member), DeepJson::LeftOut), id));
+}
+
 /// Takes the parser's events, and keeps its first error.
 class ErrorCatcher : public nlohmann::json_sax<Json>
 {
@@ -163,11 +185,11 @@
 
     JsonList read()
     {
-        const auto start = startOfList(this->text, this->shape.list);
+        const auto bracket = startOfField(this->text, this->shape.list, '[');
         this->result.rest = Json(Json::value_t::discarded);
-        if (!start)
+        if (!bracket)
             return std::move(this->result);
-        this->start = *start;
+        this->start = *bracket + 1;
         this->readEntries();
         return std::move(this->result);
     }
@@ -185,12 +207,15 @@
         std::size_t index = skipSpace(this->text, this->start);
         while (index < this->text.size() && !this->isListEnd(index)) {
             if (auto entry = this->entryAt(index)) {
+                this->noteId(idIn(entry->value, this->shape));
                 this->result.entries.push_back(std::move(entry->value));
                 index = this->nextSeparated(entry->end);
                 continue;
             }
             this->addUnreadable(index);
-            index = this->findNext(index);
+            const std::size_t next = this->findNext(index);
+            this->noteIdsOfDamaged(index, next);
+            index = next;
         }
         if (this->result.rest.is_discarded())
             this->findRest();
@@ -266,6 +291,29 @@
             this->result.firstUnreadable = toUtf8(this->text.substr(index, MaxShownBytes));
     }
 
+    void noteId(std::string id)
+    {
+        if (!id.empty())
+            this->result.lastId = std::move(id);
+    }
+
+    // What is between two entries that can be read may be several others. Whatever the damage has
+    // shifted ends the search: an id that is no entry's would let a reader skip the entries before.
+    void noteIdsOfDamaged(std::size_t index, std::size_t end)
+    {
+        while (index < end) {
+            const std::string_view rest = this->text.substr(index, end - index);
+            std::string id = idInDamaged(rest, this->shape);
+            if (id.empty())
+                return;
+            this->noteId(std::move(id));
+            const auto size = endOfBrackets(rest, 0);
+            if (!size)
+                return;
+            index = this->nextSeparated(index + *size);
+        }
+    }
+
     /// Returns the object without its entries, if its list ends at \a end.
     Json restFrom(std::size_t end) const
     {
@@ -303,8 +351,12 @@
     JsonList result;
     const auto list = object.find(std::string(shape.list));
     if (list != object.end() && list->is_array()) {
-        for (Json &entry : *list)
+        for (Json &entry : *list) {
+            std::string id = idIn(entry, shape);
+            if (!id.empty())
+                result.lastId = std::move(id);
             result.entries.push_back(std::move(entry));
+        }
         *list = Json::array();
     }
     result.rest = std::move(object);
--- a/src/base/jsonlist.h
+++ b/src/base/jsonlist.h
@@ -15,6 +15,7 @@
 {
     std::string_view list; ///< name of the field with the list
     std::string_view member; ///< name of an object that each entry has
+    std::string_view id{}; ///< name of a text in that object that identifies the entry, if any
 };
 
 /// A JSON object with a list, read as far as possible.
@@ -24,6 +25,9 @@
     std::vector<Json> entries; ///< those that can be read, in their order
     std::size_t unreadable = 0; ///< number of the other entries, as far as they can be counted
     std::string firstUnreadable; ///< the beginning of the first of them, as UTF-8
+    /// Id of the last entry whose id can be read, as the bytes that it has there, whether or not the
+    /// rest of that entry can be read; "" if there is none.
+    std::string lastId;
 };
 
 /// Reads the object \a text of another process. An entry that cannot be read, because it has bytes
--- a/src/base/jsonlist_test.cpp
+++ b/src/base/jsonlist_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr JsonListShape Shape{"items", "metadata"};
+constexpr JsonListShape Shape{"items", "metadata", "name"};
 
 /// Returns objects like those of each kind in the store.
 std::vector<std::string> soundEntries()
@@ -83,6 +83,8 @@
         cr_assert(findInteger(list.rest, "store_revision") == 530, "round %d: %s", round,
                   entry.c_str());
         cr_assert(isUtf8(list.firstUnreadable));
+        const bool isLastDamaged = damaged + 1 == entries.size();
+        cr_assert(isLastDamaged || list.lastId == "n5", "round %d: %s", round, entry.c_str());
     }
 }
 
--- a/src/forward/objectreplica.cpp
+++ b/src/forward/objectreplica.cpp
@@ -41,6 +41,15 @@
     this->handlers.onBatchEnd();
 }
 
+void ObjectReplica::applyIncompleteList(ObjectKind kind, const std::vector<StoredObject> &objects)
+{
+    for (const StoredObject &object : objects) {
+        if (this->copyOf(kind).mirror.isNews(object))
+            this->handlers.onEvent(kind, {object, false});
+    }
+    this->handlers.onBatchEnd();
+}
+
 void ObjectReplica::applyEvents(ObjectKind kind, const std::vector<ObjectEvent> &events)
 {
     for (const ObjectEvent &event : this->copyOf(kind).mirror.applyEvents(events))
--- a/src/forward/objectreplica.h
+++ b/src/forward/objectreplica.h
@@ -50,6 +50,9 @@
     /// Applies a complete list that was read from the store at \a revision.
     void applyList(ObjectKind kind, const std::vector<StoredObject> &objects, std::int64_t revision,
                    bool wasUnreachable, MonoTime now);
+    /// Reports the objects of a list that was not read to its end, as far as they are news. They
+    /// are not offered to other instances, which would take them for all that has changed.
+    void applyIncompleteList(ObjectKind kind, const std::vector<StoredObject> &objects);
     /// Applies changes that follow those known.
     void applyEvents(ObjectKind kind, const std::vector<ObjectEvent> &events);
     /// Applies an offer of another instance.
--- a/src/forward/objectreplica_test.cpp
+++ b/src/forward/objectreplica_test.cpp
@@ -468,3 +468,26 @@
         region.checkEqual();
     }
 }
+
+// Guards against instances that take the part of a list for all that has changed, and against an
+// object of such a list that returns after its removal.
+Test(objectreplica, objects_of_an_incomplete_list_are_used_here_and_offered_to_none)
+{
+    std::vector<std::string> reported;
+    ObjectReplica replica(
+        {"config", "servers", "versions", "rollouts"},
+        {[&](ObjectKind, const ObjectEvent &event) { reported.push_back(event.object.name); },
+         [](ObjectKind, const auto &...) {}, [] {}});
+    replica.applyIncompleteList(Endpoints, {{"a", 5, Json(1)}, {"b", 6, Json(1)}});
+    cr_assert(reported == std::vector<std::string>({"a", "b"}));
+    cr_assert(replica.mirror(Endpoints).revision() == 0);
+    cr_assert(not(replica.hasList(Endpoints)));
+    cr_assert(replica.offerAll(Endpoints, Start).objects().empty());
+
+    replica.applyList(Endpoints, {{"a", 5, Json(1)}}, 9, false, Start);
+    reported.clear();
+    replica.applyIncompleteList(Endpoints, {{"a", 5, Json(1)}, {"b", 6, Json(1)}});
+    cr_assert(reported.empty());
+    replica.applyIncompleteList(Endpoints, {{"a", 12, Json(2)}});
+    cr_assert(reported == std::vector<std::string>({"a"}));
+}
--- a/src/forward/originlookup.cpp
+++ b/src/forward/originlookup.cpp
@@ -148,7 +148,7 @@
     case OriginsAction::Kind::WriteStreams:
         return this->writeStreams(action);
     case OriginsAction::Kind::List:
-        return this->list(action, std::make_shared<OriginsList>(), {});
+        return this->list(action, std::make_shared<PagedList>());
     }
 }
 
@@ -191,25 +191,34 @@
     this->store.replace(this->kind, object, onReply);
 }
 
-void OriginLookup::list(const OriginsAction &action, const std::shared_ptr<OriginsList> &found,
-                        const std::string &after)
+void OriginLookup::list(const OriginsAction &action, const std::shared_ptr<PagedList> &pages)
 {
-    const auto onPage = [this, isAlive = this->alive, action, found](const ObjectPage &page) {
+    const auto onPage = [this, isAlive = this->alive, action, pages](const ObjectPage &page) {
         if (!*isAlive)
             return;
-        for (const StoredObject &object : page.objects)
-            readInto(*found, object);
-        const bool isGood = page.status == StoreStatus::Ok;
-        if (isGood && page.hasMore && !page.objects.empty())
-            return this->list(action, found, page.objects.back().name);
-        logEvent(LogLevel::Info, "streams_listed",
-                 {{"status", toString(page.status)},
-                  {"instances", found->streams.size()},
-                  {"waiting", this->waiting.size()}});
-        this->origins.onListed(action, isGood ? std::optional(*found) : std::nullopt, monoNow());
-        this->answerWaiting();
+        const ListStep step = pages->add(page);
+        if (step == ListStep::NextPage)
+            return this->list(action, pages);
+        this->onListed(action, *pages, step, page.status);
     };
-    this->store.list(this->kind, after, onPage);
+    this->store.list(this->kind, pages->after(), onPage);
+}
+
+void OriginLookup::onListed(const OriginsAction &action, const PagedList &pages, ListStep step,
+                            StoreStatus status)
+{
+    OriginsList found;
+    for (const StoredObject &object : pages.objects())
+        readInto(found, object);
+    const bool isComplete = step == ListStep::Complete;
+    logEvent(LogLevel::Info, "streams_listed",
+             {{"status", toString(status)},
+              {"complete", isComplete ? 1 : 0},
+              {"instances", found.streams.size()},
+              {"waiting", this->waiting.size()}});
+    this->origins.onListed(action, isComplete ? std::optional(std::move(found)) : std::nullopt,
+                           monoNow());
+    this->answerWaiting();
 }
 
 } // namespace lavenderhall
--- a/src/forward/originlookup.h
+++ b/src/forward/originlookup.h
@@ -5,6 +5,7 @@
 #include "routing/streamorigins.h"
 #include "routing/table.h"
 #include "store/objects.h"
+#include "store/pagedlist.h"
 
 #include <functional>
 #include <list>
@@ -73,8 +74,9 @@
     void carryOut(const OriginsAction &action);
     void callBuilds(const OriginsAction &action);
     void writeStreams(const OriginsAction &action);
-    void list(const OriginsAction &action, const std::shared_ptr<OriginsList> &found,
-              const std::string &after);
+    void list(const OriginsAction &action, const std::shared_ptr<PagedList> &pages);
+    void onListed(const OriginsAction &action, const PagedList &pages, ListStep step,
+                  StoreStatus status);
     /// Answers the waiting requests whose streams' builds have become known, or never will.
     void answerWaiting();
 
--- a/src/forward/storereplica.cpp
+++ b/src/forward/storereplica.cpp
@@ -46,6 +46,9 @@
         this->replica.applyEvents(kind, events);
         this->handlers.onStoreChange(kind);
     };
+    watchHandlers.onIncompleteList = [this, kind](const std::vector<StoredObject> &objects) {
+        this->replica.applyIncompleteList(kind, objects);
+    };
     watchHandlers.onUnreadable = [this, kind](const UnreadableObjects &unreadable) {
         const std::string &name = this->replica.kindNames().at(static_cast<std::size_t>(kind));
         this->handlers.onUnreadable(name, unreadable.count);
--- a/src/store/groupedreads.h
+++ b/src/store/groupedreads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/objects.h"
+#include "store/pagedlist.h"
 
 #include <algorithm>
 #include <functional>
@@ -56,7 +57,7 @@
     struct Group
     {
         std::vector<Read> reads;
-        std::vector<StoredObject> objects; ///< of the pages so far
+        PagedList pages;
     };
 
     void send()
@@ -64,25 +65,33 @@
         auto group = std::make_shared<Group>();
         group->reads = std::exchange(this->requested, {});
         if (group->reads.size() >= MinReadsPerList)
-            return this->list(group, {});
-        for (const Read &read : group->reads)
+            return this->list(group);
+        this->readOneByOne(*group);
+    }
+
+    void readOneByOne(const Group &group)
+    {
+        for (const Read &read : group.reads)
             this->client.read(this->kind, read.name, read.handler);
     }
 
-    void list(const std::shared_ptr<Group> &group, const std::string &after)
+    void list(const std::shared_ptr<Group> &group)
     {
         const auto onPage = [this, isAlive = this->alive, group](const ObjectPage &page) {
             if (*isAlive)
                 this->onPage(group, page);
         };
-        this->client.list(this->kind, after, onPage);
+        this->client.list(this->kind, group->pages.after(), onPage);
     }
 
+    // An object that an incomplete list lacks may exist.
     void onPage(const std::shared_ptr<Group> &group, const ObjectPage &page)
     {
-        group->objects.insert(group->objects.end(), page.objects.begin(), page.objects.end());
-        if (page.status == StoreStatus::Ok && page.hasMore && !page.objects.empty())
-            return this->list(group, page.objects.back().name);
+        const ListStep step = group->pages.add(page);
+        if (step == ListStep::NextPage)
+            return this->list(group);
+        if (step == ListStep::Incomplete)
+            return this->readOneByOne(*group);
         for (const Read &read : group->reads)
             read.handler(replyFor(read.name, *group, page));
     }
@@ -95,10 +104,11 @@
         reply.era = eraOf(last.revision);
         if (last.status != StoreStatus::Ok)
             return reply;
+        const std::vector<StoredObject> &objects = group.pages.objects();
         const auto found
-            = std::find_if(group.objects.begin(), group.objects.end(),
+            = std::find_if(objects.begin(), objects.end(),
                            [&](const StoredObject &object) { return object.name == name; });
-        if (found == group.objects.end())
+        if (found == objects.end())
             reply.status = StoreStatus::NotFound;
         else
             reply.object = *found;
--- a/src/store/groupedreads_test.cpp
+++ b/src/store/groupedreads_test.cpp
@@ -16,6 +16,7 @@
     std::vector<std::string> names; ///< of its objects, in order
     std::size_t pageSize = 100;
     StoreStatus status = StoreStatus::Ok;
+    bool namesLastObject = true; ///< each page tells where the next one begins
     int reads = 0;
     int lists = 0;
 
@@ -41,6 +42,7 @@
                 break;
             }
             page.objects.push_back({name, 1, {}});
+            page.lastName = this->namesLastObject ? name : "";
         }
         handler(page);
     }
@@ -118,3 +120,18 @@
         cr_assert(not(fixture.replies["a.2"].object.has_value()));
     }
 }
+
+// Guards against a record that counts as missing because the list that lacks it is not whole.
+Test(groupedreads, objects_of_an_incomplete_list_are_read_one_by_one)
+{
+    Fixture fixture;
+    fixture.client.names = {"a.1", "a.2", "a.3"};
+    fixture.client.pageSize = 2;
+    fixture.client.namesLastObject = false;
+    for (const char *name : {"a.1", "a.2", "a.3"})
+        fixture.read(name);
+    fixture.endTurn();
+    cr_assert(fixture.client.lists == 1);
+    cr_assert(fixture.client.reads == 3);
+    cr_assert(fixture.replies["a.3"].object->name == "a.3");
+}
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -23,6 +23,8 @@
     /// known to be newer. Returns the objects that were news, as events.
     std::vector<ObjectEvent> applyList(const std::vector<StoredObject> &objects,
                                        std::int64_t revision);
+    /// Whether \a object is newer than what is known of it.
+    bool isNews(const StoredObject &object) const;
     /// Returns the objects and removals with a revision greater than \a revision.
     std::vector<ObjectEvent> eventsAfter(std::int64_t revision) const;
     /// Whether eventsAfter(\a revision) has all that has changed since. A list does not tell when
@@ -39,7 +41,6 @@
 private:
     /// Returns the revision after which all changes are known one by one.
     std::int64_t firstKnown() const { return std::max(this->newestList, this->newestDropped); }
-    bool isNews(const StoredObject &object) const;
     void dropOldTombstones();
 
     std::map<std::string, ObjectEvent> byName; ///< includes removals, to be passed on to others
--- a/src/store/objects.h
+++ b/src/store/objects.h
@@ -48,7 +48,9 @@
 {
     StoreStatus status = StoreStatus::Unknown;
     std::vector<StoredObject> objects;
-    bool hasMore = false; ///< the next page starts after the last name
+    bool hasMore = false; ///< the next page starts after lastName
+    /// Name of the last object whose name is known, also if the rest of it is unreadable.
+    std::string lastName;
     std::int64_t revision = 0; ///< store revision of the whole store
     UnreadableObjects unreadable; ///< left out
 };
--- a/src/store/objectwatcher.cpp
+++ b/src/store/objectwatcher.cpp
@@ -40,7 +40,7 @@
     this->wasUnreachable = mayHaveBeenUnreachable;
     this->hasListed = false;
     this->consecutiveFailures = 0;
-    this->list({});
+    this->startList();
 }
 
 bool ObjectWatcher::isCurrent() const
@@ -66,48 +66,77 @@
     this->alive = std::make_shared<bool>(true);
 }
 
-void ObjectWatcher::list(const std::string &after)
+void ObjectWatcher::startList()
+{
+    this->pages = {};
+    this->readPage();
+}
+
+void ObjectWatcher::readPage()
 {
-    if (after.empty())
-        this->pending.clear();
     this->callStartedAt = monoNow();
-    this->client.list(this->kind, after, [this, isAlive = this->alive](const ObjectPage &page) {
-        if (*isAlive)
-            this->onPage(page);
-    });
+    this->client.list(this->kind, this->pages.after(),
+                      [this, isAlive = this->alive](const ObjectPage &page) {
+                          if (*isAlive)
+                              this->onPage(page);
+                      });
 }
 
-// The watch continues from the revision of the first page, so objects that change while further
-// pages are read are reported again as events.
 void ObjectWatcher::onPage(const ObjectPage &page)
 {
-    if (page.status != StoreStatus::Ok)
-        return this->onFailure("list", page.status);
     this->reportUnreadable(page.unreadable);
-    if (this->pending.empty())
-        this->pendingRevision = page.revision;
-    this->pending.insert(this->pending.end(), page.objects.begin(), page.objects.end());
-    if (page.hasMore && !page.objects.empty())
-        return this->list(page.objects.back().name);
+    switch (this->pages.add(page)) {
+    case ListStep::NextPage:
+        return this->readPage();
+    case ListStep::Complete:
+        return this->onCompleteList();
+    case ListStep::Incomplete:
+        this->onIncompleteList(page.status);
+        return this->retryLater();
+    case ListStep::Failed:
+        this->onIncompleteList(page.status);
+        return this->onFailure("list", page.status);
+    }
+}
+
+// The watch continues from the revision of the first page, so objects that change while further
+// pages are read are reported again as events.
+void ObjectWatcher::onCompleteList()
+{
+    const std::int64_t listed = this->pages.revision();
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_back",
-                 {{"kind", this->kind},
-                  {"revision", counterOf(page.revision)},
-                  {"era", eraOf(page.revision)}});
+                 {{"kind", this->kind}, {"revision", counterOf(listed)}, {"era", eraOf(listed)}});
     this->consecutiveFailures = 0;
     this->hasListed = true;
     this->lastConfirmedAt = this->callStartedAt;
-    if (this->pendingRevision >= this->revision) {
-        const bool isNewEra = eraOf(this->pendingRevision) > eraOf(this->revision);
+    if (listed >= this->revision) {
+        const bool isNewEra = eraOf(listed) > eraOf(this->revision);
         this->wasUnreachable = this->wasUnreachable || (isNewEra && this->revision > 0);
-        this->revision = this->pendingRevision;
-        this->handlers.onListed(this->pending, this->revision, this->wasUnreachable);
+        this->revision = listed;
+        this->handlers.onListed(this->pages.objects(), this->revision, this->wasUnreachable);
     }
     this->wasUnreachable = false;
-    this->pending.clear();
+    this->pages = {};
     this->watch();
 }
 
+// What has been read counts, and nothing counts as gone. Otherwise one page that is never read
+// would keep a process that has just started from all objects.
+void ObjectWatcher::onIncompleteList(StoreStatus status)
+{
+    if (this->pages.pageCount() == 0)
+        return;
+    logEvent(LogLevel::Warning, "list_incomplete",
+             {{"kind", this->kind},
+              {"status", toString(status)},
+              {"pages", this->pages.pageCount()},
+              {"objects", this->pages.objects().size()},
+              {"after", this->pages.after()}});
+    if (this->pages.revision() >= this->revision && this->handlers.onIncompleteList)
+        this->handlers.onIncompleteList(this->pages.objects());
+}
+
 void ObjectWatcher::watch()
 {
     this->callStartedAt = monoNow();
@@ -127,12 +156,12 @@
             LogLevel::Warning, "store_came_back_older",
             {{"kind", this->kind}, {"era", changes.era}, {"known_era", eraOf(this->revision)}});
         this->wasUnreachable = true;
-        return this->list({});
+        return this->startList();
     }
     // A compacted history is no sign of an outage, so this does not count as a failure.
     if (changes.status == StoreStatus::Compacted) {
         logEvent(LogLevel::Info, "watch_restarted", {{"kind", this->kind}});
-        return this->list({});
+        return this->startList();
     }
     if (changes.status != StoreStatus::Ok)
         return this->onFailure("watch", changes.status);
@@ -159,18 +188,23 @@
         this->handlers.onUnreadable(unreadable);
 }
 
-// Exponential backoff with jitter, so that the instances of a fleet do not retry all at once.
 void ObjectWatcher::onFailure(const char *step, StoreStatus status)
 {
     if (this->consecutiveFailures == 0)
         logEvent(LogLevel::Warning, "store_lost",
                  {{"kind", this->kind}, {"step", step}, {"status", toString(status)}});
+    this->retryLater();
+}
+
+// Exponential backoff with jitter, so that the instances of a fleet do not retry all at once.
+void ObjectWatcher::retryLater()
+{
     this->wasUnreachable = true;
     const int doublings = std::min(this->consecutiveFailures++, MaxRetryDoublings);
     const Millis meanDelay = InitialRetryDelay * (1 << doublings);
     const Millis delay
         = meanDelay / 2 + Millis(this->random(static_cast<unsigned>(meanDelay.count())));
-    this->timer = this->loop.after(delay, [this] { this->list({}); });
+    this->timer = this->loop.after(delay, [this] { this->startList(); });
 }
 
 } // namespace lavenderhall
--- a/src/store/objectwatcher.h
+++ b/src/store/objectwatcher.h
@@ -2,6 +2,7 @@
 
 #include "http/loop.h"
 #include "store/objects.h"
+#include "store/pagedlist.h"
 
 #include <functional>
 #include <pcg_random.hpp>
@@ -21,6 +22,9 @@
         onListed;
     /// Changes that a watch returned; never empty.
     std::function<void(const std::vector<ObjectEvent> &events)> onEvents;
+    /// The objects of a list that could not be read to its end. They are as they were read, but
+    /// others may exist. May be empty.
+    std::function<void(const std::vector<StoredObject> &objects)> onIncompleteList{};
     /// An answer had objects that could not be read. May be empty.
     std::function<void(const UnreadableObjects &unreadable)> onUnreadable{};
 };
@@ -51,11 +55,15 @@
 
 private:
     bool isOverdue() const;
-    void list(const std::string &after);
+    void startList();
+    void readPage();
     void onPage(const ObjectPage &page);
+    void onCompleteList();
+    void onIncompleteList(StoreStatus status);
     void watch();
     void onChanges(const ObjectChanges &changes);
     void onFailure(const char *step, StoreStatus status);
+    void retryLater();
     void reportUnreadable(const UnreadableObjects &unreadable) const;
 
     http::Loop &loop;
@@ -63,8 +71,7 @@
     std::string kind;
     ObjectWatchHandlers handlers;
     pcg32 random;
-    std::vector<StoredObject> pending; ///< pages of a list that is still incomplete
-    std::int64_t pendingRevision = 0; ///< of the first page in pending
+    PagedList pages; ///< of the list that is being read
     std::int64_t revision = 0; ///< to watch from
     MonoTime lastConfirmedAt{}; ///< start of the last call that brought the objects up to date
     MonoTime callStartedAt{}; ///< start of the latest call
