Log: control characters of a value are escaped

Names of objects come from other writers. A line end was escaped already; other control characters reached the log as they were, and could change what a terminal shows. They are now written as \xNN.

--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -18,6 +18,17 @@
 
 } // namespace
 
+// Guards against a name of another writer that looks like a line of this process.
+Test(log, a_value_with_control_characters_stays_in_its_line)
+{
+    const std::string nul("a\0b", 3);
+    cr_assert(formatFields({{"name", "a\r\nlevel=ERROR"}}) == R"(name="a\n\nlevel=ERROR")");
+    cr_assert(formatFields({{"name", "a\x1B[2J"}}) == R"(name="a\x1B[2J")");
+    cr_assert(formatFields({{"name", nul}}) == R"(name="a\x00b")");
+    cr_assert(formatFields({{"name", "a\x7F\t"}}) == R"(name="a\x7F\x09")");
+    cr_assert(formatFields({{"name", "caf\xC3\xA9"}}) == "name=caf\xC3\xA9");
+}
+
 Test(logratelimiter, lines_over_the_rate_are_dropped_and_counted)
 {
     // Within the second that the loop covers, 50 lines of burst and about 100 at the rate pass.
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -3,8 +3,11 @@
 #include "base/clock.h"
 #include "base/logratelimiter.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cctype>
+#include <cstdio>
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -31,10 +34,26 @@
     return log4cxx::Level::getInfo();
 }
 
-/// Returns \a value in quotes, with escapes, if it would be ambiguous without them.
+bool isControl(char c)
+{
+    return std::iscntrl(static_cast<unsigned char>(c)) != 0;
+}
+
+/// Returns "\xNN" for the byte \a c.
+std::string hexEscape(char c)
+{
+    std::array<char, sizeof("\\xNN")> text{};
+    std::snprintf(text.data(), text.size(), "\\x%02X",
+                  static_cast<unsigned>(static_cast<unsigned char>(c)));
+    return text.data();
+}
+
+/// Returns \a value in quotes, with escapes, if it would be ambiguous without them. Values may come
+/// from other processes: one must not begin a line of its own, nor change how a terminal shows it.
 std::string quoteIfNeeded(const std::string &value)
 {
-    if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
+    if (!value.empty() && value.find_first_of(" \"=\\") == std::string::npos
+        && std::none_of(value.begin(), value.end(), isControl))
         return value;
     std::string text = "\"";
     for (const char c : value) {
@@ -42,6 +61,10 @@
             text += "\\n";
             continue;
         }
+        if (isControl(c)) {
+            text += hexEscape(c);
+            continue;
+        }
         if (c == '"' || c == '\\')
             text += '\\';
         text += c;
