Http: an answer whose status is none of 100 to 599 is no answer

Cause: the check of the status line took any three digits. The parser counts each status below 200 as interim, skips it, and reads what follows as the next answer. Change: the first digit of a status is 1 to 5. Anything else is a malformed answer: 502 for a request that runs once at most, another attempt for one that may run again. Evidence: oddanswers on: 2 of 4 fail (504 ten times, the 200 behind a 000, 042 and 099, the statuses 600 and 999). Held already: a header's name with a blank, a control character or a byte beyond ASCII, in a head or a trailer; its test passes on and stays. The same parser reads the answers of the store, of engines and of other instances. Measured (aarch64): oddanswers 4 of 4, answerlines 5 of 5, joinedanswers 8 of 8.

--- a/src/http/answerlines.cpp
+++ b/src/http/answerlines.cpp
@@ -22,10 +22,16 @@
                       [](char wanted, char c) { return wanted == '0' ? isDigit(c) : wanted == c; });
 }
 
+// Other codes belong to no class of answers: one below 100 would count as interim, and its body as
+// the next answer.
 bool isStatusLine(std::string_view line)
 {
+    constexpr std::size_t StatusStart = 9;
     constexpr std::size_t StatusEnd = 12;
-    return beginsWithStatus(line) && (line.size() == StatusEnd || line[StatusEnd] == ' ');
+    constexpr char FirstClass = '1'; // first digit of the code
+    constexpr char LastClass = '5';
+    return beginsWithStatus(line) && line[StatusStart] >= FirstClass
+        && line[StatusStart] <= LastClass && (line.size() == StatusEnd || line[StatusEnd] == ' ');
 }
 
 /// Whether another answer begins inside \a line.
--- a/src/http/answerlines_test.cpp
+++ b/src/http/answerlines_test.cpp
@@ -62,6 +62,12 @@
         "HXTP/1.1 200 OK\r\n" + rest,
         "HHTTP/1.1 200 OK\r\n" + rest,
         "HTTP/1.1 200 OK\r" + rest,
+        "HTTP/1.1 000 Odd\r\n" + rest,
+        "HTTP/1.1 000\r\n" + rest + Status + rest,
+        "HTTP/1.1 099 Odd\r\n" + rest,
+        "HTTP/1.1 600 Odd\r\n" + rest,
+        "HTTP/1.1 999 Odd\r\n" + rest,
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n" + rest,
         "HTTP/1.1 200 OK\n" + rest,
         "HTTP/1.1 100 Continue\r\nA: b" + Status + "\r\n" + Status + rest,
     };
