Http: an answer that ends with its connection before the request is taken is cut

Cause: the end of the connection ends such an answer, also while the endpoint had not taken the request. An endpoint that closes its sending side and resets the connection later, 10 ms or 1 s, made a complete answer of whatever it had sent. A reset before the end, or with it, was told apart already. Change: a socket's stream ends regularly only if the peer has taken all that was written: nothing is queued here, and the kernel holds no unacknowledged byte (SIOCOUTQ). Otherwise the connection has failed. The request may have run, so its attempt counts as broken: 502, or another attempt if it may run again. Held already, tests kept: a reset at once, after 5 ms or 100 ms, with and without a length or chunks; a whole answer after the upload; one with a length before the upload is read. Open: bytes that the endpoint's kernel has acknowledged count as taken, whether or not the endpoint reads them.

--- a/src/http/rawstream.h
+++ b/src/http/rawstream.h
@@ -2,9 +2,11 @@
 
 #include "base/address.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <criterion/criterion.h>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -66,14 +68,18 @@
 
     bool isOpen() const { return this->descriptor >= 0; }
 
-    /// Appends what has arrived to \c received.
-    void read()
+    /// Appends what has arrived to \c received, but no more than \a maxBytes.
+    void read(std::size_t maxBytes = std::numeric_limits<std::size_t>::max())
     {
         std::array<char, 65536> buffer{};
-        ssize_t size = 0;
-        while (this->isOpen()
-               && (size = recv(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0)
+        while (this->isOpen() && maxBytes > 0) {
+            const ssize_t size = recv(this->descriptor, buffer.data(),
+                                      std::min(buffer.size(), maxBytes), MSG_DONTWAIT);
+            if (size <= 0)
+                return;
             this->received.append(buffer.data(), static_cast<std::size_t>(size));
+            maxBytes -= static_cast<std::size_t>(size);
+        }
     }
 
     /// Returns how many bytes of \a data the kernel has taken.
@@ -114,13 +120,18 @@
 class RawListener
 {
 public:
-    RawListener()
+    /// \a receiveBuffer bounds the bytes that a connection holds before they are read; 0 leaves
+    /// that to the kernel.
+    explicit RawListener(int receiveBuffer = 0)
         : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
     {
         constexpr int Backlog = 64;
         this->address = {ownHost(), 0};
         sockaddr_in bound = socketAddress(this->address);
         socklen_t size = sizeof(bound);
+        if (receiveBuffer > 0)
+            setsockopt(this->descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer,
+                       sizeof(receiveBuffer));
         cr_assert(bind(this->descriptor, reinterpret_cast<sockaddr *>(&bound), size) == 0);
         cr_assert(listen(this->descriptor, Backlog) == 0);
         getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&bound), &size);
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -2,8 +2,10 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <uv.h>
@@ -57,6 +59,19 @@
         return size < 0 && size != -EAGAIN;
     }
 
+    // Bytes that the kernel has accepted count until the peer's kernel acknowledges them. Where the
+    // system cannot tell, only those that it has not accepted do.
+    bool hasUntakenBytes() const
+    {
+        if (uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&this->tcp)) > 0)
+            return true;
+        uv_os_fd_t fd = -1;
+        if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&this->tcp), &fd) != 0)
+            return false;
+        int unacknowledged = 0; // bytes
+        return ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+    }
+
     // The system chooses the port of an outgoing connection, which may be one that an instance of
     // this machine is about to listen at again. With this option, that instance can.
     int openForConnect()
@@ -188,10 +203,8 @@
         const Ptr self = static_cast<Handle *>(stream->data)->owner;
         if (!self || self->isClosing || size == 0)
             return;
-        if (size == UV_EOF && self->tcp->isReset())
-            return self->end(SocketEnd::Failed, "reset by the peer");
         if (size == UV_EOF)
-            return self->end(SocketEnd::Eof, "closed by the peer");
+            return self->endAtEof();
         if (size < 0)
             return self->end(SocketEnd::Failed, uv_strerror(static_cast<int>(size)));
         if (self->handlers.onData && !self->isClosingGracefully)
@@ -200,6 +213,17 @@
     uv_read_start(this->tcp->stream(), allocate, onRead);
 }
 
+// A peer that reads no more may close its side first and reset the connection later. What it has
+// sent then looks complete, unless bytes are left that it has not taken.
+void Socket::endAtEof()
+{
+    if (this->tcp->isReset())
+        return this->end(SocketEnd::Failed, "reset by the peer");
+    if (this->tcp->hasUntakenBytes())
+        return this->end(SocketEnd::Failed, "closed by the peer before it took all bytes");
+    this->end(SocketEnd::Eof, "closed by the peer");
+}
+
 bool Socket::hasInput() const
 {
     return this->isClosing || this->tcp->peek() != -EAGAIN;
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -17,8 +17,8 @@
 
 /// How a connection ended.
 enum class SocketEnd {
-    Eof, ///< the peer has closed its side after its last byte
-    Failed, ///< reset, timed out or never established
+    Eof, ///< the peer has closed its side after its last byte, and has taken all that was written
+    Failed, ///< reset, timed out, never established, or closed before all was taken
 };
 
 /// Callbacks of a socket, on the loop's thread. Each may be empty.
@@ -72,6 +72,8 @@
 
     explicit Socket(Loop &loop);
     void startReading();
+    /// Ends the socket after the end of the peer's stream.
+    void endAtEof();
     void end(SocketEnd kind, const std::string &reason);
     /// Charges the writes that libuv has not completed.
     void chargeBacklog();
