Forward: only the object of the configuration's name is one

What callers saw: while another writer's configuration, valid, without routes and with a higher version, was there under another name than "main", no request was served, also after a restart of all processes. Cause: each object of the configuration's kind was applied, whatever its name. Change: the adapter names the object; others are ignored, with the line configuration_ignored.

--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -30,6 +30,7 @@
     std::string streams; ///< the router's own: which builds have begun streams
     std::string limits; ///< the router's own: which instance decides on organisations' rates
     std::string rollouts; ///< orders to move a service's traffic to another version
+    std::string configurationName; ///< of the one object that holds the configuration
 };
 
 /// Names of the parts of the platform's contract that switch on parts of the router.
--- a/src/forward/forwarddaemon.h
+++ b/src/forward/forwarddaemon.h
@@ -72,6 +72,7 @@
     /// Handles loads that other instances have requested, and what comes with them.
     void applyLoadNews(const proto::LoadNews &news);
     void applyEvent(ObjectKind kind, const ObjectEvent &event);
+    void applyConfiguration(const StoredObject &object);
     void applyTable(const Json &content, std::int64_t revision);
     void applyEndpoint(const StoredObject &object);
     void applyDirectoryChanges();
--- a/src/forward/forwardobjects.cpp
+++ b/src/forward/forwardobjects.cpp
@@ -20,7 +20,16 @@
         return this->applyEndpoint(object);
     if (kind == ObjectKind::Weights)
         return this->applyWeights(object);
-    this->applyTable(object.content, object.revision);
+    this->applyConfiguration(object);
+}
+
+// Another writer may leave a configuration of its own under another name.
+void ForwardDaemon::applyConfiguration(const StoredObject &object)
+{
+    if (object.name == this->adapter.kinds.configurationName)
+        return this->applyTable(object.content, object.revision);
+    logEvent(LogLevel::Warning, "configuration_ignored",
+             {{"name", object.name}, {"revision", counterOf(object.revision)}});
 }
 
 // A table in force stays so until a newer valid one arrives; older and malformed ones are ignored.
