Weights: only an object under its model's name names weights

Weights are named by an object under the name of the model. One of another writer under another name was taken for it as well, and the instance that gives engines their weights would order a version that nobody has named, which engines refuse. Change: readWeights() takes the object, and refuses one whose name is not that of the model in it.

--- a/src/forward/adapter.h
+++ b/src/forward/adapter.h
@@ -55,7 +55,8 @@
     /// all, or no version.
     Result<TableReading> (*readTable)(const Json &content);
     Result<RegisteredEndpoint> (*readEndpoint)(const StoredObject &object);
-    Result<NamedWeights> (*readWeights)(const Json &content);
+    /// An object under another name than its model's is malformed.
+    Result<NamedWeights> (*readWeights)(const StoredObject &object);
     Result<ServiceOrder> (*readServiceOrder)(const StoredObject &object);
     /// Returns the status to write into the store.
     Json (*writeServiceStatus)(const ServiceOrder &order, RolloutState state);
--- a/src/weights/nametracker.cpp
+++ b/src/weights/nametracker.cpp
@@ -16,7 +16,7 @@
 
 std::optional<NamedWeights> readName(const PlatformAdapter &adapter, const StoredObject &object)
 {
-    const auto read = toOutcome([&] { return adapter.readWeights(object.content); });
+    const auto read = toOutcome([&] { return adapter.readWeights(object); });
     if (const auto *weights = std::get_if<NamedWeights>(&read))
         return *weights;
     logEvent(LogLevel::Warning, "weights_malformed",
