--- a/src/base/jsonlist.h
+++ b/src/base/jsonlist.h
@@ -25,8 +25,8 @@
     std::vector<Json> entries; ///< those that can be read, in their order
     std::size_t unreadable = 0; ///< number of the other entries, as far as they can be counted
     std::string firstUnreadable; ///< the beginning of the first of them, as UTF-8
-    /// Id of the last entry whose id can be read, as the bytes that it has there, whether or not the
-    /// rest of that entry can be read; "" if there is none.
+    /// Id of the last entry whose id can be read, as the bytes that it has there, whether or not
+    /// the rest of that entry can be read; "" if there is none.
     std::string lastId;
 };
 
