--- a/src/forward/earlyanswers_test.cpp
+++ b/src/forward/earlyanswers_test.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <memory>
+#include <optional>
 #include <vector>
 
 using namespace lavenderhall;
