--- a/src/base/jsonlist.cpp
+++ b/src/base/jsonlist.cpp
@@ -104,7 +104,7 @@
 }
 
 /// Returns the id of the entry that \a text begins with, of which the rest may be damaged; "" if
-/// the id is damaged too.
+/// the id is damaged too. An id that is not UTF-8 is read as such and returned as its own bytes.
 std::string idInDamaged(std::string_view text, const JsonListShape &shape)
 {
     const auto start = startOfField(text, shape.member, '{');
--- a/src/forward/earlyanswers_test.cpp
+++ b/src/forward/earlyanswers_test.cpp
@@ -123,7 +123,7 @@
     http::Timer timer;
 };
 
-/// A forwarder in front of one endpoint that misbehaves and, for what may run again, a sound one.
+/// A forwarder in front of one endpoint. A test may let others join.
 struct UploadFixture : Fixture
 {
     UploadEndpoint endpoint;
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -59,8 +59,8 @@
         return size < 0 && size != -EAGAIN;
     }
 
-    // Bytes that the kernel has accepted count until the peer's kernel acknowledges them. Where the
-    // system cannot tell, only those that it has not accepted do.
+    // Untaken are the bytes that the own kernel has not accepted yet, and those that the peer's
+    // kernel has not acknowledged. Where the system cannot tell the latter, only the former count.
     bool hasUntakenBytes() const
     {
         if (uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&this->tcp)) > 0)
