--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -270,13 +270,17 @@
         self.servers.append(server)
         return server
 
-    def register(self, worker_id, service, port, engine=True, slots=64):
+    def register(self, worker_id, service, port, engine=True, slots=64, version=1, seq=1,
+                 born=None):
+        """Writes a worker's entry, and returns the time of its start."""
+        born = born or int(time.time() * 1000)
         spec = {"service": service, "address": f"{HOST}:{port}", "zone": ZONE, "version": "v1",
-                "slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
-                "born": int(time.time() * 1000)}
+                "slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": born}
         if engine:
-            spec.update(stage="colocated", models=[{"name": MODEL, "version": 1, "adapters": []}])
+            spec.update(stage="colocated",
+                        models=[{"name": MODEL, "version": version, "adapters": []}])
         self.store.put("servers", worker_id, spec)
+        return born
 
     def configure(self, routes, services, rate=242373):
         self.store.put("config", "main", {
