review: ports of the third review's stand-ins lie below the system's own

A port that the system gives to an outgoing connection could be in use when a stand-in starts. A start that fails for it ends a case with 2.

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -8,6 +8,7 @@
 import json
 import logging
 import os
+import random
 import shutil
 import signal
 import socket
@@ -33,12 +34,23 @@
     """The case could not run: exit code 2."""
 
 
+given_ports = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
+    """Returns ports below those that the system gives to outgoing connections, each once."""
+    sockets, ports = [], []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        if port in given_ports:
+            continue
+        given_ports.add(port)
+        one = socket.socket()
         one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
+        sockets.append(one)
+        with contextlib.suppress(OSError):
+            one.bind((HOST, port))
+            ports.append(port)
     for one in sockets:
         one.close()
     return ports
@@ -363,7 +375,7 @@
         bed = Bed(case_folder, **options)
         try:
             return 0 if await asyncio.wait_for(play(bed), 110) else 1
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, OSError, asyncio.TimeoutError) as error:
             bed.say(f"the case could not run: {error!r}")
             return 2
         finally:
